--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Two commands for a newcomer: `make run` and `make test`.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DURATION_S ?= 0
+
+.PHONY: run test install format lint unit binary smoke clean
+
+run: binary
+	$(BIN)/python -m standins.demo --duration-s $(DURATION_S) --program dist/berylhaven
+
+test: clean-venv install lint unit binary smoke
+
+clean-venv:
+	rm -rf $(VENV)
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+format: install
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python -m tools.check_docstrings
+
+unit: install
+	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m tools.run_tests
+
+binary: install
+	$(BIN)/python -m tools.build_binary
+
+smoke: binary
+	$(BIN)/python -m tools.smoke_test dist/berylhaven
+
+clean:
+	rm -rf build dist .hypothesis .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: load tools, experiments and their reports."""
--- /dev/null
+++ b/berylhaven/_version.py
@@ -0,0 +1,3 @@
+"""The version of the program."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/berylhaven/backend/__init__.py
@@ -0,0 +1,21 @@
+"""The adapter to backend servers: headers, load reports, refusals, cancellation."""
+
+from berylhaven.backend._headers import (
+    CALL_ID_HEADER,
+    DEADLINE_HEADER,
+    LOAD_HEADER,
+    SHED_HEADER,
+    is_shed,
+    request_headers,
+)
+from berylhaven.backend._load_header import read_load_header
+
+__all__ = [
+    "CALL_ID_HEADER",
+    "DEADLINE_HEADER",
+    "LOAD_HEADER",
+    "SHED_HEADER",
+    "is_shed",
+    "read_load_header",
+    "request_headers",
+]
--- /dev/null
+++ b/berylhaven/backend/_headers.py
@@ -0,0 +1,36 @@
+"""Headers that pass between entry instances and backend servers."""
+
+from collections.abc import Mapping
+
+# The call's id, the same for each attempt of one call.
+CALL_ID_HEADER = "Berylhaven-Call-Id"
+# Milliseconds that are left for the call when the request is sent.
+DEADLINE_HEADER = "Berylhaven-Timeout-Ms"
+# The load report on each answer (Open Request Cost Aggregation).
+LOAD_HEADER = "endpoint-load-metrics"
+# Present on a 503 by which the server says that it did not start the call.
+SHED_HEADER = "Berylhaven-Not-Started"
+
+
+def request_headers(call_id: str, remaining_s: float) -> dict[str, str]:
+    """Return the headers that tell a backend server about a call.
+
+    Parameters
+    ----------
+    call_id : str
+        The call's id.
+    remaining_s : float
+        Seconds until the deadline.
+
+    Returns
+    -------
+    dict
+        Header values by name.
+    """
+    remaining_ms = max(0, int(remaining_s * 1000))
+    return {CALL_ID_HEADER: call_id, DEADLINE_HEADER: str(remaining_ms)}
+
+
+def is_shed(status: int, headers: Mapping[str, str]) -> bool:
+    """Tell whether an answer says that the call was not started."""
+    return status == 503 and headers.get(SHED_HEADER) == "1"
--- /dev/null
+++ b/berylhaven/backend/_load_header.py
@@ -0,0 +1,88 @@
+"""Reading the ``endpoint-load-metrics`` header in its TEXT and JSON forms."""
+
+import math
+
+import orjson
+
+from berylhaven.load import LoadReport
+
+TEXT_PREFIX = "TEXT "
+JSON_PREFIX = "JSON "
+NAMED_PREFIX = "named_metrics."
+MILLISECONDS_PER_SECOND = 1000.0
+# Larger counts are a lie or a fault, and would outweigh all other servers.
+COUNT_MAXIMUM = 1_000_000
+
+
+def read_load_header(value: str | None, now_s: float) -> LoadReport | None:
+    """Read a load report.
+
+    Parameters
+    ----------
+    value : str or None
+        The header's value.
+    now_s : float
+        The time of receipt on the hub's clock.
+
+    Returns
+    -------
+    LoadReport or None
+        None if there is no header, or nothing usable in it.
+    """
+    if not value:
+        return None
+    if value.startswith(TEXT_PREFIX):
+        metrics = _read_text(value.removeprefix(TEXT_PREFIX))
+    elif value.startswith(JSON_PREFIX):
+        metrics = _read_json(value.removeprefix(JSON_PREFIX))
+    else:
+        return None
+    if "running" not in metrics:
+        return None
+    service_time_ms = metrics.get("service_time_ms")
+    return LoadReport(
+        running_count=_count(metrics["running"]),
+        queued_count=_count(metrics.get("queued", 0.0)),
+        slot_count=_count(metrics["slots"]) or None if "slots" in metrics else None,
+        service_time_s=(
+            None
+            if service_time_ms is None
+            else service_time_ms / MILLISECONDS_PER_SECOND
+        ),
+        is_leaving=metrics.get("leaving", 0.0) > 0,
+        received_at_s=now_s,
+    )
+
+
+def _count(number: float) -> int:
+    return int(min(max(number, 0.0), COUNT_MAXIMUM))
+
+
+def _read_text(text: str) -> dict[str, float]:
+    metrics = {}
+    for part in text.split(","):
+        name, _, number = part.strip().partition("=")
+        _add(metrics, name.removeprefix(NAMED_PREFIX), number)
+    return metrics
+
+
+def _read_json(text: str) -> dict[str, float]:
+    try:
+        document = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return {}
+    metrics: dict[str, float] = {}
+    named = document.get("named_metrics") if isinstance(document, dict) else None
+    if isinstance(named, dict):
+        for name, number in named.items():
+            _add(metrics, name, number)
+    return metrics
+
+
+def _add(metrics: dict[str, float], name: str, number: object) -> None:
+    try:
+        value = float(number)  # type: ignore[arg-type]
+    except (TypeError, ValueError):
+        return
+    if math.isfinite(value) and value >= 0:
+        metrics[name] = value
--- /dev/null
+++ b/berylhaven/calls/_attempt_end.py
@@ -0,0 +1,84 @@
+"""The table of how one attempt may end, and what is proved by each end."""
+
+import enum
+from dataclasses import dataclass
+
+from berylhaven.results import (
+    BackendServerShed,
+    BadFraming,
+    CallRefused,
+    DeadlineExceeded,
+    Outcome,
+    UpstreamBroken,
+    UpstreamUnreachable,
+)
+
+
+class AttemptEnd(enum.Enum):
+    """The place at which an attempt ended without a whole answer."""
+
+    # No connection to the backend server was opened.
+    NOT_CONNECTED = "not-connected"
+    # The deadline passed before a byte went out.
+    DEADLINE_BEFORE_SENDING = "deadline-before-sending"
+    # The caller's body ended early or was malformed.
+    CALLER_BODY_CUT = "caller-body-cut"
+    # The connection broke while the request was sent.
+    BROKEN_WHILE_SENDING = "broken-while-sending"
+    # The connection broke, or the answer was malformed, before the answer's head.
+    BROKEN_BEFORE_HEAD = "broken-before-head"
+    # The deadline passed before the answer's head.
+    DEADLINE_BEFORE_HEAD = "deadline-before-head"
+    # The backend server said that it did not start the call.
+    SHED = "shed"
+
+
+@dataclass(slots=True, frozen=True)
+class EndJudgement:
+    """What follows from one end of an attempt."""
+
+    # Whether the call can have run.
+    outcome: Outcome
+    # Whether another attempt may help, the call being safe to send again.
+    may_retry: bool
+    # The result that the caller gets if there is no other attempt.
+    refusal: type[CallRefused]
+
+
+JUDGEMENTS = {
+    AttemptEnd.NOT_CONNECTED: EndJudgement(Outcome.NOT_RUN, True, UpstreamUnreachable),
+    AttemptEnd.DEADLINE_BEFORE_SENDING: EndJudgement(
+        Outcome.NOT_RUN, False, DeadlineExceeded
+    ),
+    AttemptEnd.CALLER_BODY_CUT: EndJudgement(Outcome.UNKNOWN, False, BadFraming),
+    AttemptEnd.BROKEN_WHILE_SENDING: EndJudgement(
+        Outcome.UNKNOWN, True, UpstreamBroken
+    ),
+    AttemptEnd.BROKEN_BEFORE_HEAD: EndJudgement(Outcome.UNKNOWN, True, UpstreamBroken),
+    AttemptEnd.DEADLINE_BEFORE_HEAD: EndJudgement(
+        Outcome.UNKNOWN, False, DeadlineExceeded
+    ),
+    AttemptEnd.SHED: EndJudgement(Outcome.NOT_RUN, True, BackendServerShed),
+}
+
+
+class AttemptFailed(Exception):
+    """An attempt ended without a whole answer.
+
+    Parameters
+    ----------
+    end : AttemptEnd
+        Where it ended.
+    message : str
+        One sentence with the particulars.
+    """
+
+    def __init__(self, end: AttemptEnd, message: str) -> None:
+        super().__init__(message)
+        self.end = end
+        self.message = message
+
+    @property
+    def judgement(self) -> EndJudgement:
+        """What follows from this end."""
+        return JUDGEMENTS[self.end]
--- /dev/null
+++ b/berylhaven/catalogue/__init__.py
@@ -0,0 +1,33 @@
+"""The operators' catalogue: its model, its check, its revision and digest."""
+
+from berylhaven.catalogue._check import (
+    CATALOGUE_LIMIT_BYTES,
+    CatalogueRefused,
+    check_catalogue,
+    read_catalogue,
+)
+from berylhaven.catalogue._model import (
+    CallClass,
+    Catalogue,
+    CatalogueInForce,
+    FirmEntry,
+    FleetEntry,
+    MethodPath,
+    ServiceEntry,
+)
+from berylhaven.catalogue._section import CATALOGUE_SECTION
+
+__all__ = [
+    "CATALOGUE_LIMIT_BYTES",
+    "CATALOGUE_SECTION",
+    "CallClass",
+    "Catalogue",
+    "CatalogueInForce",
+    "CatalogueRefused",
+    "FirmEntry",
+    "FleetEntry",
+    "MethodPath",
+    "ServiceEntry",
+    "check_catalogue",
+    "read_catalogue",
+]
--- /dev/null
+++ b/berylhaven/catalogue/_check.py
@@ -0,0 +1,161 @@
+"""The check of a catalogue: a pure function of its text."""
+
+from berylhaven.catalogue._fields import FIRM_FIELDS, FLEET_FIELDS, SERVICE_FIELDS
+from berylhaven.catalogue._model import Catalogue, FirmEntry, FleetEntry, ServiceEntry
+from berylhaven.ini import IniDocument, IniSection, read_document, read_fields
+from berylhaven.results import (
+    BadValue,
+    CheckProblem,
+    MissingSection,
+    NotReadable,
+    SharesTooLarge,
+    TooLarge,
+    UnknownOwner,
+    UnknownSection,
+)
+from berylhaven.routing import routing_policies
+
+CATALOGUE_LIMIT_BYTES = 1_000_000
+# Shares are decimal fractions, whose binary sum may be a little off.
+SHARE_TOLERANCE = 1e-9
+
+
+class CatalogueRefused(ExceptionGroup):
+    """Every fault of a catalogue."""
+
+
+def read_catalogue(raw: bytes) -> Catalogue:
+    """Check a catalogue and return it.
+
+    Parameters
+    ----------
+    raw : bytes
+        The value as the configuration service holds it.
+
+    Returns
+    -------
+    Catalogue
+        The checked catalogue.
+
+    Raises
+    ------
+    CatalogueRefused
+        With every fault found.
+    """
+    catalogue, problems = check_catalogue(raw)
+    if catalogue is None:
+        raise CatalogueRefused("catalogue refused", problems)
+    return catalogue
+
+
+def check_catalogue(raw: bytes) -> tuple[Catalogue | None, list[CheckProblem]]:
+    """Check a catalogue; every instance reaches the same verdict on one text.
+
+    Parameters
+    ----------
+    raw : bytes
+        The value as the configuration service holds it.
+
+    Returns
+    -------
+    tuple of Catalogue or None and list of CheckProblem
+        The catalogue if nothing is wrong with it, and every fault otherwise.
+    """
+    if len(raw) > CATALOGUE_LIMIT_BYTES:
+        message = f"{len(raw)} bytes: allowed is {CATALOGUE_LIMIT_BYTES}"
+        return None, [TooLarge(message)]
+    try:
+        text = raw.decode("utf-8")
+    except UnicodeDecodeError as error:
+        return None, [NotReadable(f"not UTF-8 at byte {error.start}")]
+    document, problems = read_document(text)
+    fleet = _read_fleet(document, problems)
+    firms = _read_firms(document, problems)
+    services = _read_services(document, firms, problems)
+    _check_sections(document, problems)
+    _check_shares(firms, problems)
+    if problems:
+        return None, sorted(problems, key=lambda problem: problem.line or 0)
+    return Catalogue(fleet, firms, services, text), []
+
+
+def _named(document: IniDocument, kind: str) -> list[tuple[str, IniSection]]:
+    prefix = kind + " "
+    return [
+        (section.name.removeprefix(prefix).strip(), section)
+        for section in document.sections
+        if section.name.startswith(prefix)
+    ]
+
+
+def _read_fleet(
+    document: IniDocument, problems: list[CheckProblem]
+) -> FleetEntry | None:
+    for section in document.sections:
+        if section.name == "fleet":
+            values, faults = read_fields(section, FLEET_FIELDS)
+            problems.extend(faults)
+            return FleetEntry(**values)
+    problems.append(MissingSection("add [fleet] with max_entry_instances"))
+    return None
+
+
+def _read_firms(
+    document: IniDocument, problems: list[CheckProblem]
+) -> dict[str, FirmEntry]:
+    firms = {}
+    for name, section in _named(document, "firm"):
+        values, faults = read_fields(section, FIRM_FIELDS)
+        problems.extend(faults)
+        firms[name] = FirmEntry(name=name, **values)
+    return firms
+
+
+def _read_services(
+    document: IniDocument, firms: dict[str, FirmEntry], problems: list[CheckProblem]
+) -> dict[str, ServiceEntry]:
+    services = {}
+    for name, section in _named(document, "service"):
+        values, faults = read_fields(section, SERVICE_FIELDS)
+        problems.extend(faults)
+        values["call_class"] = values.pop("class")
+        entry = ServiceEntry(name=name, **values)
+        _check_service(entry, section, firms, problems)
+        services[name] = entry
+    return services
+
+
+def _check_service(
+    entry: ServiceEntry,
+    section: IniSection,
+    firms: dict[str, FirmEntry],
+    problems: list[CheckProblem],
+) -> None:
+    if entry.owner is not None and entry.owner not in firms:
+        line = section.entries["owner"].line
+        message = f"add [firm {entry.owner}] or name another owner"
+        problems.append(UnknownOwner(message, line, section.name, "owner"))
+    policies = routing_policies()
+    if entry.routing_policy not in policies:
+        line = section.entries["routing_policy"].line
+        message = f"{entry.routing_policy!r}: write one of {', '.join(policies)}"
+        problems.append(BadValue(message, line, section.name, "routing_policy"))
+
+
+def _check_sections(document: IniDocument, problems: list[CheckProblem]) -> None:
+    for section in document.sections:
+        kind, _, name = section.name.partition(" ")
+        if section.name == "fleet":
+            continue
+        if kind not in ("firm", "service"):
+            message = "the sections here are fleet, firm NAME, service NAME"
+            problems.append(UnknownSection(message, section.line, section.name))
+        elif not name.strip():
+            message = f"write [{kind} NAME]"
+            problems.append(UnknownSection(message, section.line, section.name))
+
+
+def _check_shares(firms: dict[str, FirmEntry], problems: list[CheckProblem]) -> None:
+    total = sum(firm.guaranteed_share_ratio or 0 for firm in firms.values())
+    if total > 1 + SHARE_TOLERANCE:
+        problems.append(SharesTooLarge(f"the shares add up to {total:g}"))
--- /dev/null
+++ b/berylhaven/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from berylhaven.cli._run import run_command_line
+
+__all__ = ["run_command_line"]
--- /dev/null
+++ b/berylhaven/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one a module; importing a module registers its command."""
--- /dev/null
+++ b/berylhaven/controllers/_context.py
@@ -0,0 +1,41 @@
+"""What controllers are built from."""
+
+from dataclasses import dataclass
+from random import Random
+
+from berylhaven.admission import AdmissionGate
+from berylhaven.blackboard import Blackboard
+from berylhaven.exchange import PeerClient
+from berylhaven.load import LoadTable
+from berylhaven.membership import LocalInstance, PeerTable
+from berylhaven.operations import MetricsRegistry
+from berylhaven.platform import ConfigurationService, InstanceListService
+from berylhaven.settings import Settings
+
+
+@dataclass(slots=True)
+class ControllerContext:
+    """The parts of one entry instance that controllers work with."""
+
+    # The process's settings.
+    settings: Settings
+    # Where controllers share what they know.
+    blackboard: Blackboard
+    # What this instance says of itself.
+    local_instance: LocalInstance
+    # The peers.
+    peer_table: PeerTable
+    # Requests to peers.
+    peer_client: PeerClient
+    # The load records.
+    load_table: LoadTable
+    # The limits.
+    gate: AdmissionGate
+    # The configuration service.
+    configuration_service: ConfigurationService
+    # The instance list.
+    instance_list_service: InstanceListService
+    # The process's metrics.
+    metrics: MetricsRegistry
+    # The source of random numbers.
+    random: Random
--- /dev/null
+++ b/berylhaven/entry/_entry_instance.py
@@ -0,0 +1,160 @@
+"""Putting the parts of an entry instance together."""
+
+from random import Random
+
+import eventlet
+
+from berylhaven.admission import AdmissionGate
+from berylhaven.blackboard import Blackboard
+from berylhaven.controllers import (
+    ControllerContext,
+    controller_classes,
+    run_controllers,
+)
+from berylhaven.entry._status import status_document
+from berylhaven.exchange import PeerClient, PeersApplication
+from berylhaven.load import LOAD_SECTION, LoadTable
+from berylhaven.membership import LocalInstance, PeerTable, new_identity
+from berylhaven.operations import (
+    CallMetrics,
+    DecisionLog,
+    MetricsRegistry,
+    OperatorsApplication,
+    PartLog,
+)
+from berylhaven.platform import ConfigurationService, InstanceListService
+from berylhaven.proxy import CallersApplication, CallHandler, serve
+from berylhaven.settings import Settings
+
+LOG = PartLog("entry")
+PEER_CONNECTIONS = 256
+OPERATOR_CONNECTIONS = 32
+
+
+class EntryInstance:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        The process's settings.
+    """
+
+    __slots__ = ("_settings", "_context", "_controllers", "_handler", "_threads")
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._context = _build_context(settings)
+        self._controllers = {
+            name: controller(self._context)
+            for name, controller in controller_classes().items()
+        }
+        self._handler = CallHandler(
+            settings,
+            self._context.gate,
+            self._context.load_table,
+            DecisionLog(settings.log),
+            CallMetrics(self._context.metrics),
+        )
+        self._threads: list[eventlet.greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Listen on the three ports and run the controllers."""
+        self._threads = [
+            self._serve_callers(),
+            self._serve_peers(),
+            self._serve_operators(),
+        ]
+        controllers = list(self._controllers.values())
+        self._threads += run_controllers(controllers, self._context.random)
+        LOG.info(
+            "Entry instance %s of %s started for callers on %s.",
+            self._context.local_instance.identity.nonce,
+            self._settings.instance.firm,
+            self._settings.instance.callers_address,
+        )
+
+    def wait(self) -> None:
+        """Return when the instance has stopped."""
+        for thread in self._threads:
+            try:
+                thread.wait()
+            except eventlet.greenlet.GreenletExit:
+                continue
+
+    def stop(self) -> None:
+        """Stop at once."""
+        for thread in self._threads:
+            thread.kill()
+
+    def status(self) -> dict:
+        """Return what ``/v1/status`` shows."""
+        return status_document(self._context)
+
+    def _serve_callers(self) -> eventlet.greenthread.GreenThread:
+        application = CallersApplication(
+            self._settings,
+            self._context.blackboard,
+            self._handler,
+            self._context.local_instance.announcement,
+        )
+        proxy = self._settings.proxy
+        # Callers keep idle connections, so more are open than calls in flight.
+        connection_limit = 4 * proxy.concurrency_limit
+        return serve(
+            self._settings.instance.host,
+            self._settings.instance.callers_port,
+            application,
+            connection_limit,
+            proxy.sender_timeout_s,
+        )
+
+    def _serve_peers(self) -> eventlet.greenthread.GreenThread:
+        application = PeersApplication(
+            self._context.blackboard, self._controllers["exchange"].receive
+        )
+        return serve(
+            self._settings.instance.host,
+            self._settings.instance.peers_port,
+            application,
+            PEER_CONNECTIONS,
+            self._settings.proxy.sender_timeout_s,
+        )
+
+    def _serve_operators(self) -> eventlet.greenthread.GreenThread:
+        application = OperatorsApplication(
+            self._context.metrics,
+            self.status,
+            lambda: self._context.local_instance.is_ready,
+        )
+        return serve(
+            self._settings.instance.host,
+            self._settings.instance.operators_port,
+            application,
+            OPERATOR_CONNECTIONS,
+            self._settings.proxy.sender_timeout_s,
+        )
+
+
+def _build_context(settings: Settings) -> ControllerContext:
+    blackboard = Blackboard()
+    load_table = LoadTable()
+    blackboard.claim(LOAD_SECTION, "load").write(load_table)
+    gate = AdmissionGate(settings.proxy)
+    identity = new_identity(settings.instance.peers_address)
+    local_instance = LocalInstance(
+        settings.instance, identity, blackboard, lambda: gate.load_ratio
+    )
+    return ControllerContext(
+        settings=settings,
+        blackboard=blackboard,
+        local_instance=local_instance,
+        peer_table=PeerTable(settings.instance.peers_address),
+        peer_client=PeerClient(),
+        load_table=load_table,
+        gate=gate,
+        configuration_service=ConfigurationService(settings.platform),
+        instance_list_service=InstanceListService(settings.platform, settings.instance),
+        metrics=MetricsRegistry(),
+        random=Random(),
+    )
--- /dev/null
+++ b/berylhaven/entry/_status.py
@@ -0,0 +1,69 @@
+"""The status document of one entry instance."""
+
+from berylhaven.catalogue import CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers import ControllerContext
+from berylhaven.load import ServerLoad
+
+
+def status_document(context: ControllerContext) -> dict:
+    """Return what the instance knows, as a JSON object.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        The instance's parts.
+
+    Returns
+    -------
+    dict
+        Itself, the catalogue, peers, backend servers and limits.
+    """
+    now_s = monotonic_s()
+    return {
+        "instance": context.local_instance.announcement().to_json(),
+        "catalogue": _catalogue(context, now_s),
+        "peers": [
+            {
+                **peer.announcement.to_json(),
+                "state": peer.state(now_s).value,
+                "heard_s_ago": round(now_s - peer.heard_at_s, 3),
+            }
+            for peer in context.peer_table.peers()
+        ],
+        "backend_servers": {
+            service: [
+                _server(record, now_s)
+                for record in context.load_table.candidates(service)
+            ]
+            for service in context.load_table.services()
+        },
+        "calls_in_flight": context.gate.in_flight_count,
+        "blackboard": context.blackboard.owners(),
+    }
+
+
+def _catalogue(context: ControllerContext, now_s: float) -> dict | None:
+    reading = context.blackboard.read(CATALOGUE_SECTION)
+    if reading is None:
+        return None
+    return {
+        "revision": reading.value.revision,
+        "digest": reading.value.digest,
+        "in_force_for_s": round(reading.age_s(now_s), 3),
+    }
+
+
+def _server(record: ServerLoad, now_s: float) -> dict:
+    age_s = record.news_age_s(now_s)
+    return {
+        "address": record.address,
+        "data_centre": record.data_centre,
+        "slot_count": record.slot_count,
+        "own_in_flight": record.own_in_flight,
+        "running": record.report.running_count if record.report else None,
+        "queued": record.report.queued_count if record.report else None,
+        "news_age_s": None if age_s is None else round(age_s, 3),
+        "service_time_s": record.service_time_s,
+        "consecutive_failures": record.consecutive_failures,
+    }
--- /dev/null
+++ b/berylhaven/entry/tests/test_whole_path.py
@@ -0,0 +1,54 @@
+"""Tests of the whole path: locate, call, answer, over real sockets."""
+
+import unittest
+
+import orjson
+
+from berylhaven.entry.tests._whole_path import WholePath
+
+
+class WholePathTest(unittest.TestCase):
+    """Three entry instances that know one another serve both firms."""
+
+    def setUp(self):
+        self.path = WholePath()
+        self.addCleanup(self.path.stop)
+        self.path.wait_until_ready()
+
+    def test_a_caller_locates_calls_and_is_answered(self):
+        located = self.path.locate(1, "positions")
+        self.assertEqual(len(located["entry_instances"]), 3)
+        first = located["entry_instances"][0]
+        self.assertEqual(first["data_centre"], "a")
+        call_id = first["call_id_prefix"] + "caller-1".replace("-", "_")
+        answer = self.path.http.request(
+            "GET",
+            f"http://{first['address']}/v1/services/positions/book/7?x=1",
+            headers={"Berylhaven-Call-Id": call_id},
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["Berylhaven-Outcome"], "run")
+        self.assertEqual(answer.headers["Berylhaven-Result"], "200")
+        document = orjson.loads(answer.data)
+        self.assertEqual(document["path"], "/book/7")
+        self.assertEqual(document["call_id"], call_id)
+
+    def test_a_body_reaches_the_backend_server(self):
+        path = "/v1/services/bookings/vans"
+        answer = self.path.request("POST", 2, path, body=b"x" * 5000)
+        self.assertEqual(orjson.loads(answer.data)["body_bytes"], 5000)
+
+    def test_an_unknown_service_is_refused_with_its_number(self):
+        answer = self.path.get(0, "/v1/services/nothing/x")
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(answer.headers["Berylhaven-Outcome"], "not-run")
+        self.assertEqual(orjson.loads(answer.data)["result"], 201)
+
+    def test_operators_see_health_status_and_metrics(self):
+        self.path.get(0, "/v1/services/positions/x")
+        self.assertEqual(self.path.get(0, "/v1/health", port=2).status, 200)
+        status = orjson.loads(self.path.get(0, "/v1/status", port=2).data)
+        self.assertEqual(status["catalogue"]["revision"], 1)
+        self.assertEqual(len(status["peers"]), 2)
+        metrics = self.path.get(0, "/metrics", port=2).data.decode()
+        self.assertIn("berylhaven_calls_total", metrics)
--- /dev/null
+++ b/berylhaven/membership/_local_instance.py
@@ -0,0 +1,88 @@
+"""What this entry instance says of itself."""
+
+from collections.abc import Callable
+
+from berylhaven.blackboard import Blackboard
+from berylhaven.catalogue import CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.membership._announcement import Announcement
+from berylhaven.membership._identity import Identity
+from berylhaven.settings import InstanceSettings
+
+
+class LocalInstance:
+    """This run of this entry instance.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        Its addresses and place.
+    identity : Identity
+        Its incarnation and nonce.
+    blackboard : Blackboard
+        With the catalogue in force.
+    load_ratio : callable
+        Returns calls in flight as a share of the bound.
+    """
+
+    __slots__ = (
+        "identity",
+        "is_leaving",
+        "_settings",
+        "_blackboard",
+        "_load_ratio",
+        "_sequence",
+        "_started_at_s",
+    )
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        identity: Identity,
+        blackboard: Blackboard,
+        load_ratio: Callable[[], float],
+    ) -> None:
+        # The identity of this run.
+        self.identity = identity
+        # Set once, when the instance begins to leave.
+        self.is_leaving = False
+        self._settings = settings
+        self._blackboard = blackboard
+        self._load_ratio = load_ratio
+        self._sequence = 0
+        self._started_at_s = monotonic_s()
+
+    @property
+    def uptime_s(self) -> float:
+        """Seconds since this run began, on its own clock."""
+        return monotonic_s() - self._started_at_s
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance takes callers."""
+        has_catalogue = self._blackboard.read(CATALOGUE_SECTION) is not None
+        return has_catalogue and not self.is_leaving
+
+    def next_announcement(self) -> Announcement:
+        """Return a new announcement, which supersedes all before it."""
+        self._sequence += 1
+        return self.announcement()
+
+    def announcement(self) -> Announcement:
+        """Return what holds now, under the last sequence number."""
+        reading = self._blackboard.read(CATALOGUE_SECTION)
+        return Announcement(
+            peers_address=self._settings.peers_address,
+            callers_address=self._settings.callers_address,
+            data_centre=self._settings.data_centre,
+            firm=self._settings.firm,
+            incarnation=self.identity.incarnation,
+            nonce=self.identity.nonce,
+            sequence=self._sequence,
+            is_ready=self.is_ready,
+            is_leaving=self.is_leaving,
+            load_ratio=float(self._load_ratio()),
+            uptime_s=int(self.uptime_s),
+            catalogue_revision=reading.value.revision if reading else 0,
+            catalogue_digest=reading.value.digest if reading else "",
+        )
--- /dev/null
+++ b/berylhaven/operations/__init__.py
@@ -0,0 +1,16 @@
+"""What operators see: metrics, status, decision lines, logs."""
+
+from berylhaven.operations._application import OperatorsApplication
+from berylhaven.operations._decision_log import DecisionLog, PlacementDecision
+from berylhaven.operations._log_setup import PartLog, set_up_logging
+from berylhaven.operations._metrics import CallMetrics, MetricsRegistry
+
+__all__ = [
+    "CallMetrics",
+    "DecisionLog",
+    "MetricsRegistry",
+    "OperatorsApplication",
+    "PartLog",
+    "PlacementDecision",
+    "set_up_logging",
+]
--- /dev/null
+++ b/berylhaven/operations/_log_setup.py
@@ -0,0 +1,48 @@
+"""Logs by absl, each part with its fixed prefix."""
+
+from absl import logging
+
+from berylhaven.settings import LogSettings
+
+
+def set_up_logging(settings: LogSettings) -> None:
+    """Set the level of the program's log.
+
+    Parameters
+    ----------
+    settings : LogSettings
+        With the level.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(settings.level)
+
+
+class PartLog:
+    """The log of one part of the program.
+
+    Parameters
+    ----------
+    part : str
+        The prefix of each line, without the colon.
+    """
+
+    __slots__ = ("_prefix",)
+
+    def __init__(self, part: str) -> None:
+        self._prefix = part + ": "
+
+    def info(self, sentence: str, *values: object) -> None:
+        """Write a line about the ordinary run."""
+        logging.info(self._prefix + sentence, *values)
+
+    def warning(self, sentence: str, *values: object) -> None:
+        """Write a line about something that an operator may look into."""
+        logging.warning(self._prefix + sentence, *values)
+
+    def error(self, sentence: str, *values: object) -> None:
+        """Write a line about something that an operator must look into."""
+        logging.error(self._prefix + sentence, *values)
+
+    def debug(self, sentence: str, *values: object) -> None:
+        """Write a line for developers."""
+        logging.debug(self._prefix + sentence, *values)
--- /dev/null
+++ b/berylhaven/operations/_metrics.py
@@ -0,0 +1,67 @@
+"""Metrics in aioprometheus's types."""
+
+from aioprometheus.collectors import Counter, Histogram, Registry
+from aioprometheus.renderer import render
+
+from berylhaven.clock import monotonic_s
+from berylhaven.results import ResultCode
+
+TEXT_FORM = "text/plain"
+CALL_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
+
+
+class MetricsRegistry:
+    """All metrics of the process."""
+
+    __slots__ = ("registry",)
+
+    def __init__(self) -> None:
+        # The library's registry, to which each part adds its metrics.
+        self.registry = Registry()
+
+    def render(self, accept: str) -> tuple[bytes, dict]:
+        """Return the metrics in the text form that a scraper accepts."""
+        return render(self.registry, [accept or TEXT_FORM])
+
+
+class CallMetrics:
+    """Counts how calls end.
+
+    Parameters
+    ----------
+    metrics : MetricsRegistry
+        Where the metrics are added.
+    """
+
+    __slots__ = ("_ended", "_duration")
+
+    def __init__(self, metrics: MetricsRegistry) -> None:
+        self._ended = Counter(
+            "berylhaven_calls_total",
+            "Calls ended, by service and result.",
+            registry=metrics.registry,
+        )
+        self._duration = Histogram(
+            "berylhaven_call_duration_seconds",
+            "From a call's arrival to the head of its answer.",
+            buckets=list(CALL_BUCKETS_S),
+            registry=metrics.registry,
+        )
+
+    def call_ended(
+        self, service_name: str, code: ResultCode, started_at_s: float
+    ) -> None:
+        """Count a call.
+
+        Parameters
+        ----------
+        service_name : str
+            The call's service.
+        code : ResultCode
+            How it ended.
+        started_at_s : float
+            When it came in, on the hub's clock.
+        """
+        self._ended.inc({"service": service_name, "result": code.name})
+        duration_s = monotonic_s() - started_at_s
+        self._duration.observe({"service": service_name}, duration_s)
--- /dev/null
+++ b/berylhaven/platform/__init__.py
@@ -0,0 +1,25 @@
+"""Adapters to the platform: the configuration service and the instance list."""
+
+from berylhaven.platform._configuration_service import (
+    ConfigurationService,
+    ConfigurationValue,
+)
+from berylhaven.platform._errors import PlatformUnavailable
+from berylhaven.platform._instance_list import InstanceListService
+from berylhaven.platform._instances import (
+    INSTANCE_LIST_SECTION,
+    BackendServer,
+    EntryInstance,
+    InstanceList,
+)
+
+__all__ = [
+    "INSTANCE_LIST_SECTION",
+    "BackendServer",
+    "ConfigurationService",
+    "ConfigurationValue",
+    "EntryInstance",
+    "InstanceList",
+    "InstanceListService",
+    "PlatformUnavailable",
+]
--- /dev/null
+++ b/berylhaven/platform/_errors.py
@@ -0,0 +1,5 @@
+"""Errors of the platform's services."""
+
+
+class PlatformUnavailable(Exception):
+    """A service of the platform did not answer, or not as its protocol says."""
--- /dev/null
+++ b/berylhaven/platform/_instance_list.py
@@ -0,0 +1,68 @@
+"""The adapter to the instance list."""
+
+import orjson
+
+from berylhaven.platform._errors import PlatformUnavailable
+from berylhaven.platform._http import PlatformHttp
+from berylhaven.platform._instances import BackendServer, EntryInstance, InstanceList
+from berylhaven.settings import InstanceSettings, PlatformSettings
+
+
+class InstanceListService:
+    """Reads of the instance list.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        With the service's address.
+    instance : InstanceSettings
+        With the firm whose instances are asked for.
+    """
+
+    __slots__ = ("_http", "_path")
+
+    def __init__(self, settings: PlatformSettings, instance: InstanceSettings) -> None:
+        self._http = PlatformHttp(settings.instance_list, settings)
+        self._path = f"/v1/instances?firm={instance.firm}"
+
+    def read(self) -> InstanceList:
+        """Read the list.
+
+        Returns
+        -------
+        InstanceList
+            As the platform knows it, which lags.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the service does not answer as it should.
+        """
+        answer = self._http.get(self._path)
+        try:
+            document = orjson.loads(answer.data)
+            return InstanceList(
+                tuple(_backend_server(row) for row in document["backend_servers"]),
+                tuple(_entry_instance(row) for row in document["entry_instances"]),
+            )
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise PlatformUnavailable(f"{self._path}: {error!r}") from error
+
+
+def _backend_server(row: dict) -> BackendServer:
+    return BackendServer(
+        address=row["address"],
+        service=row["service"],
+        data_centre=row["data_centre"],
+        slot_count=int(row["slot_count"]),
+        incarnation=int(row["incarnation"]),
+        is_leaving=row["state"] == "leaving",
+    )
+
+
+def _entry_instance(row: dict) -> EntryInstance:
+    return EntryInstance(
+        peers_address=row["peers_address"],
+        data_centre=row["data_centre"],
+        is_leaving=row["state"] == "leaving",
+    )
--- /dev/null
+++ b/berylhaven/proxy/_application.py
@@ -0,0 +1,138 @@
+"""The WSGI application on the callers' port."""
+
+import secrets
+from collections.abc import Callable, Iterable
+from urllib.parse import parse_qs
+
+from berylhaven.blackboard import Blackboard
+from berylhaven.calls import call_id_prefix, read_call_id
+from berylhaven.catalogue import CATALOGUE_SECTION, CatalogueInForce, ServiceEntry
+from berylhaven.clock import monotonic_s
+from berylhaven.membership import MEMBERSHIP_SECTION, Announcement, PeerState
+from berylhaven.proxy._call_answer import CallAnswer, json_answer, refusal_answer
+from berylhaven.proxy._call_handler import CallHandler
+from berylhaven.proxy._call_request import (
+    CALL_ID_HEADER,
+    CallRequest,
+    read_deadline_s,
+)
+from berylhaven.proxy._hop_headers import end_to_end
+from berylhaven.proxy._locate import locate_document
+from berylhaven.results import BodyTooLarge, CallRefused, NotReady, UnknownService
+from berylhaven.settings import Settings
+
+ENTRIES_PATH = "/v1/entries"
+SERVICES_PREFIX = "/v1/services/"
+OWN_PART_BYTES = 12
+RETRY_AFTER_S = 1.0
+
+
+class CallersApplication:
+    """Answers callers.
+
+    Parameters
+    ----------
+    settings : Settings
+        The process's settings.
+    blackboard : Blackboard
+        With the catalogue and the peers.
+    handler : CallHandler
+        Runs the calls.
+    announce : callable
+        Returns what this instance says of itself now.
+    """
+
+    __slots__ = ("_settings", "_blackboard", "_handler", "_announce")
+
+    def __init__(
+        self,
+        settings: Settings,
+        blackboard: Blackboard,
+        handler: CallHandler,
+        announce: Callable[[], Announcement],
+    ) -> None:
+        self._settings = settings
+        self._blackboard = blackboard
+        self._handler = handler
+        self._announce = announce
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        try:
+            answer = self._answer(environ)
+        except CallRefused as refusal:
+            answer = refusal_answer(refusal)
+        start_response(answer.status, answer.headers)
+        return answer.body
+
+    def _answer(self, environ: dict) -> CallAnswer:
+        path = environ["RAW_PATH_INFO"]
+        if path == ENTRIES_PATH:
+            return self._locate(environ)
+        if path.startswith(SERVICES_PREFIX):
+            return self._call(environ, path.removeprefix(SERVICES_PREFIX))
+        raise UnknownService(f"no such path: {path[:100]}")
+
+    def _in_force(self) -> CatalogueInForce:
+        reading = self._blackboard.read(CATALOGUE_SECTION)
+        if reading is None:
+            raise NotReady("no catalogue yet", RETRY_AFTER_S)
+        return reading.value
+
+    def _service(self, in_force: CatalogueInForce, name: str) -> ServiceEntry:
+        service = in_force.catalogue.services.get(name)
+        if service is None:
+            raise UnknownService(f"no service {name[:100]!r}")
+        return service
+
+    def _locate(self, environ: dict) -> CallAnswer:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        name = query.get("service", [""])[0]
+        data_centre = query.get("data_centre", [None])[0]
+        in_force = self._in_force()
+        self._service(in_force, name)
+        table = self._blackboard.value(MEMBERSHIP_SECTION)
+        live = table.in_state(monotonic_s(), PeerState.LIVE)
+        announcements = [peer.announcement for peer in live]
+        announcements.append(self._announce())
+        return json_answer(
+            locate_document(
+                name,
+                in_force.revision,
+                self._settings.proxy.locate_time_to_live_s,
+                announcements,
+                data_centre,
+            )
+        )
+
+    def _call(self, environ: dict, rest: str) -> CallAnswer:
+        name, _, path = rest.partition("/")
+        in_force = self._in_force()
+        service = self._service(in_force, name)
+        request = self._request(environ, service, "/" + path)
+        return self._handler.handle(in_force.catalogue, request)
+
+    def _request(self, environ: dict, service: ServiceEntry, path: str) -> CallRequest:
+        query = environ.get("QUERY_STRING")
+        body = environ["wsgi.input"]
+        length = None if body.chunked_input else body.content_length or 0
+        if length is not None and length > service.body_limit_bytes:
+            raise BodyTooLarge(f"allowed is {service.body_limit_bytes} bytes")
+        return CallRequest(
+            service=service,
+            method=environ["REQUEST_METHOD"],
+            target=f"{path}?{query}" if query else path,
+            headers=end_to_end(environ["headers_raw"]),
+            read_body=body.read,
+            content_length=length,
+            deadline_s=read_deadline_s(environ, service, monotonic_s()),
+            call_id=self._call_id(environ),
+        )
+
+    def _call_id(self, environ: dict) -> str:
+        text = environ.get(CALL_ID_HEADER)
+        if text is not None:
+            return str(read_call_id(text))
+        announcement = self._announce()
+        prefix = call_id_prefix(announcement.nonce, announcement.uptime_s)
+        return prefix + secrets.token_hex(OWN_PART_BYTES)
--- /dev/null
+++ b/berylhaven/proxy/_call_answer.py
@@ -0,0 +1,94 @@
+"""What the callers' interface answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import orjson
+
+from berylhaven.results import CallRefused, Outcome, ResultCode
+
+OUTCOME_HEADER = "Berylhaven-Outcome"
+RESULT_HEADER = "Berylhaven-Result"
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclass(slots=True)
+class CallAnswer:
+    """An answer as WSGI wants it."""
+
+    # Status number and reason.
+    status: str
+    # Header names and values.
+    headers: list[tuple[str, str]]
+    # The pieces of the body.
+    body: Iterable[bytes]
+
+
+def outcome_headers(code: ResultCode, outcome: Outcome) -> list[tuple[str, str]]:
+    """Return the headers by which a caller learns what became of its call."""
+    return [(OUTCOME_HEADER, outcome.value), (RESULT_HEADER, str(code.number))]
+
+
+def json_answer(document: dict, status_code: int = 200) -> CallAnswer:
+    """Return a JSON answer.
+
+    Parameters
+    ----------
+    document : dict
+        What to write.
+    status_code : int
+        The HTTP status.
+
+    Returns
+    -------
+    CallAnswer
+        With its length.
+    """
+    body = orjson.dumps(document)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    status = f"{status_code} {REASONS.get(status_code, 'Unknown')}"
+    return CallAnswer(status, headers, [body])
+
+
+def refusal_answer(refusal: CallRefused) -> CallAnswer:
+    """Return the answer for a call that ended without a backend server's answer.
+
+    Parameters
+    ----------
+    refusal : CallRefused
+        Why it ended.
+
+    Returns
+    -------
+    CallAnswer
+        JSON with the result, and Retry-After where the caller may ask again.
+    """
+    code = refusal.code
+    document = {
+        "result": code.number,
+        "name": code.name,
+        "message": refusal.message,
+        "outcome": refusal.outcome.value,
+    }
+    answer = json_answer(document, code.status)
+    answer.headers.extend(outcome_headers(code, refusal.outcome))
+    if refusal.retry_after_s is not None:
+        answer.headers.append(
+            ("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        )
+    return answer
--- /dev/null
+++ b/berylhaven/proxy/_call_handler.py
@@ -0,0 +1,189 @@
+"""Passing one call to a backend server."""
+
+import random
+
+from urllib3.connection import HTTPConnection
+
+from berylhaven.admission import AdmissionGate, AdmissionTicket
+from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
+from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.catalogue import Catalogue
+from berylhaven.clock import monotonic_s
+from berylhaven.load import LoadTable, ServerLoad
+from berylhaven.operations import CallMetrics, DecisionLog, PlacementDecision
+from berylhaven.proxy._attempt import UpstreamAnswer, send_attempt
+from berylhaven.proxy._call_answer import CallAnswer, outcome_headers
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._connection_pool import ConnectionPool
+from berylhaven.proxy._hop_headers import end_to_end
+from berylhaven.proxy._relay import relay_body
+from berylhaven.results import (
+    Answered,
+    CallRefused,
+    NoBackendServer,
+    NoBackendServerInTime,
+    Outcome,
+)
+from berylhaven.routing import RoutingDecision, RoutingRequest, choose
+from berylhaven.settings import Settings
+
+RETRY_AFTER_S = 1.0
+# The load header concerns this program; callers get the rest.
+DROPPED_ANSWER_HEADERS = frozenset({LOAD_HEADER})
+
+
+class CallHandler:
+    """Admits a call, chooses a backend server and relays the answer.
+
+    Parameters
+    ----------
+    settings : Settings
+        The process's settings.
+    gate : AdmissionGate
+        The limits.
+    load_table : LoadTable
+        The load records, told of each call.
+    decision_log : DecisionLog
+        Gets a line for each decision.
+    metrics : CallMetrics
+        Counts the calls' ends.
+    """
+
+    __slots__ = (
+        "_settings",
+        "_gate",
+        "_load_table",
+        "_decision_log",
+        "_metrics",
+        "_pool",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        gate: AdmissionGate,
+        load_table: LoadTable,
+        decision_log: DecisionLog,
+        metrics: CallMetrics,
+    ) -> None:
+        self._settings = settings
+        self._gate = gate
+        self._load_table = load_table
+        self._decision_log = decision_log
+        self._metrics = metrics
+        self._pool = ConnectionPool()
+        self._random = random.Random()
+
+    def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
+        """Run one call.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            The catalogue in force.
+        request : CallRequest
+            The call.
+
+        Returns
+        -------
+        CallAnswer
+            The backend server's answer, its body streamed.
+
+        Raises
+        ------
+        CallRefused
+            If the call ends without a backend server's answer.
+        """
+        started_at_s = monotonic_s()
+        ticket = self._gate.admit(catalogue, request.service, started_at_s)
+        try:
+            answer = self._try_once(request, ticket)
+        except CallRefused as refusal:
+            ticket.release()
+            self._metrics.call_ended(request.service.name, refusal.code, started_at_s)
+            raise
+        self._metrics.call_ended(request.service.name, Answered.code, started_at_s)
+        return answer
+
+    def _try_once(self, request: CallRequest, ticket: AdmissionTicket) -> CallAnswer:
+        server = self._choose(request)
+        connection = self._pool.acquire(server.address)
+
+        def end_call(is_reusable: bool) -> None:
+            """Give back what the call held."""
+            ticket.release()
+            self._pool.put_back(server.address, connection, is_reusable)
+
+        try:
+            upstream = self._attempt(server, connection, request)
+        except AttemptFailed as failure:
+            self._pool.put_back(server.address, connection, is_reusable=False)
+            judgement = failure.judgement
+            raise judgement.refusal(
+                failure.message, RETRY_AFTER_S, judgement.outcome
+            ) from failure
+        return CallAnswer(
+            f"{upstream.status} {upstream.reason}",
+            self._answer_headers(upstream),
+            relay_body(upstream, self._settings.proxy.chunk_bytes, end_call),
+        )
+
+    def _attempt(
+        self, server: ServerLoad, connection: HTTPConnection, request: CallRequest
+    ) -> UpstreamAnswer:
+        server.call_started()
+        sent_at_s = monotonic_s()
+        try:
+            upstream = send_attempt(
+                connection, request, self._settings.proxy.chunk_bytes
+            )
+        except AttemptFailed:
+            server.call_failed(monotonic_s())
+            raise
+        now_s = monotonic_s()
+        headers = upstream.response.headers
+        report = read_load_header(headers.get(LOAD_HEADER), now_s)
+        server.call_answered(now_s - sent_at_s, report)
+        if is_shed(upstream.status, headers):
+            raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
+        return upstream
+
+    def _choose(self, request: CallRequest) -> ServerLoad:
+        now_s = monotonic_s()
+        routing_request = RoutingRequest(
+            now_s=now_s,
+            deadline_s=request.deadline_s,
+            data_centre=self._settings.instance.data_centre,
+            random=self._random,
+        )
+        candidates = self._load_table.candidates(request.service.name)
+        decision = choose(request.service.routing_policy, routing_request, candidates)
+        self._log_decision(request, decision)
+        if decision.server is not None:
+            return decision.server
+        if not candidates:
+            message = f"service {request.service.name} has no backend server"
+            raise NoBackendServer(message, RETRY_AFTER_S)
+        raise NoBackendServerInTime("all backend servers are too busy", RETRY_AFTER_S)
+
+    def _log_decision(self, request: CallRequest, decision: RoutingDecision) -> None:
+        self._decision_log.write(
+            PlacementDecision(
+                call_id=request.call_id,
+                service=request.service.name,
+                policy=request.service.routing_policy,
+                chosen=decision.server.address if decision.server else None,
+                candidate_count=decision.candidate_count,
+                news_age_s=decision.news_age_s,
+                estimated_finish_s=decision.estimated_finish_s,
+            )
+        )
+
+    def _answer_headers(self, upstream: UpstreamAnswer) -> list[tuple[str, str]]:
+        kept = [
+            (name, value)
+            for name, value in end_to_end(upstream.headers)
+            if name.lower() not in DROPPED_ANSWER_HEADERS
+        ]
+        return kept + outcome_headers(Answered.code, Outcome.RUN)
--- /dev/null
+++ b/berylhaven/proxy/_call_request.py
@@ -0,0 +1,69 @@
+"""A caller's request in typed form."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from berylhaven.catalogue import ServiceEntry
+from berylhaven.results import BadFraming
+
+CALL_ID_HEADER = "HTTP_BERYLHAVEN_CALL_ID"
+TIMEOUT_HEADER = "HTTP_BERYLHAVEN_TIMEOUT_MS"
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+@dataclass(slots=True)
+class CallRequest:
+    """One call as it came from its caller."""
+
+    # The catalogue's entry of the service.
+    service: ServiceEntry
+    # The HTTP method.
+    method: str
+    # Path and query at the backend server, not decoded.
+    target: str
+    # End-to-end headers as they came, in their order.
+    headers: list[tuple[str, str]]
+    # Reads at most so many bytes of the body; empty at its end.
+    read_body: Callable[[int], bytes]
+    # The length of the body; None if it is chunked.
+    content_length: int | None
+    # The latest time at which an answer is of use, on the hub's clock.
+    deadline_s: float
+    # The id by which the call is known.
+    call_id: str
+
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the request's head."""
+        return self.content_length is None or self.content_length > 0
+
+
+def read_deadline_s(environ: dict, service: ServiceEntry, now_s: float) -> float:
+    """Return when a call's answer is due, on the hub's clock.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    service : ServiceEntry
+        With the longest time for its calls.
+    now_s : float
+        When the call came in.
+
+    Returns
+    -------
+    float
+        The caller's deadline, or the service's if it is sooner.
+
+    Raises
+    ------
+    BadFraming
+        If the header is not a whole number above zero.
+    """
+    text = environ.get(TIMEOUT_HEADER)
+    timeout_ms = service.deadline_ms
+    if text is not None:
+        if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) == 0:
+            raise BadFraming("Berylhaven-Timeout-Ms is not a whole number above zero")
+        timeout_ms = min(timeout_ms, int(text))
+    return now_s + timeout_ms / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/berylhaven/routing/__init__.py
@@ -0,0 +1,16 @@
+"""Pure functions that choose a backend server, in a registry."""
+
+from berylhaven.routing._decision import RoutingDecision, RoutingRequest
+from berylhaven.routing._registry import (
+    choose,
+    register_policy,
+    routing_policies,
+)
+
+__all__ = [
+    "RoutingDecision",
+    "RoutingRequest",
+    "choose",
+    "register_policy",
+    "routing_policies",
+]
--- /dev/null
+++ b/berylhaven/routing/_decision.py
@@ -0,0 +1,38 @@
+"""What a routing policy is asked, and what it answers."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from berylhaven.load import ServerLoad
+
+
+@dataclass(slots=True)
+class RoutingRequest:
+    """One question to a routing policy."""
+
+    # The time of the decision on the hub's clock.
+    now_s: float
+    # The latest time at which an answer is of use, on the hub's clock.
+    deadline_s: float
+    # The data centre of the entry instance that asks.
+    data_centre: str
+    # The source of random numbers.
+    random: Random
+    # Addresses that were tried already for this call.
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class RoutingDecision:
+    """The chosen backend server and why."""
+
+    # The chosen server; None if none can be expected to answer in time.
+    server: "ServerLoad | None"
+    # How many servers could have been chosen.
+    candidate_count: int
+    # The age of the chosen server's last report in seconds; None without one.
+    news_age_s: float | None
+    # The expected time to the answer in seconds; None if the policy has no estimate.
+    estimated_finish_s: float | None
--- /dev/null
+++ b/berylhaven/routing/policies/__init__.py
@@ -0,0 +1,1 @@
+"""The routing policies, one a module; importing a module registers its policy."""
--- /dev/null
+++ b/berylhaven/settings/__init__.py
@@ -0,0 +1,21 @@
+"""The settings of one process: an INI file, checked whole before start."""
+
+from berylhaven.settings._model import (
+    InstanceSettings,
+    LogSettings,
+    PlatformSettings,
+    ProxySettings,
+    Settings,
+)
+from berylhaven.settings._read import SettingsRefused, load_settings, read_settings
+
+__all__ = [
+    "InstanceSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "ProxySettings",
+    "Settings",
+    "SettingsRefused",
+    "load_settings",
+    "read_settings",
+]
--- /dev/null
+++ b/berylhaven/settings/_read.py
@@ -0,0 +1,97 @@
+"""Reading and checking the settings file."""
+
+from pathlib import Path
+
+from berylhaven.ini import IniSection, read_document, read_fields
+from berylhaven.results import (
+    CheckProblem,
+    MissingSection,
+    NotReadable,
+    UnknownSection,
+)
+from berylhaven.settings._fields import OPTIONAL_SECTIONS, SECTION_FIELDS
+from berylhaven.settings._model import (
+    InstanceSettings,
+    LogSettings,
+    PlatformSettings,
+    ProxySettings,
+    Settings,
+)
+
+
+class SettingsRefused(ExceptionGroup):
+    """Every fault of a settings file."""
+
+
+def load_settings(path: str) -> Settings:
+    """Read a settings file.
+
+    Parameters
+    ----------
+    path : str
+        The file's path.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsRefused
+        With every fault found.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsRefused("settings refused", [NotReadable(str(error))]) from None
+    return read_settings(text)
+
+
+def read_settings(text: str) -> Settings:
+    """Check settings given as text.
+
+    Parameters
+    ----------
+    text : str
+        The INI text.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsRefused
+        With every fault found.
+    """
+    document, problems = read_document(text)
+    sections = {section.name: section for section in document.sections}
+    for section in document.sections:
+        if section.name not in SECTION_FIELDS:
+            known = ", ".join(SECTION_FIELDS)
+            message = f"the sections here are {known}"
+            problems.append(UnknownSection(message, section.line, section.name))
+    values = {}
+    for name in SECTION_FIELDS:
+        values[name] = _read_section(name, sections.get(name), problems)
+    if problems:
+        raise SettingsRefused("settings refused", problems)
+    return Settings(
+        instance=InstanceSettings(**values["instance"]),
+        platform=PlatformSettings(**values["platform"]),
+        log=LogSettings(**values["log"]),
+        proxy=ProxySettings(**values["proxy"]),
+    )
+
+
+def _read_section(
+    name: str, section: IniSection | None, problems: list[CheckProblem]
+) -> dict:
+    if section is None and name not in OPTIONAL_SECTIONS:
+        problems.append(MissingSection(f"add [{name}]", section=name))
+        return {}
+    found, faults = read_fields(section or IniSection(name, 0), SECTION_FIELDS[name])
+    problems.extend(faults)
+    return found
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,6 @@
+"""Small programs that take the place of the systems around berylhaven."""
+
+import warnings
+
+# eventlet prints this one message on import, whatever the user does with it.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
--- /dev/null
+++ b/standins/instance_list.py
@@ -0,0 +1,59 @@
+"""A stand-in instance list, whose answers lag behind what it is told."""
+
+import fire
+import orjson
+from eventlet import hubs
+
+from standins._program import (
+    FAULTS_PATH,
+    Faults,
+    answer_faults,
+    json_answer,
+    serve_forever,
+)
+
+INSTANCES_PATH = "/v1/instances"
+EMPTY = {"backend_servers": [], "entry_instances": []}
+
+
+class InstanceListStandIn:
+    """Shows the document that it was given ``lag_s`` ago."""
+
+    def __init__(self, document: dict | None = None) -> None:
+        self.faults = Faults(is_down=False, is_empty=False, lag_s=0.0)
+        self._history: list[tuple[float, dict]] = [(-1e9, document or EMPTY)]
+
+    def __call__(self, environ, start_response):  # noqa: ANN001, ANN204
+        """Answer one request."""
+        if environ["PATH_INFO"] == FAULTS_PATH:
+            return answer_faults(self.faults, environ, start_response)
+        if environ["REQUEST_METHOD"] == "PUT":
+            self.put(orjson.loads(environ["wsgi.input"].read()))
+            return json_answer(start_response, {})
+        if self.faults.is_down:
+            return json_answer(start_response, {}, "503 Service Unavailable")
+        return json_answer(start_response, self.visible())
+
+    def put(self, document: dict) -> None:
+        """Replace the document."""
+        self._history.append((hubs.get_hub().clock(), document))
+
+    def visible(self) -> dict:
+        """Return what readers see now."""
+        if self.faults.is_empty:
+            return EMPTY
+        seen_until_s = hubs.get_hub().clock() - self.faults.lag_s
+        return [doc for at_s, doc in self._history if at_s <= seen_until_s][-1]
+
+
+def main(port: int, host: str = "127.0.0.1", document: str = "") -> None:
+    """Run the stand-in with a JSON file as its first document."""
+    first = None
+    if document:
+        with open(document, "rb") as file:
+            first = orjson.loads(file.read())
+    serve_forever(host, port, InstanceListStandIn(first))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers of this repository."""
--- /dev/null
+++ b/tools/check_docstrings.py
@@ -0,0 +1,27 @@
+"""Check the doc comments of every module against numpydoc's rules."""
+
+import subprocess
+import sys
+
+PACKAGES = ("berylhaven", "standins", "bench", "tools")
+
+
+def main() -> int:
+    """Lint all modules that are not tests and return numpydoc's status."""
+    listed = subprocess.run(
+        ["git", "ls-files", "--cached", "--others", "--exclude-standard", *PACKAGES],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    files = [
+        name
+        for name in listed.stdout.splitlines()
+        if name.endswith(".py") and "/tests/" not in name
+    ]
+    command = [sys.executable, "-m", "numpydoc", "lint", *files]
+    return subprocess.run(command).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
