Show a refused catalogue in the status

Cause: a refused revision was only in the log. Change: the blackboard section catalogue_refusal (CATALOGUE_REFUSAL_SECTION, value CatalogueRefusal: revision and problems) is written by the catalogue controller; /v1/status shows it as catalogue_refused until a higher revision is in force. Conclusion: operators see the refusal with its faults while the old one serves on.

--- a/berylhaven/catalogue/__init__.py
+++ b/berylhaven/catalogue/__init__.py
@@ -10,19 +10,25 @@
     CallClass,
     Catalogue,
     CatalogueInForce,
+    CatalogueRefusal,
     FirmEntry,
     FleetEntry,
     MethodPath,
     ServiceEntry,
 )
-from berylhaven.catalogue._section import CATALOGUE_SECTION
+from berylhaven.catalogue._section import (
+    CATALOGUE_REFUSAL_SECTION,
+    CATALOGUE_SECTION,
+)
 
 __all__ = [
     "CATALOGUE_LIMIT_BYTES",
+    "CATALOGUE_REFUSAL_SECTION",
     "CATALOGUE_SECTION",
     "CallClass",
     "Catalogue",
     "CatalogueInForce",
+    "CatalogueRefusal",
     "CatalogueRefused",
     "FirmEntry",
     "FleetEntry",
--- a/berylhaven/catalogue/_model.py
+++ b/berylhaven/catalogue/_model.py
@@ -5,6 +5,8 @@
 import hashlib
 from dataclasses import dataclass, field
 
+from berylhaven.results import CheckProblem
+
 
 class CallClass(enum.Enum):
     """How calls of a service rank when not all can be served."""
@@ -115,3 +117,13 @@
     digest: str
     # The checked catalogue.
     catalogue: Catalogue
+
+
+@dataclass(slots=True, frozen=True)
+class CatalogueRefusal:
+    """A revision that was read and refused; the one in force stays."""
+
+    # The platform's version of the refused value.
+    revision: int
+    # Every fault that the check found.
+    problems: tuple[CheckProblem, ...]
--- a/berylhaven/catalogue/_section.py
+++ b/berylhaven/catalogue/_section.py
@@ -1,7 +1,11 @@
-"""The blackboard section of the catalogue in force."""
+"""The blackboard sections of the catalogue in force and of the one refused."""
 
 from berylhaven.blackboard import Section
-from berylhaven.catalogue._model import CatalogueInForce
+from berylhaven.catalogue._model import CatalogueInForce, CatalogueRefusal
 
 # Written by the catalogue controller.
 CATALOGUE_SECTION = Section[CatalogueInForce]("catalogue")
+
+# Written by the catalogue controller. It keeps the last refusal; readers show it
+# while its revision is above the one in force.
+CATALOGUE_REFUSAL_SECTION = Section[CatalogueRefusal]("catalogue_refusal")
--- a/berylhaven/controllers/_catalogue_controller.py
+++ b/berylhaven/controllers/_catalogue_controller.py
@@ -1,8 +1,10 @@
 """Keeps the newest checked catalogue in force."""
 
 from berylhaven.catalogue import (
+    CATALOGUE_REFUSAL_SECTION,
     CATALOGUE_SECTION,
     CatalogueInForce,
+    CatalogueRefusal,
     CatalogueRefused,
     read_catalogue,
 )
@@ -30,6 +32,9 @@
     def __init__(self, context: ControllerContext) -> None:
         self._service = context.configuration_service
         self._writer = context.blackboard.claim(CATALOGUE_SECTION, "catalogue")
+        self._refusal_writer = context.blackboard.claim(
+            CATALOGUE_REFUSAL_SECTION, "catalogue"
+        )
         self._revision = 0
         self._refused_revision = 0
 
@@ -49,6 +54,8 @@
             catalogue = read_catalogue(value.raw)
         except CatalogueRefused as refused:
             self._refused_revision = value.version
+            problems = tuple(refused.exceptions)
+            self._refusal_writer.write(CatalogueRefusal(value.version, problems))
             for problem in refused.exceptions:
                 LOG.error("Revision %d refused: %s.", value.version, problem)
             return
--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -1,10 +1,13 @@
 """The status document of one entry instance."""
 
-from berylhaven.catalogue import CATALOGUE_SECTION
+from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
 from berylhaven.clock import monotonic_s
 from berylhaven.controllers import ControllerContext
 from berylhaven.load import ServerLoad
 
+# A refused catalogue may have thousands of faults; `catalogue check` shows all.
+PROBLEMS_SHOWN = 20
+
 
 def status_document(context: ControllerContext) -> dict:
     """Return what the instance knows, as a JSON object.
@@ -23,6 +26,7 @@
     return {
         "instance": context.local_instance.announcement().to_json(),
         "catalogue": _catalogue(context, now_s),
+        "catalogue_refused": _refusal(context, now_s),
         "peers": [
             {
                 **peer.announcement.to_json(),
@@ -54,6 +58,22 @@
     }
 
 
+def _refusal(context: ControllerContext, now_s: float) -> dict | None:
+    reading = context.blackboard.read(CATALOGUE_REFUSAL_SECTION)
+    in_force = context.blackboard.read(CATALOGUE_SECTION)
+    if reading is None:
+        return None
+    if in_force is not None and in_force.value.revision > reading.value.revision:
+        return None
+    problems = reading.value.problems
+    return {
+        "revision": reading.value.revision,
+        "refused_s_ago": round(reading.age_s(now_s), 3),
+        "problem_count": len(problems),
+        "problems": [str(problem) for problem in problems[:PROBLEMS_SHOWN]],
+    }
+
+
 def _server(record: ServerLoad, now_s: float) -> dict:
     age_s = record.news_age_s(now_s)
     return {
--- a/berylhaven/entry/tests/test_whole_path.py
+++ b/berylhaven/entry/tests/test_whole_path.py
@@ -52,3 +52,16 @@
         self.assertEqual(len(status["peers"]), 2)
         metrics = self.path.get(0, "/metrics", port=2).data.decode()
         self.assertIn("berylhaven_calls_total", metrics)
+
+    def test_a_refused_catalogue_changes_nothing_and_shows(self):
+        self.path.configuration.put("berylhaven%2Fcatalogue", b"[fleet]\nx = 1\n")
+        self.path.wait_until(lambda: self.status(0)["catalogue_refused"])
+        status = self.status(0)
+        self.assertEqual(status["catalogue_refused"]["revision"], 2)
+        self.assertEqual(status["catalogue_refused"]["problem_count"], 2)
+        self.assertIn("104 unknown-key", status["catalogue_refused"]["problems"][1])
+        self.assertEqual(status["catalogue"]["revision"], 1)
+        self.assertEqual(self.path.get(0, "/v1/services/positions/x").status, 200)
+
+    def status(self, index):
+        return orjson.loads(self.path.get(index, "/v1/status", port=2).data)
