Give the peers' port a registry of endpoints

Cause: further peer requests (leases, forwarded news) had no place to hang on to. Change: @register_peer_endpoint(path) and typed PeerRequest and PeerAnswer; the catalogue endpoint is the first that uses it. Conclusion: a package adds a request by a decorator, without editing the port.

--- a/berylhaven/controllers/_exchange_controller.py
+++ b/berylhaven/controllers/_exchange_controller.py
@@ -4,7 +4,6 @@
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._registry import register_controller
 from berylhaven.exchange import (
-    EXCHANGE_PATH,
     ExchangeMessage,
     PeerUnreachable,
     topic_classes,
@@ -13,6 +12,7 @@
 from berylhaven.operations import PartLog
 
 LOG = PartLog("exchange")
+EXCHANGE_PATH = "/v1/exchange"
 PEERS_PER_ROUND = 2
 MEMBERS_TOPIC = "members"
 
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -11,6 +11,7 @@
     controller_classes,
     run_controllers,
 )
+from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
 from berylhaven.exchange import PeerClient, PeersApplication
 from berylhaven.load import LOAD_SECTION, LoadTable
@@ -111,7 +112,7 @@
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
-            self._context.blackboard, self._controllers["exchange"].receive
+            peer_endpoints(self._context, self._controllers["exchange"].receive)
         )
         return serve(
             self._settings.instance.host,
--- /dev/null
+++ b/berylhaven/entry/_peer_endpoints.py
@@ -0,0 +1,85 @@
+"""The endpoints on the peers' port, built for one instance."""
+
+from collections.abc import Callable
+
+from berylhaven.catalogue import CATALOGUE_SECTION
+from berylhaven.controllers import ControllerContext
+from berylhaven.exchange import (
+    ExchangeMessage,
+    PeerAnswer,
+    PeerEndpoint,
+    PeerRequest,
+    peer_endpoint_classes,
+    register_peer_endpoint,
+)
+
+EXCHANGE_PATH = "/v1/exchange"
+CATALOGUE_PATH = "/v1/catalogue"
+REVISION_HEADER = "Catalogue-Revision"
+
+
+class ExchangeEndpoint:
+    """Answers the rounds of peers.
+
+    Parameters
+    ----------
+    receive : callable
+        Takes a peer's message and returns the answer to it.
+    """
+
+    def __init__(self, receive: Callable[[ExchangeMessage], ExchangeMessage]) -> None:
+        self._receive = receive
+
+    def answer(self, request: PeerRequest) -> PeerAnswer:
+        """Answer one message with another."""
+        message = ExchangeMessage.from_bytes(request.body)
+        return PeerAnswer(self._receive(message).to_bytes())
+
+
+@register_peer_endpoint(CATALOGUE_PATH)
+class CatalogueEndpoint:
+    """Gives peers the text of the catalogue in force.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the blackboard.
+    """
+
+    def __init__(self, context: ControllerContext) -> None:
+        self._blackboard = context.blackboard
+
+    def answer(self, request: PeerRequest) -> PeerAnswer | None:
+        """Return the text with its revision, or None before the first."""
+        reading = self._blackboard.read(CATALOGUE_SECTION)
+        if reading is None:
+            return None
+        in_force = reading.value
+        return PeerAnswer(
+            in_force.catalogue.text.encode(),
+            "text/plain; charset=utf-8",
+            {REVISION_HEADER: str(in_force.revision)},
+        )
+
+
+def peer_endpoints(
+    context: ControllerContext,
+    receive: Callable[[ExchangeMessage], ExchangeMessage],
+) -> dict[str, PeerEndpoint]:
+    """Build the endpoints of one instance.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        What registered endpoints are built with.
+    receive : callable
+        The exchange's answer to a peer's message.
+
+    Returns
+    -------
+    dict
+        Endpoints by path.
+    """
+    built = {path: cls(context) for path, cls in peer_endpoint_classes().items()}
+    built[EXCHANGE_PATH] = ExchangeEndpoint(receive)
+    return built
--- a/berylhaven/exchange/_application.py
+++ b/berylhaven/exchange/_application.py
@@ -1,14 +1,9 @@
 """The WSGI application on the peers' port."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
-from berylhaven.blackboard import Blackboard
-from berylhaven.catalogue import CATALOGUE_SECTION
-from berylhaven.exchange._message import ExchangeMessage
+from berylhaven.exchange._peer_endpoint import PeerAnswer, PeerEndpoint, PeerRequest
 
-EXCHANGE_PATH = "/v1/exchange"
-CATALOGUE_PATH = "/v1/catalogue"
-REVISION_HEADER = "Catalogue-Revision"
 MESSAGE_LIMIT_BYTES = 1_000_000
 
 
@@ -17,52 +12,43 @@
 
     Parameters
     ----------
-    blackboard : Blackboard
-        With the catalogue that peers may fetch.
-    receive : callable
-        Takes a peer's message and returns the answer to it.
+    endpoints : mapping of str to PeerEndpoint
+        What answers each path.
     """
 
-    __slots__ = ("_blackboard", "_receive")
+    __slots__ = ("_endpoints",)
 
-    def __init__(
-        self,
-        blackboard: Blackboard,
-        receive: Callable[[ExchangeMessage], ExchangeMessage],
-    ) -> None:
-        self._blackboard = blackboard
-        self._receive = receive
+    def __init__(self, endpoints: Mapping[str, PeerEndpoint]) -> None:
+        self._endpoints = endpoints
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
-        path = environ["PATH_INFO"]
-        if path == EXCHANGE_PATH and environ["REQUEST_METHOD"] == "POST":
-            return self._exchange(environ, start_response)
-        if path == CATALOGUE_PATH:
-            return self._catalogue(start_response)
-        start_response("404 Not Found", [])
-        return [b""]
-
-    def _exchange(self, environ: dict, start_response: Callable) -> list[bytes]:
-        raw = environ["wsgi.input"].read(MESSAGE_LIMIT_BYTES)
+        endpoint = self._endpoints.get(environ["PATH_INFO"])
+        if endpoint is None:
+            return _refuse(start_response, "404 Not Found", "no such path")
+        request = PeerRequest(
+            method=environ["REQUEST_METHOD"],
+            query=environ.get("QUERY_STRING", ""),
+            body=environ["wsgi.input"].read(MESSAGE_LIMIT_BYTES),
+        )
         try:
-            message = ExchangeMessage.from_bytes(raw)
-            answer = self._receive(message)
+            answer = endpoint.answer(request)
         except ValueError as error:
-            start_response("400 Bad Request", [])
-            return [str(error).encode()]
-        start_response("200 OK", [("Content-Type", "application/json")])
-        return [answer.to_bytes()]
+            return _refuse(start_response, "400 Bad Request", str(error))
+        if answer is None:
+            return _refuse(start_response, "404 Not Found", "nothing of that name now")
+        start_response("200 OK", _headers(answer))
+        return [answer.body]
+
+
+def _headers(answer: PeerAnswer) -> list[tuple[str, str]]:
+    return [
+        ("Content-Type", answer.content_type),
+        ("Content-Length", str(len(answer.body))),
+        *answer.headers.items(),
+    ]
+
 
-    def _catalogue(self, start_response: Callable) -> list[bytes]:
-        reading = self._blackboard.read(CATALOGUE_SECTION)
-        if reading is None:
-            start_response("404 Not Found", [])
-            return [b""]
-        in_force = reading.value
-        headers = [
-            ("Content-Type", "text/plain; charset=utf-8"),
-            (REVISION_HEADER, str(in_force.revision)),
-        ]
-        start_response("200 OK", headers)
-        return [in_force.catalogue.text.encode()]
+def _refuse(start_response: Callable, status: str, message: str) -> list[bytes]:
+    start_response(status, [("Content-Type", "text/plain; charset=utf-8")])
+    return [message.encode()]
--- /dev/null
+++ b/berylhaven/exchange/tests/test_application.py
@@ -0,0 +1,43 @@
+"""Tests of the peers' port."""
+
+import io
+import unittest
+from unittest import mock
+
+from berylhaven.exchange import PeerAnswer, PeersApplication, register_peer_endpoint
+
+
+class Echo:
+    """Answers with what it got."""
+
+    def answer(self, request):
+        if request.body == b"bad":
+            raise ValueError("malformed")
+        return PeerAnswer(request.body) if request.body else None
+
+
+class PeersApplicationTest(unittest.TestCase):
+    """Each path has its endpoint, and refusals have fitting statuses."""
+
+    def ask(self, path, body):
+        heads = []
+        environ = {
+            "PATH_INFO": path,
+            "REQUEST_METHOD": "POST",
+            "wsgi.input": io.BytesIO(body),
+        }
+        application = PeersApplication({"/echo": Echo()})
+        answer = application(environ, lambda status, headers: heads.append(status))
+        return heads[0], b"".join(answer)
+
+    def test_an_endpoint_answers_its_path_and_no_other(self):
+        self.assertEqual(self.ask("/echo", b"{}"), ("200 OK", b"{}"))
+        self.assertEqual(self.ask("/other", b"{}")[0], "404 Not Found")
+        self.assertEqual(self.ask("/echo", b"")[0], "404 Not Found")
+        self.assertEqual(self.ask("/echo", b"bad")[0], "400 Bad Request")
+
+    def test_a_path_has_one_endpoint(self):
+        with mock.patch.dict("berylhaven.exchange._peer_endpoint._ENDPOINTS"):
+            register_peer_endpoint("/v1/test-only")(type("First", (), {}))
+            with self.assertRaises(ValueError):
+                register_peer_endpoint("/v1/test-only")(type("Second", (), {}))
