--- /dev/null
+++ b/berylhaven/admission/_demand.py
@@ -0,0 +1,18 @@
+"""How much of a limit is wanted."""
+
+# Demand of earlier observations counts less by this factor at each new one.
+DEMAND_DECAY_RATIO = 0.9
+
+
+class Demand:
+    """How much of one limit was wanted lately."""
+
+    __slots__ = ("amount",)
+
+    def __init__(self) -> None:
+        # The largest recent demand, in units of the limit.
+        self.amount = 0.0
+
+    def observe(self, amount: float) -> None:
+        """Take in the demand since the last observation."""
+        self.amount = max(amount, self.amount * DEMAND_DECAY_RATIO)
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,6 +6,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import monotonic_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
@@ -141,7 +142,8 @@
     blackboard = Blackboard()
     load_table = LoadTable()
     blackboard.claim(LOAD_SECTION, "load").write(load_table)
-    gate = AdmissionGate(settings.proxy)
+    random = Random()
+    gate = AdmissionGate(settings.proxy, random, monotonic_s())
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
         settings.instance, identity, blackboard, lambda: gate.load_ratio
@@ -157,5 +159,5 @@
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
         metrics=MetricsRegistry(),
-        random=Random(),
+        random=random,
     )
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -96,7 +96,9 @@
             If the call ends without a backend server's answer.
         """
         started_at_s = monotonic_s()
-        ticket = self._gate.admit(catalogue, request.service, started_at_s)
+        ticket = self._gate.admit(
+            catalogue, request.service, started_at_s, request.deadline_s
+        )
         try:
             answer = self._try_once(request, ticket)
         except CallRefused as refusal:
