Judge load by its age and choose by the time to finish

Cause: the skeleton's finish_time looked at own calls alone, and a shed or a 500 counted as a fast success.

--- a/berylhaven/backend/__init__.py
+++ b/berylhaven/backend/__init__.py
@@ -5,6 +5,7 @@
     DEADLINE_HEADER,
     LOAD_HEADER,
     SHED_HEADER,
+    is_failure,
     is_shed,
     request_headers,
 )
@@ -15,6 +16,7 @@
     "DEADLINE_HEADER",
     "LOAD_HEADER",
     "SHED_HEADER",
+    "is_failure",
     "is_shed",
     "read_load_header",
     "request_headers",
--- a/berylhaven/backend/_headers.py
+++ b/berylhaven/backend/_headers.py
@@ -34,3 +34,8 @@
 def is_shed(status: int, headers: Mapping[str, str]) -> bool:
     """Tell whether an answer says that the call was not started."""
     return status == 503 and headers.get(SHED_HEADER) == "1"
+
+
+def is_failure(status: int) -> bool:
+    """Tell whether an answer counts against the backend server that gave it."""
+    return status >= 500 and status != 501
--- a/berylhaven/controllers/_instance_list_controller.py
+++ b/berylhaven/controllers/_instance_list_controller.py
@@ -1,5 +1,6 @@
 """Keeps the instance list and the load records in step."""
 
+from berylhaven.clock import monotonic_s
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._registry import register_controller
 from berylhaven.operations import PartLog
@@ -39,7 +40,7 @@
             return
         self._writer.write(instances)
         for service, servers in _live_by_service(instances).items():
-            self._load_table.update_servers(service, servers)
+            self._load_table.update_servers(service, servers, monotonic_s())
 
 
 def _live_by_service(instances: InstanceList) -> dict[str, list[BackendServer]]:
--- /dev/null
+++ b/berylhaven/controllers/_load_controller.py
@@ -0,0 +1,79 @@
+"""Owns the load records on the blackboard and the metrics about them."""
+
+from aioprometheus.collectors import Gauge
+
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers._context import ControllerContext
+from berylhaven.controllers._registry import register_controller
+from berylhaven.load import LOAD_SECTION, ServerLoad
+from berylhaven.operations import PartLog
+
+LOG = PartLog("load")
+# A server that is slower than this is worth a line.
+SLOW_WORTH_A_LINE_RATIO = 2.0
+
+
+@register_controller("load")
+class LoadController:
+    """Tells operators which backend servers are slow or ejected.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the load records and the metrics.
+    """
+
+    interval_s = 0.5
+
+    def __init__(self, context: ControllerContext) -> None:
+        self._table = context.load_table
+        writer = context.blackboard.claim(LOAD_SECTION, "load")
+        writer.write(self._table)
+        registry = context.metrics.registry
+        self._slow = Gauge(
+            "berylhaven_backend_server_slow_ratio",
+            "Times slower than its service's mean; 1 if not surely slower.",
+            registry=registry,
+        )
+        self._ejected = Gauge(
+            "berylhaven_backend_server_ejected",
+            "1 if the backend server is left out for its failures.",
+            registry=registry,
+        )
+        self._news_age = Gauge(
+            "berylhaven_backend_server_news_age_seconds",
+            "Age of the last load report.",
+            registry=registry,
+        )
+        self._states: dict[str, str] = {}
+
+    def step(self) -> None:
+        """Update the metrics and write a line for each server that changed."""
+        now_s = monotonic_s()
+        for service in self._table.services():
+            for server in self._table.candidates(service):
+                self._tell(service, server, now_s)
+
+    def _tell(self, service: str, server: ServerLoad, now_s: float) -> None:
+        labels = {"service": service, "backend_server": server.address}
+        self._slow.set(labels, round(server.slow_ratio, 3))
+        self._ejected.set(labels, int(server.is_ejected(now_s)))
+        age_s = server.news_age_s(now_s)
+        if age_s is not None:
+            self._news_age.set(labels, round(age_s, 3))
+        state = _state(server, now_s)
+        if state != self._states.get(server.address, "ordinary"):
+            LOG.warning(
+                "Backend server %s of %s is %s.", server.address, service, state
+            )
+        self._states[server.address] = state
+
+
+def _state(server: ServerLoad, now_s: float) -> str:
+    if server.is_leaving:
+        return "leaving"
+    if server.is_ejected(now_s):
+        return "ejected"
+    if server.slow_ratio >= SLOW_WORTH_A_LINE_RATIO:
+        return "slow"
+    return "ordinary"
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -13,7 +13,7 @@
 )
 from berylhaven.entry._status import status_document
 from berylhaven.exchange import PeerClient, PeersApplication
-from berylhaven.load import LOAD_SECTION, LoadTable
+from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable, new_identity
 from berylhaven.operations import (
     CallMetrics,
@@ -139,7 +139,6 @@
 def _build_context(settings: Settings) -> ControllerContext:
     blackboard = Blackboard()
     load_table = LoadTable()
-    blackboard.claim(LOAD_SECTION, "load").write(load_table)
     gate = AdmissionGate(settings.proxy)
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -5,7 +5,7 @@
 from urllib3.connection import HTTPConnection
 
 from berylhaven.admission import AdmissionGate, AdmissionTicket
-from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
+from berylhaven.backend import LOAD_HEADER, is_failure, is_shed, read_load_header
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.catalogue import Catalogue
 from berylhaven.clock import monotonic_s
@@ -31,6 +31,11 @@
 # The load header concerns this program; callers get the rest.
 DROPPED_ANSWER_HEADERS = frozenset({LOAD_HEADER})
 
+# These ends tell nothing of the backend server.
+ENDS_WITHOUT_BLAME = frozenset(
+    {AttemptEnd.CALLER_BODY_CUT, AttemptEnd.DEADLINE_BEFORE_SENDING}
+)
+
 
 class CallHandler:
     """Admits a call, chooses a backend server and relays the answer.
@@ -138,15 +143,25 @@
             upstream = send_attempt(
                 connection, request, self._settings.proxy.chunk_bytes
             )
-        except AttemptFailed:
-            server.call_failed(monotonic_s())
+        except AttemptFailed as failure:
+            now_s = monotonic_s()
+            if failure.end in ENDS_WITHOUT_BLAME:
+                server.call_cancelled()
+            elif failure.end is AttemptEnd.DEADLINE_BEFORE_HEAD:
+                server.call_timed_out(now_s - sent_at_s, now_s)
+            else:
+                server.call_failed(now_s)
             raise
         now_s = monotonic_s()
         headers = upstream.response.headers
         report = read_load_header(headers.get(LOAD_HEADER), now_s)
-        server.call_answered(now_s - sent_at_s, report)
         if is_shed(upstream.status, headers):
+            server.call_shed(now_s, report)
             raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
+        if is_failure(upstream.status):
+            server.call_failed(now_s, report)
+        else:
+            server.call_answered(now_s - sent_at_s, report, now_s)
         return upstream
 
     def _choose(self, request: CallRequest) -> ServerLoad:
--- a/berylhaven/routing/_registry.py
+++ b/berylhaven/routing/_registry.py
@@ -67,7 +67,15 @@
         candidates = [s for s in servers if s.address not in request.excluded]
     if not candidates:
         return RoutingDecision(None, 0, None, None)
-    return routing_policies()[policy_name](request, candidates)
+    policy = routing_policies()[policy_name]
+    decision = policy(request, candidates)
+    if decision.server is None or not decision.server.is_leaving:
+        return decision
+    # Leaving servers are rare: they are sorted out only when one was chosen.
+    staying = [s for s in candidates if not s.is_leaving]
+    if not staying:
+        return RoutingDecision(None, 0, None, None)
+    return policy(request, staying)
 
 
 def _import_policies() -> None:
--- a/berylhaven/routing/policies/_finish_time.py
+++ b/berylhaven/routing/policies/_finish_time.py
@@ -1,29 +1,68 @@
-"""The policy that estimates when each of two servers would answer."""
+"""The policy that estimates when each of some servers would answer."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-from berylhaven.load import ServerLoad
+from berylhaven.load import ServerLoad, expected_finish_s, least_finish_s
 from berylhaven.routing._decision import RoutingDecision, RoutingRequest
 from berylhaven.routing._registry import register_policy
 
-UNKNOWN_SERVICE_TIME_S = 0.005
-
-
-def estimate_finish_s(server: ServerLoad) -> float:
-    """Return the expected time to an answer in seconds."""
-    service_time_s = server.service_time_s or UNKNOWN_SERVICE_TIME_S
-    ahead = server.own_in_flight + 1
-    waves = max(1.0, ahead / server.slot_count)
-    return service_time_s * waves * (1 + server.consecutive_failures)
+# Instances that looked at all servers with the same old report would all choose
+# the same one.
+SAMPLED_SERVERS = 5
 
 
 @register_policy("finish_time")
 def choose_by_finish_time(
     request: RoutingRequest, servers: Sequence[ServerLoad]
 ) -> RoutingDecision:
-    """Choose the earlier of two random servers by estimated time to finish."""
-    first = request.random.choice(servers)
-    second = request.random.choice(servers)
-    server = min(first, second, key=estimate_finish_s)
-    age_s = server.news_age_s(request.now_s)
-    return RoutingDecision(server, len(servers), age_s, estimate_finish_s(server))
+    """Choose the earliest of some random servers by estimated time to finish.
+
+    All servers are looked at only if none of the sampled ones will do. No server
+    is chosen if none can answer before the deadline.
+    """
+    count = len(servers)
+    if count <= SAMPLED_SERVERS:
+        sampled = servers
+    else:
+        draw = request.random.random
+        sampled = [servers[int(draw() * count)] for _ in range(SAMPLED_SERVERS)]
+    best, finish_s = _earliest(request, sampled)
+    remaining_s = request.deadline_s - request.now_s
+    is_doubtful = best is None or finish_s > remaining_s
+    if is_doubtful and sampled is not servers:
+        best, finish_s = _earliest(request, servers)
+    if best is None:
+        best, finish_s = _earliest(request, servers, spares_ejected=False)
+    if finish_s > remaining_s and not _has_hope(request, servers, remaining_s):
+        return RoutingDecision(None, count, None, finish_s)
+    age_s = best.news_age_s(request.now_s)
+    return RoutingDecision(best, count, age_s, finish_s)
+
+
+def _earliest(
+    request: RoutingRequest,
+    servers: Iterable[ServerLoad],
+    spares_ejected: bool = True,
+) -> tuple[ServerLoad | None, float]:
+    now_s = request.now_s
+    best = None
+    best_s = 0.0
+    for server in servers:
+        if spares_ejected and server.is_marked and _is_left_out(server, now_s):
+            continue
+        finish_s = expected_finish_s(server, now_s, request.data_centre)
+        if best is None or finish_s < best_s:
+            best = server
+            best_s = finish_s
+    return best, best_s
+
+
+def _is_left_out(server: ServerLoad, now_s: float) -> bool:
+    return server.is_ejected(now_s) and server.service.may_eject(now_s)
+
+
+def _has_hope(
+    request: RoutingRequest, servers: Sequence[ServerLoad], remaining_s: float
+) -> bool:
+    now_s = request.now_s
+    return any(least_finish_s(server, now_s) <= remaining_s for server in servers)
--- /dev/null
+++ b/berylhaven/routing/policies/_least_reported_load.py
@@ -0,0 +1,27 @@
+"""The policy that believes the last report of each server."""
+
+from collections.abc import Sequence
+
+from berylhaven.load import ServerLoad
+from berylhaven.routing._decision import RoutingDecision, RoutingRequest
+from berylhaven.routing._registry import register_policy
+
+
+def reported_calls_per_slot(server: ServerLoad) -> float:
+    """Return the calls last reported, whatever their age."""
+    report = server.report
+    if report is None:
+        return 0.0
+    return (report.running_count + report.queued_count) / server.slot_count
+
+
+@register_policy("least_reported_load")
+def choose_least_reported(
+    request: RoutingRequest, servers: Sequence[ServerLoad]
+) -> RoutingDecision:
+    """Choose the server with the least reported load; a baseline that herds."""
+    least = min(reported_calls_per_slot(server) for server in servers)
+    ties = [s for s in servers if reported_calls_per_slot(s) == least]
+    server = request.random.choice(ties)
+    age_s = server.news_age_s(request.now_s)
+    return RoutingDecision(server, len(servers), age_s, None)
