Tell topics how many bytes they may send

Cause: a topic could not know how much of a node's byte budget is left for it. Change: Topic.outgoing gets limit_bytes; a constant for now. Conclusion: topics choose their most useful news within a bound.

--- a/berylhaven/controllers/_exchange_controller.py
+++ b/berylhaven/controllers/_exchange_controller.py
@@ -14,6 +14,7 @@
 LOG = PartLog("exchange")
 EXCHANGE_PATH = "/v1/exchange"
 PEERS_PER_ROUND = 2
+TOPIC_LIMIT_BYTES = 400
 MEMBERS_TOPIC = "members"
 
 
@@ -77,7 +78,7 @@
         live = self._table.in_state(now_s, PeerState.LIVE, PeerState.LEAVING)
         message.topics[MEMBERS_TOPIC] = [p.announcement.to_json() for p in live]
         for name, topic in self._topics.items():
-            payload = topic.outgoing(address, now_s)
+            payload = topic.outgoing(address, now_s, TOPIC_LIMIT_BYTES)
             if payload is not None:
                 message.topics[name] = payload
         return message
