--- a/berylhaven/controllers/_exchange_controller.py
+++ b/berylhaven/controllers/_exchange_controller.py
@@ -4,7 +4,6 @@
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._registry import register_controller
 from berylhaven.exchange import (
-    EXCHANGE_PATH,
     ExchangeMessage,
     PeerUnreachable,
     topic_classes,
@@ -13,7 +12,9 @@
 from berylhaven.operations import PartLog
 
 LOG = PartLog("exchange")
+EXCHANGE_PATH = "/v1/exchange"
 PEERS_PER_ROUND = 2
+TOPIC_LIMIT_BYTES = 400
 MEMBERS_TOPIC = "members"
 
 
@@ -77,7 +78,7 @@
         live = self._table.in_state(now_s, PeerState.LIVE, PeerState.LEAVING)
         message.topics[MEMBERS_TOPIC] = [p.announcement.to_json() for p in live]
         for name, topic in self._topics.items():
-            payload = topic.outgoing(address, now_s)
+            payload = topic.outgoing(address, now_s, TOPIC_LIMIT_BYTES)
             if payload is not None:
                 message.topics[name] = payload
         return message
