Probe within a ledger for each backend server, and share reports

Cause: servers of which no answer tells were never heard of, and each instance knew only its own news. Change: a ledger for each backend server earns the instance's fixed part of the measuring budget, starts empty and keeps at most one probe; the planner pays the most useful probes and skips servers with fresh news; the load topic sends the newest own reports to peers, with their age, slow servers first.

--- a/berylhaven/backend/__init__.py
+++ b/berylhaven/backend/__init__.py
@@ -10,11 +10,14 @@
     request_headers,
 )
 from berylhaven.backend._load_header import read_load_header
+from berylhaven.backend._probe import ProbeClient, ProbeFailed
 
 __all__ = [
     "CALL_ID_HEADER",
     "DEADLINE_HEADER",
     "LOAD_HEADER",
+    "ProbeClient",
+    "ProbeFailed",
     "SHED_HEADER",
     "is_failure",
     "is_shed",
--- /dev/null
+++ b/berylhaven/controllers/_probe_controller.py
@@ -0,0 +1,68 @@
+"""Probes backend servers of which too little is heard, within the budget."""
+
+import eventlet
+from aioprometheus.collectors import Counter
+
+from berylhaven.backend import ProbeClient, ProbeFailed
+from berylhaven.catalogue import CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers._context import ControllerContext
+from berylhaven.controllers._registry import register_controller
+from berylhaven.load import Probe, ProbePlanner
+from berylhaven.operations import PartLog
+
+LOG = PartLog("probe")
+
+
+@register_controller("probe")
+class ProbeController:
+    """Sends the probes that the planner paid for, each in its green thread.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the catalogue and the load records.
+    """
+
+    interval_s = 0.25
+
+    def __init__(self, context: ControllerContext) -> None:
+        self._blackboard = context.blackboard
+        self._table = context.load_table
+        self._client = ProbeClient()
+        self._planner = ProbePlanner(monotonic_s())
+        self._probes = Counter(
+            "berylhaven_probes_total",
+            "Probes of backend servers, by service and result.",
+            registry=context.metrics.registry,
+        )
+        self._cost = Counter(
+            "berylhaven_probe_milliseconds_total",
+            "Slot time of backend servers that probes took, by service.",
+            registry=context.metrics.registry,
+        )
+
+    def step(self) -> None:
+        """Start the probes that are due."""
+        reading = self._blackboard.read(CATALOGUE_SECTION)
+        if reading is None:
+            return
+        catalogue = reading.value.catalogue
+        for probe in self._planner.plan(catalogue, self._table, monotonic_s()):
+            eventlet.spawn(self._probe, probe)
+
+    def _probe(self, probe: Probe) -> None:
+        started_at_s = monotonic_s()
+        result = "failed"
+        try:
+            probe.server.take_report(self._client.probe(probe.server.address))
+            result = "answered"
+        except ProbeFailed as failure:
+            probe.server.probe_failed()
+            LOG.debug("No load: %s.", failure)
+        finally:
+            duration_s = monotonic_s() - started_at_s
+            self._planner.probe_ended(probe, duration_s)
+            self._probes.inc({"service": probe.service, "result": result})
+            cost_ms = max(probe.cost_ms, duration_s * 1000)
+            self._cost.add({"service": probe.service}, round(cost_ms, 3))
--- a/berylhaven/load/__init__.py
+++ b/berylhaven/load/__init__.py
@@ -8,6 +8,12 @@
 )
 from berylhaven.load._load_report import LoadReport
 from berylhaven.load._load_table import LOAD_SECTION, LoadTable
+from berylhaven.load._load_topic import LoadTopic
+from berylhaven.load._measuring_ledger import (
+    MeasuringLedger,
+    budget_share_ms_per_s,
+)
+from berylhaven.load._probe_planner import Probe, ProbePlanner
 from berylhaven.load._server_load import ServerLoad
 from berylhaven.load._service_load import ServiceLoad
 
@@ -16,8 +22,13 @@
     "FinishEstimate",
     "LoadReport",
     "LoadTable",
+    "LoadTopic",
+    "MeasuringLedger",
+    "Probe",
+    "ProbePlanner",
     "ServerLoad",
     "ServiceLoad",
+    "budget_share_ms_per_s",
     "expected_finish_s",
     "finish_estimate",
     "least_finish_s",
--- /dev/null
+++ b/berylhaven/load/_load_topic.py
@@ -0,0 +1,145 @@
+"""The exchange's topic by which peers share load reports."""
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from berylhaven.exchange import register_topic
+from berylhaven.load._load_report import LoadReport
+from berylhaven.load._load_table import LoadTable
+from berylhaven.load._server_load import ServerLoad
+
+if TYPE_CHECKING:
+    from berylhaven.controllers import ControllerContext
+
+TOPIC_NAME = "load"
+# Older reports are of no use to a peer.
+REPORT_AGE_LIMIT_S = 1.0
+SLOW_AGE_LIMIT_S = 2.0
+ROWS_PER_MESSAGE = 8
+# A server's report is sent at most once in this time, so that only the last of
+# those that came in between is sent.
+HOLD_S = 0.0
+ROW_LENGTH = 6
+# Brackets, colons and commas around one JSON value.
+FRAME_BYTES = 4
+MILLISECONDS_PER_SECOND = 1000
+# Bounds on what a peer may claim.
+COUNT_MAXIMUM = 1_000_000
+SLOW_RATIO_MAXIMUM = 1_000.0
+
+
+@register_topic(TOPIC_NAME)
+class LoadTopic:
+    """Sends the newest own reports, those of slow servers first.
+
+    A row is address, running, queued, age of the report in milliseconds, slow
+    ratio, age of the slow ratio in milliseconds. Only what this instance heard
+    itself is sent, so that no news goes round.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the load records.
+    hold_s : float
+        A server's report is sent at most once in this time.
+    """
+
+    def __init__(self, context: "ControllerContext", hold_s: float = HOLD_S) -> None:
+        self._table: LoadTable = context.load_table
+        self._hold_s = hold_s
+        self._sent_at_s: dict[str, float] = {}
+
+    def outgoing(
+        self, peers_address: str, now_s: float, limit_bytes: int
+    ) -> dict[str, list] | None:
+        """Return rows by service, or None if there is nothing to tell."""
+        offered = [
+            (_rank(server, now_s), service, server)
+            for service in self._table.services()
+            for server in self._table.candidates(service)
+            if self._is_worth_sending(server, now_s)
+        ]
+        offered.sort(key=lambda entry: entry[0])
+        rows: dict[str, list] = {}
+        left_bytes = limit_bytes - FRAME_BYTES
+        for _, service, server in offered[:ROWS_PER_MESSAGE]:
+            row = _row(server, now_s)
+            left_bytes -= len(orjson.dumps(row)) + FRAME_BYTES
+            if service not in rows:
+                left_bytes -= len(orjson.dumps(service)) + FRAME_BYTES
+            if left_bytes < 0:
+                break
+            rows.setdefault(service, []).append(row)
+            if self._hold_s:
+                self._sent_at_s[server.address] = now_s
+        return rows or None
+
+    def incoming(self, payload: Any, peers_address: str, now_s: float) -> None:
+        """Take in a peer's rows, each as old as the peer says.
+
+        Raises
+        ------
+        ValueError
+            If the payload is malformed.
+        """
+        if not isinstance(payload, dict):
+            raise ValueError("load: not an object")
+        for service, rows in payload.items():
+            if not isinstance(rows, list):
+                raise ValueError("load: rows must be a list")
+            for row in rows:
+                self._take_in(service, row, now_s)
+
+    def _is_worth_sending(self, server: ServerLoad, now_s: float) -> bool:
+        if server.is_news_of_peer or server.report is None:
+            return False
+        if now_s - server.news_at_s > REPORT_AGE_LIMIT_S:
+            return False
+        sent_at_s = self._sent_at_s.get(server.address)
+        return sent_at_s is None or now_s - sent_at_s >= self._hold_s
+
+    def _take_in(self, service: str, row: Any, now_s: float) -> None:
+        is_row = isinstance(row, list) and len(row) == ROW_LENGTH
+        if not is_row or not isinstance(row[0], str):
+            raise ValueError("load: not a row")
+        if not all(_is_amount(value) for value in row[1:]):
+            raise ValueError("load: not amounts")
+        address, running, queued, age_ms, slow_ratio, slow_age_ms = row
+        server = self._table.server(service, address)
+        if server is None:
+            return
+        report = LoadReport(
+            running_count=int(min(running, COUNT_MAXIMUM)),
+            queued_count=int(min(queued, COUNT_MAXIMUM)),
+            slot_count=None,
+            service_time_s=None,
+            is_leaving=False,
+            received_at_s=now_s - age_ms / MILLISECONDS_PER_SECOND,
+        )
+        server.take_peer_report(report)
+        slow_at_s = now_s - slow_age_ms / MILLISECONDS_PER_SECOND
+        if 1 <= slow_ratio <= SLOW_RATIO_MAXIMUM and slow_at_s <= now_s:
+            server.take_slow_ratio(float(slow_ratio), slow_at_s)
+
+
+def _rank(server: ServerLoad, now_s: float) -> tuple[bool, float]:
+    is_slow = server.slow_ratio > 1 and now_s - server.slow_at_s < SLOW_AGE_LIMIT_S
+    return (not is_slow, now_s - server.news_at_s)
+
+
+def _row(server: ServerLoad, now_s: float) -> list:
+    slow_age_s = min(now_s - server.slow_at_s, SLOW_AGE_LIMIT_S * 2)
+    return [
+        server.address,
+        server.report.running_count,
+        server.report.queued_count,
+        int((now_s - server.news_at_s) * MILLISECONDS_PER_SECOND),
+        round(server.slow_ratio, 1),
+        int(slow_age_s * MILLISECONDS_PER_SECOND),
+    ]
+
+
+def _is_amount(value: Any) -> bool:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return is_number and value >= 0
--- /dev/null
+++ b/berylhaven/load/_probe_planner.py
@@ -0,0 +1,164 @@
+"""Which backend servers to probe next, within the measuring budget."""
+
+import math
+from dataclasses import dataclass
+
+from berylhaven.catalogue import Catalogue, ServiceEntry
+from berylhaven.load._load_table import LoadTable
+from berylhaven.load._measuring_ledger import (
+    MILLISECONDS_PER_SECOND,
+    MeasuringLedger,
+    budget_share_ms_per_s,
+)
+from berylhaven.load._server_load import ServerLoad
+
+# While answers and peers bring news this often, a probe would tell little.
+FRESH_NEWS_S = 1.0
+# A service that gets no calls needs no news, but for now and then.
+IDLE_NEWS_S = 10.0
+PROBES_AT_ONCE = 4
+# Doubt about a server makes its news worth more.
+DOUBT_WEIGHT = 4.0
+
+
+@dataclass(slots=True)
+class Probe:
+    """One probe that was paid for."""
+
+    # The service's name.
+    service: str
+    # The server to probe.
+    server: ServerLoad
+    # Its price in milliseconds of a slot.
+    cost_ms: float
+
+
+class ProbePlanner:
+    """Pays probes out of a ledger for each backend server.
+
+    Parameters
+    ----------
+    now_s : float
+        The time on the hub's clock at which the instance started.
+    """
+
+    __slots__ = ("_ledgers", "_outstanding", "_started_at_s", "_calls", "_idle")
+
+    def __init__(self, now_s: float) -> None:
+        self._started_at_s = now_s
+        self._ledgers: dict[str, MeasuringLedger] = {}
+        self._outstanding: set[str] = set()
+        self._calls: dict[str, int] = {}
+        self._idle: set[str] = set()
+
+    @property
+    def spent_ms(self) -> float:
+        """All that was spent since the start, in milliseconds of a slot."""
+        return sum(ledger.spent_ms for ledger in self._ledgers.values())
+
+    def plan(self, catalogue: Catalogue, table: LoadTable, now_s: float) -> list[Probe]:
+        """Choose and pay the most useful probes that are due now.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            The catalogue in force.
+        table : LoadTable
+            The load records.
+        now_s : float
+            The time on the hub's clock.
+
+        Returns
+        -------
+        list of Probe
+            Each to be ended by `probe_ended`.
+        """
+        due: list[tuple[float, Probe]] = []
+        seen: set[str] = set()
+        for name in table.services():
+            service = catalogue.services.get(name)
+            servers = table.candidates(name)
+            seen.update(server.address for server in servers)
+            if service is not None and servers:
+                self._note_calls(name, servers[0].service.call_count)
+                due += self._due(service, catalogue, servers, now_s)
+        self._forget(seen)
+        due.sort(key=lambda entry: entry[0], reverse=True)
+        room = max(0, PROBES_AT_ONCE - len(self._outstanding))
+        probes = [probe for _, probe in due[:room]]
+        for probe in probes:
+            self._ledgers[probe.server.address].pay(probe.cost_ms)
+            self._outstanding.add(probe.server.address)
+        return probes
+
+    def probe_ended(self, probe: Probe, duration_s: float) -> None:
+        """Charge what a probe took beyond its price, and allow the next.
+
+        Parameters
+        ----------
+        probe : Probe
+            The probe, answered or given up.
+        duration_s : float
+            How long it lasted; a slow server's slot was held for so long.
+        """
+        address = probe.server.address
+        self._outstanding.discard(address)
+        extra_ms = duration_s * MILLISECONDS_PER_SECOND - probe.cost_ms
+        if extra_ms > 0 and address in self._ledgers:
+            self._ledgers[address].pay(extra_ms)
+
+    def _note_calls(self, name: str, call_count: int) -> None:
+        if call_count == self._calls.get(name):
+            self._idle.add(name)
+        else:
+            self._idle.discard(name)
+        self._calls[name] = call_count
+
+    def _due(
+        self,
+        service: ServiceEntry,
+        catalogue: Catalogue,
+        servers: tuple[ServerLoad, ...],
+        now_s: float,
+    ) -> list[tuple[float, Probe]]:
+        due = []
+        needed_after_s = IDLE_NEWS_S if service.name in self._idle else FRESH_NEWS_S
+        for server in servers:
+            ledger = self._ledger(server, service, catalogue, now_s)
+            age_s = min(now_s - server.news_at_s, now_s - self._started_at_s)
+            is_due = age_s > needed_after_s and not server.is_leaving
+            if not is_due or server.address in self._outstanding:
+                continue
+            if ledger.can_pay(service.probe_cost_ms):
+                usefulness = age_s / needed_after_s
+                if server.is_marked or server.news_at_s == -math.inf:
+                    usefulness *= DOUBT_WEIGHT
+                probe = Probe(service.name, server, service.probe_cost_ms)
+                due.append((usefulness, probe))
+        return due
+
+    def _ledger(
+        self,
+        server: ServerLoad,
+        service: ServiceEntry,
+        catalogue: Catalogue,
+        now_s: float,
+    ) -> MeasuringLedger:
+        ledger = self._ledgers.get(server.address)
+        if ledger is None:
+            ledger = self._ledgers[server.address] = MeasuringLedger(now_s)
+        share_ms_per_s = budget_share_ms_per_s(
+            service.measuring_budget_ratio,
+            server.slot_count,
+            catalogue.fleet.max_entry_instances,
+        )
+        ledger.earn(now_s, share_ms_per_s, service.probe_cost_ms)
+        return ledger
+
+    def _forget(self, seen: set[str]) -> None:
+        # A debt is kept, though the server left the list: it may come back.
+        self._ledgers = {
+            address: ledger
+            for address, ledger in self._ledgers.items()
+            if address in seen or ledger.is_in_debt
+        }
--- a/berylhaven/load/_server_load.py
+++ b/berylhaven/load/_server_load.py
@@ -47,6 +47,7 @@
         "report",
         "others",
         "news_at_s",
+        "is_news_of_peer",
         "service_time_s",
         "slow_ratio",
         "slow_at_s",
@@ -80,6 +81,8 @@
         self.others = 0.0
         # When the last report counts as received; minus infinity before the first.
         self.news_at_s = -math.inf
+        # Whether a peer heard the last report, and not this instance.
+        self.is_news_of_peer = False
         # The smoothed time of a call in a slot; None before the first.
         self.service_time_s: float | None = None
         # How many times slower than its service it surely is; 1 if it is not.
@@ -213,12 +216,23 @@
         if report.received_at_s <= self.news_at_s:
             return False
         self.report = report
+        self.is_news_of_peer = False
         self.news_at_s = report.received_at_s
         load = report.running_count + report.queued_count
         self.others = float(max(0, load - self.own_in_flight))
         self.service.take_others(self.others)
         return True
 
+    def take_peer_report(self, report: LoadReport) -> None:
+        """Take in a report that a peer heard, if it is newer than the last."""
+        if self.take_report(report):
+            self.is_news_of_peer = True
+
+    def probe_failed(self) -> None:
+        """Take in a probe without an answer; it weighs like a failed call."""
+        self.failure_ratio += FAILURE_WEIGHT * (1 - self.failure_ratio)
+        self.is_marked = True
+
     def take_slow_ratio(self, slow_ratio: float, at_s: float) -> None:
         """Take in how slow a peer found the server, if that is newer news."""
         if at_s <= self.slow_at_s:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -46,6 +46,10 @@
         path = environ["RAW_PATH_INFO"]
         if path == FAULTS_PATH:
             return answer_faults(self.faults, environ, start_response)
+        if path == "/load":
+            return json_answer(start_response, {}, headers=(self._load_header(),))
+        if path == "/health":
+            return json_answer(start_response, {"healthy": True})
         if path == "/runs":
             return json_answer(start_response, dict(self.runs))
         if self.faults.sheds or self.faults.is_leaving:
