--- a/berylhaven/calls/_attempt_end.py
+++ b/berylhaven/calls/_attempt_end.py
@@ -4,11 +4,16 @@
 from dataclasses import dataclass
 
 from berylhaven.results import (
+    AnswerWithoutLength,
     BackendServerShed,
-    BadFraming,
+    BodyCut,
+    BodyTooLarge,
+    CallerGone,
     CallRefused,
     DeadlineExceeded,
     Outcome,
+    OverLimit,
+    SenderTooSlow,
     UpstreamBroken,
     UpstreamUnreachable,
 )
@@ -31,6 +36,22 @@
     DEADLINE_BEFORE_HEAD = "deadline-before-head"
     # The backend server said that it did not start the call.
     SHED = "shed"
+    # All connections to the backend server that the instance may have are in use.
+    CONNECTION_LIMIT = "connection-limit"
+    # The caller's body went over its limit while it was sent on.
+    CALLER_BODY_TOO_LARGE = "caller-body-too-large"
+    # The caller paused for too long while its body was sent on.
+    CALLER_TOO_SLOW = "caller-too-slow"
+    # The caller closed its connection while the attempt waited for the answer.
+    CALLER_GONE = "caller-gone"
+    # The answer is late beyond its estimate, and the call is safe to send again.
+    SILENT = "silent"
+    # The answer's head came, and its body was cut before the first byte.
+    CUT_BEFORE_BODY = "cut-before-body"
+    # The answer names no length, so that its end could not be told from a cut.
+    ANSWER_WITHOUT_LENGTH = "answer-without-length"
+    # The answer names the id of another call.
+    FOREIGN_ANSWER = "foreign-answer"
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,7 +71,7 @@
     AttemptEnd.DEADLINE_BEFORE_SENDING: EndJudgement(
         Outcome.NOT_RUN, False, DeadlineExceeded
     ),
-    AttemptEnd.CALLER_BODY_CUT: EndJudgement(Outcome.UNKNOWN, False, BadFraming),
+    AttemptEnd.CALLER_BODY_CUT: EndJudgement(Outcome.UNKNOWN, False, BodyCut),
     AttemptEnd.BROKEN_WHILE_SENDING: EndJudgement(
         Outcome.UNKNOWN, True, UpstreamBroken
     ),
@@ -59,6 +80,18 @@
         Outcome.UNKNOWN, False, DeadlineExceeded
     ),
     AttemptEnd.SHED: EndJudgement(Outcome.NOT_RUN, True, BackendServerShed),
+    AttemptEnd.CONNECTION_LIMIT: EndJudgement(Outcome.NOT_RUN, True, OverLimit),
+    AttemptEnd.CALLER_BODY_TOO_LARGE: EndJudgement(
+        Outcome.UNKNOWN, False, BodyTooLarge
+    ),
+    AttemptEnd.CALLER_TOO_SLOW: EndJudgement(Outcome.UNKNOWN, False, SenderTooSlow),
+    AttemptEnd.CALLER_GONE: EndJudgement(Outcome.UNKNOWN, False, CallerGone),
+    AttemptEnd.SILENT: EndJudgement(Outcome.UNKNOWN, True, DeadlineExceeded),
+    AttemptEnd.CUT_BEFORE_BODY: EndJudgement(Outcome.UNKNOWN, True, UpstreamBroken),
+    AttemptEnd.ANSWER_WITHOUT_LENGTH: EndJudgement(
+        Outcome.RUN, False, AnswerWithoutLength
+    ),
+    AttemptEnd.FOREIGN_ANSWER: EndJudgement(Outcome.UNKNOWN, True, UpstreamBroken),
 }
 
 
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -24,7 +24,7 @@
     PartLog,
 )
 from berylhaven.platform import ConfigurationService, InstanceListService
-from berylhaven.proxy import CallersApplication, CallHandler, serve
+from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
 LOG = PartLog("entry")
@@ -99,16 +99,7 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        proxy = self._settings.proxy
-        # Callers keep idle connections, so more are open than calls in flight.
-        connection_limit = 4 * proxy.concurrency_limit
-        return serve(
-            self._settings.instance.host,
-            self._settings.instance.callers_port,
-            application,
-            connection_limit,
-            proxy.sender_timeout_s,
-        )
+        return serve_callers(self._settings, application)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
--- a/berylhaven/proxy/__init__.py
+++ b/berylhaven/proxy/__init__.py
@@ -2,7 +2,17 @@
 
 from berylhaven.proxy._application import CallersApplication
 from berylhaven.proxy._call_handler import CallHandler
-from berylhaven.proxy._connection_pool import ConnectionPool
-from berylhaven.proxy._server import serve
+from berylhaven.proxy._connection_pool import ConnectionCounts, ConnectionPool
+from berylhaven.proxy._server import serve, serve_callers
+from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 
-__all__ = ["CallHandler", "CallersApplication", "ConnectionPool", "serve"]
+__all__ = [
+    "CallHandler",
+    "CallersApplication",
+    "ConnectionCounts",
+    "ConnectionPool",
+    "UpstreamCaller",
+    "UpstreamExchange",
+    "serve",
+    "serve_callers",
+]
--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -1,6 +1,7 @@
 """The WSGI application on the callers' port."""
 
 import secrets
+import traceback
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
@@ -9,18 +10,38 @@
 from berylhaven.catalogue import CATALOGUE_SECTION, CatalogueInForce, ServiceEntry
 from berylhaven.clock import monotonic_s
 from berylhaven.membership import MEMBERSHIP_SECTION, Announcement, PeerState
-from berylhaven.proxy._call_answer import CallAnswer, json_answer, refusal_answer
+from berylhaven.operations import PartLog
+from berylhaven.proxy._call_answer import (
+    CallAnswer,
+    json_answer,
+    outcome_headers,
+    refusal_answer,
+)
 from berylhaven.proxy._call_handler import CallHandler
 from berylhaven.proxy._call_request import (
     CALL_ID_HEADER,
     CallRequest,
     read_deadline_s,
 )
-from berylhaven.proxy._hop_headers import end_to_end
+from berylhaven.proxy._callers_protocol import (
+    ANSWER_BODY_KEY,
+    CALLER_SOCKET_KEY,
+    END_CONNECTION_KEY,
+)
+from berylhaven.proxy._hop_headers import REQUEST_FRAMING, end_to_end
 from berylhaven.proxy._locate import locate_document
-from berylhaven.results import BodyTooLarge, CallRefused, NotReady, UnknownService
+from berylhaven.results import (
+    BodyTooLarge,
+    CallRefused,
+    InternalError,
+    Located,
+    NotReady,
+    Outcome,
+    UnknownService,
+)
 from berylhaven.settings import Settings
 
+LOG = PartLog("callers")
 ENTRIES_PATH = "/v1/entries"
 SERVICES_PREFIX = "/v1/services/"
 OWN_PART_BYTES = 12
@@ -57,14 +78,26 @@
         self._announce = announce
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
-        """Answer one request."""
+        """Answer one request; a fault of ours gets a numbered answer too."""
         try:
             answer = self._answer(environ)
         except CallRefused as refusal:
-            answer = refusal_answer(refusal)
+            answer = self._refuse(environ, refusal)
+        except Exception as error:
+            LOG.error("A call failed by a fault: %s.", traceback.format_exc())
+            refusal = InternalError(f"fault of kind {type(error).__name__}")
+            answer = self._refuse(environ, refusal)
         start_response(answer.status, answer.headers)
+        environ[ANSWER_BODY_KEY] = answer.body
         return answer.body
 
+    def _refuse(self, environ: dict, refusal: CallRefused) -> CallAnswer:
+        body = environ["wsgi.input"]
+        if body.awaits_continue or not body.is_ended:
+            # What the caller still sends must not be read as its next request.
+            environ[END_CONNECTION_KEY]()
+        return refusal_answer(refusal)
+
     def _answer(self, environ: dict) -> CallAnswer:
         path = environ["RAW_PATH_INFO"]
         if path == ENTRIES_PATH:
@@ -95,7 +128,7 @@
         live = table.in_state(monotonic_s(), PeerState.LIVE)
         announcements = [peer.announcement for peer in live]
         announcements.append(self._announce())
-        return json_answer(
+        answer = json_answer(
             locate_document(
                 name,
                 in_force.revision,
@@ -104,6 +137,8 @@
                 data_centre,
             )
         )
+        answer.headers.extend(outcome_headers(Located.code, Outcome.RUN))
+        return answer
 
     def _call(self, environ: dict, rest: str) -> CallAnswer:
         name, _, path = rest.partition("/")
@@ -115,18 +150,23 @@
     def _request(self, environ: dict, service: ServiceEntry, path: str) -> CallRequest:
         query = environ.get("QUERY_STRING")
         body = environ["wsgi.input"]
-        length = None if body.chunked_input else body.content_length or 0
-        if length is not None and length > service.body_limit_bytes:
+        deadline_s = read_deadline_s(environ, service, monotonic_s())
+        call_id = self._call_id(environ)
+        if (body.content_length or 0) > service.body_limit_bytes:
             raise BodyTooLarge(f"allowed is {service.body_limit_bytes} bytes")
+        body.limit_bytes = service.body_limit_bytes
+        if not body.awaits_continue:
+            # A slow sender holds nothing but its connection until this part is here.
+            body.read_first(self._settings.proxy.chunk_bytes)
         return CallRequest(
             service=service,
             method=environ["REQUEST_METHOD"],
             target=f"{path}?{query}" if query else path,
-            headers=end_to_end(environ["headers_raw"]),
-            read_body=body.read,
-            content_length=length,
-            deadline_s=read_deadline_s(environ, service, monotonic_s()),
-            call_id=self._call_id(environ),
+            headers=end_to_end(environ["headers_raw"], REQUEST_FRAMING),
+            body=body,
+            deadline_s=deadline_s,
+            call_id=call_id,
+            caller_socket=environ[CALLER_SOCKET_KEY],
         )
 
     def _call_id(self, environ: dict) -> str:
--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -1,128 +1,245 @@
 """One attempt of a call at one backend server over one connection."""
 
 import http.client
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
 import urllib3
-from urllib3._collections import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
-from urllib3.util import SKIP_HEADER
 
-from berylhaven.backend import request_headers
+from berylhaven.backend import CALL_ID_HEADER, request_headers
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._caller_watch import CallerWatch
+from berylhaven.proxy._upstream_answer import (
+    AnswerCut,
+    NoAnswerLength,
+    UpstreamAnswer,
+    read_answer,
+)
+from berylhaven.proxy._upstream_connection import UpstreamConnection
+from berylhaven.results import (
+    BadFraming,
+    BadRequestHead,
+    BodyCut,
+    BodyTooLarge,
+    CallerGone,
+    CallRefused,
+    HeadTooLarge,
+    SenderTooSlow,
+)
 
 CONNECTION_ERRORS = (
     OSError,
     http.client.HTTPException,
     urllib3.exceptions.HTTPError,
 )
+# What the strict reading of an answer's head and framing raises.
+MALFORMED_ANSWER = (BadFraming, BadRequestHead, HeadTooLarge)
+CALLER_ENDS = {
+    BodyCut: AttemptEnd.CALLER_BODY_CUT,
+    BadFraming: AttemptEnd.CALLER_BODY_CUT,
+    BodyTooLarge: AttemptEnd.CALLER_BODY_TOO_LARGE,
+    SenderTooSlow: AttemptEnd.CALLER_TOO_SLOW,
+}
+# A server in the next region answers an opening well within this time.
+CONNECT_TIMEOUT_S = 1.0
+# How long to look for an early answer after the server stopped taking the body.
+EARLY_ANSWER_S = 0.2
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass(slots=True)
-class UpstreamAnswer:
-    """The head of a backend server's answer, its body not yet read."""
+class AttemptBounds:
+    """What bounds one attempt, besides the call's deadline."""
 
-    # The HTTP status.
-    status: int
-    # The reason phrase.
-    reason: str
-    # The headers in their order.
-    headers: list[tuple[str, str]]
-    # The response from which the body is read.
-    response: urllib3.HTTPResponse
+    # How much of a body is held at once.
+    chunk_bytes: int
+    # How long to wait for the answer's head before the connection is condemned;
+    # None to wait until the deadline.
+    patience_s: float | None = None
+    # Told once if the answer is later than that.
+    on_late: Callable[[], None] | None = None
 
 
 def send_attempt(
-    connection: HTTPConnection, request: CallRequest, chunk_bytes: int
+    connection: UpstreamConnection,
+    request: CallRequest,
+    bounds: AttemptBounds,
+    watch: CallerWatch | None = None,
 ) -> UpstreamAnswer:
-    """Send a request and wait for the head of its answer.
+    """Send a request and wait for the head of its answer and its first piece.
 
     Parameters
     ----------
-    connection : HTTPConnection
+    connection : UpstreamConnection
         Open or not; it carries no other call.
     request : CallRequest
         The call; its body is read as it is sent.
-    chunk_bytes : int
-        How much of the body is held at once.
+    bounds : AttemptBounds
+        What bounds the attempt.
+    watch : CallerWatch or None
+        Ends the wait if the caller goes away.
 
     Returns
     -------
     UpstreamAnswer
-        The head of the answer.
+        The answer, its body read in part.
 
     Raises
     ------
     AttemptFailed
         With the place at which it ended.
     """
+    attempt = _Attempt(connection, request, bounds)
     remaining_s = request.deadline_s - monotonic_s()
     if remaining_s <= 0:
+        raise attempt.too_late()
+    timer = eventlet.Timeout(remaining_s)
+    try:
+        attempt.connect(remaining_s)
+        attempt.send()
+        if watch is None or request.caller_socket is None:
+            attempt.wait()
+        else:
+            with watch.watching(request.caller_socket):
+                attempt.wait()
+        return attempt.read()
+    except eventlet.Timeout as timeout:
+        if timeout is not timer:
+            raise
+        raise attempt.too_late() from None
+    except CallerGone as gone:
+        raise AttemptFailed(AttemptEnd.CALLER_GONE, gone.message) from None
+    finally:
+        timer.cancel()
+
+
+class _Attempt:
+    """The steps of one attempt."""
+
+    __slots__ = ("_connection", "_request", "_bounds", "_was_sent")
+
+    def __init__(
+        self,
+        connection: UpstreamConnection,
+        request: CallRequest,
+        bounds: AttemptBounds,
+    ) -> None:
+        self._connection = connection
+        self._request = request
+        self._bounds = bounds
+        self._was_sent = False
+
+    def too_late(self) -> AttemptFailed:
+        """Return the failure if the deadline passes now."""
+        if self._was_sent:
+            end = AttemptEnd.DEADLINE_BEFORE_HEAD
+            return AttemptFailed(end, "no answer in time")
         end = AttemptEnd.DEADLINE_BEFORE_SENDING
-        raise AttemptFailed(end, "the deadline passed before the call was sent")
-    late = AttemptFailed(AttemptEnd.DEADLINE_BEFORE_HEAD, "no answer in time")
-    with eventlet.Timeout(remaining_s, late):
-        _connect(connection)
+        return AttemptFailed(end, "the deadline passed before the call was sent")
+
+    def connect(self, remaining_s: float) -> None:
+        """Open the connection if it is not."""
+        if self._connection.is_open:
+            return
         try:
-            _send(connection, request, remaining_s, chunk_bytes)
+            self._connection.open(min(remaining_s, CONNECT_TIMEOUT_S))
         except CONNECTION_ERRORS as error:
+            message = f"no connection: {error}"
+            raise AttemptFailed(AttemptEnd.NOT_CONNECTED, message) from error
+
+    def send(self) -> None:
+        """Send the head and the body, checking the deadline before each write."""
+        pieces = self._request.body.pieces(self._bounds.chunk_bytes)
+        try:
+            first = next(pieces, b"")
+            self._write(self._head() + self._framed(first))
+            for piece in pieces:
+                self._write(self._framed(piece))
+            if self._request.has_body and self._is_chunked:
+                self._write(LAST_CHUNK)
+        except CallRefused as refusal:
+            end = CALLER_ENDS[type(refusal)]
+            raise AttemptFailed(end, refusal.message) from None
+        except CONNECTION_ERRORS as error:
+            # A server that refuses an upload answers before its end, and closes.
+            if self._connection.wait_for_answer(EARLY_ANSWER_S):
+                return
             end = AttemptEnd.BROKEN_WHILE_SENDING
             raise AttemptFailed(end, f"the connection broke: {error}") from error
+
+    @property
+    def _is_chunked(self) -> bool:
+        return self._request.body.content_length is None
+
+    def _framed(self, piece: bytes) -> bytes:
+        if not piece or not self._is_chunked:
+            return piece
+        return b"%x\r\n%b\r\n" % (len(piece), piece)
+
+    def _write(self, data: bytes) -> None:
+        if self._request.deadline_s <= monotonic_s():
+            raise self.too_late()
+        # From here on a part may have reached the server, even if this fails.
+        self._was_sent = True
+        self._connection.send(data)
+
+    def _head(self) -> bytes:
+        request = self._request
+        remaining_s = request.deadline_s - monotonic_s()
+        lines = [f"{request.method} {request.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in request.headers]
+        if not any(name.lower() == "host" for name, _ in request.headers):
+            lines.append(f"Host: {self._connection.address}")
+        own = request_headers(request.call_id, remaining_s)
+        lines += [f"{name}: {value}" for name, value in own.items()]
+        if self._is_chunked:
+            lines.append("Transfer-Encoding: chunked")
+        elif request.body.content_length or request.method not in ("GET", "HEAD"):
+            lines.append(f"Content-Length: {request.body.content_length}")
+        lines += ["", ""]
+        return "\r\n".join(lines).encode("latin-1")
+
+    def wait(self) -> None:
+        """Wait for the answer; tell if it is late, give up if that is safe."""
+        bounds = self._bounds
         try:
-            response = connection.getresponse()
-        except CONNECTION_ERRORS as error:
+            if self._connection.wait_for_answer(bounds.patience_s):
+                return
+            if bounds.on_late is not None:
+                bounds.on_late()
+            if self._request.is_idempotent and self._request.is_replayable:
+                message = "the answer is late beyond its estimate"
+                raise AttemptFailed(AttemptEnd.SILENT, message)
+            # What must not run twice is waited for, since it may be running.
+            self._connection.wait_for_answer(None)
+        except OSError as error:
             end = AttemptEnd.BROKEN_BEFORE_HEAD
             raise AttemptFailed(end, f"the connection broke: {error}") from error
-    headers = list(response.headers.items())
-    return UpstreamAnswer(response.status, response.reason or "", headers, response)
-
-
-def _connect(connection: HTTPConnection) -> None:
-    if connection.sock is not None:
-        return
-    try:
-        connection.connect()
-    except CONNECTION_ERRORS as error:
-        message = f"no connection: {error}"
-        raise AttemptFailed(AttemptEnd.NOT_CONNECTED, message) from error
-
 
-def _send(
-    connection: HTTPConnection,
-    request: CallRequest,
-    remaining_s: float,
-    chunk_bytes: int,
-) -> None:
-    headers = HTTPHeaderDict(request.headers)
-    headers.update(request_headers(request.call_id, remaining_s))
-    # urllib3 would add these two of its own.
-    headers.setdefault("User-Agent", SKIP_HEADER)
-    headers.setdefault("Accept-Encoding", SKIP_HEADER)
-    connection.request(
-        request.method,
-        request.target,
-        body=_body(request, chunk_bytes) if request.has_body else None,
-        headers=headers,
-        chunked=request.content_length is None,
-        preload_content=False,
-        decode_content=False,
-    )
-
-
-def _body(request: CallRequest, chunk_bytes: int) -> Iterator[bytes]:
-    left_bytes = request.content_length
-    while left_bytes is None or left_bytes > 0:
-        size_bytes = chunk_bytes if left_bytes is None else min(chunk_bytes, left_bytes)
-        piece = request.read_body(size_bytes)
-        if not piece:
-            if left_bytes is not None:
-                end = AttemptEnd.CALLER_BODY_CUT
-                raise AttemptFailed(end, "the caller's body ended early")
-            return
-        if left_bytes is not None:
-            left_bytes -= len(piece)
-        yield piece
+    def read(self) -> UpstreamAnswer:
+        """Read the head and the first piece of the body."""
+        method = self._request.method
+        reader = self._connection.reader
+        try:
+            response = self._connection.read_head(method)
+            answer = read_answer(response, reader, method, self._bounds.chunk_bytes)
+        except NoAnswerLength as error:
+            raise AttemptFailed(AttemptEnd.ANSWER_WITHOUT_LENGTH, str(error)) from error
+        except AnswerCut as error:
+            message = f"the answer was cut: {error}"
+            raise AttemptFailed(AttemptEnd.CUT_BEFORE_BODY, message) from error
+        except (*CONNECTION_ERRORS, *MALFORMED_ANSWER) as error:
+            end = AttemptEnd.BROKEN_BEFORE_HEAD
+            raise AttemptFailed(end, f"no answer: {error}") from error
+        self._check_own(answer)
+        return answer
+
+    def _check_own(self, answer: UpstreamAnswer) -> None:
+        """Refuse an answer that names another call."""
+        call_id = answer.message.get(CALL_ID_HEADER)
+        if call_id is not None and call_id != self._request.call_id:
+            message = "the answer names another call"
+            raise AttemptFailed(AttemptEnd.FOREIGN_ANSWER, message)
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -2,8 +2,6 @@
 
 import random
 
-from urllib3.connection import HTTPConnection
-
 from berylhaven.admission import AdmissionGate, AdmissionTicket
 from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
 from berylhaven.calls import AttemptEnd, AttemptFailed
@@ -11,12 +9,12 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.load import LoadTable, ServerLoad
 from berylhaven.operations import CallMetrics, DecisionLog, PlacementDecision
-from berylhaven.proxy._attempt import UpstreamAnswer, send_attempt
 from berylhaven.proxy._call_answer import CallAnswer, outcome_headers
 from berylhaven.proxy._call_request import CallRequest
-from berylhaven.proxy._connection_pool import ConnectionPool
 from berylhaven.proxy._hop_headers import end_to_end
 from berylhaven.proxy._relay import relay_body
+from berylhaven.proxy._upstream_answer import UpstreamAnswer
+from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 from berylhaven.results import (
     Answered,
     CallRefused,
@@ -55,7 +53,8 @@
         "_load_table",
         "_decision_log",
         "_metrics",
-        "_pool",
+        "_connection_limits",
+        "_upstreams",
         "_random",
     )
 
@@ -72,7 +71,10 @@
         self._load_table = load_table
         self._decision_log = decision_log
         self._metrics = metrics
-        self._pool = ConnectionPool()
+        self._connection_limits: dict[str, int] = {}
+        self._upstreams = UpstreamCaller(
+            settings.proxy, self._connection_limits.__getitem__, lambda _: None
+        )
         self._random = random.Random()
 
     def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
@@ -97,57 +99,70 @@
         """
         started_at_s = monotonic_s()
         ticket = self._gate.admit(catalogue, request.service, started_at_s)
+        answer = None
         try:
-            answer = self._try_once(request, ticket)
+            answer = self._try_once(catalogue, request, ticket)
         except CallRefused as refusal:
-            ticket.release()
             self._metrics.call_ended(request.service.name, refusal.code, started_at_s)
             raise
+        finally:
+            if answer is None:
+                ticket.release()
         self._metrics.call_ended(request.service.name, Answered.code, started_at_s)
         return answer
 
-    def _try_once(self, request: CallRequest, ticket: AdmissionTicket) -> CallAnswer:
+    def _try_once(
+        self, catalogue: Catalogue, request: CallRequest, ticket: AdmissionTicket
+    ) -> CallAnswer:
         server = self._choose(request)
-        connection = self._pool.acquire(server.address)
-
-        def end_call(is_reusable: bool) -> None:
-            """Give back what the call held."""
-            ticket.release()
-            self._pool.put_back(server.address, connection, is_reusable)
-
+        # A caller that awaits a sign to send gets it now that its call has a place.
+        request.body.read_first(self._settings.proxy.chunk_bytes)
+        self._connection_limits[server.address] = max(
+            1,
+            request.service.connection_limit_per_backend_server
+            // catalogue.fleet.max_entry_instances,
+        )
         try:
-            upstream = self._attempt(server, connection, request)
+            exchange = self._attempt(server, request)
         except AttemptFailed as failure:
-            self._pool.put_back(server.address, connection, is_reusable=False)
             judgement = failure.judgement
             raise judgement.refusal(
                 failure.message, RETRY_AFTER_S, judgement.outcome
             ) from failure
+        upstream = exchange.answer
+
+        def end_call(is_reusable: bool) -> None:
+            """Give back what the call held."""
+            ticket.release()
+            exchange.end(is_reusable)
+
         return CallAnswer(
             f"{upstream.status} {upstream.reason}",
             self._answer_headers(upstream),
-            relay_body(upstream, self._settings.proxy.chunk_bytes, end_call),
+            relay_body(
+                upstream,
+                self._settings.proxy.chunk_bytes,
+                request.deadline_s,
+                end_call,
+            ),
         )
 
-    def _attempt(
-        self, server: ServerLoad, connection: HTTPConnection, request: CallRequest
-    ) -> UpstreamAnswer:
+    def _attempt(self, server: ServerLoad, request: CallRequest) -> UpstreamExchange:
         server.call_started()
         sent_at_s = monotonic_s()
         try:
-            upstream = send_attempt(
-                connection, request, self._settings.proxy.chunk_bytes
-            )
+            exchange = self._upstreams.attempt(server.address, request)
         except AttemptFailed:
             server.call_failed(monotonic_s())
             raise
         now_s = monotonic_s()
-        headers = upstream.response.headers
-        report = read_load_header(headers.get(LOAD_HEADER), now_s)
+        answer = exchange.answer
+        report = read_load_header(answer.message.get(LOAD_HEADER), now_s)
         server.call_answered(now_s - sent_at_s, report)
-        if is_shed(upstream.status, headers):
+        if is_shed(answer.status, answer.message):
+            exchange.end(answer.is_whole and answer.keeps_connection)
             raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
-        return upstream
+        return exchange
 
     def _choose(self, request: CallRequest) -> ServerLoad:
         now_s = monotonic_s()
@@ -181,9 +196,5 @@
         )
 
     def _answer_headers(self, upstream: UpstreamAnswer) -> list[tuple[str, str]]:
-        kept = [
-            (name, value)
-            for name, value in end_to_end(upstream.headers)
-            if name.lower() not in DROPPED_ANSWER_HEADERS
-        ]
+        kept = end_to_end(upstream.headers, DROPPED_ANSWER_HEADERS)
         return kept + outcome_headers(Answered.code, Outcome.RUN)
--- a/berylhaven/proxy/_call_request.py
+++ b/berylhaven/proxy/_call_request.py
@@ -1,9 +1,10 @@
 """A caller's request in typed form."""
 
-from collections.abc import Callable
+import socket
 from dataclasses import dataclass
 
 from berylhaven.catalogue import ServiceEntry
+from berylhaven.proxy._request_body import RequestBody
 from berylhaven.results import BadFraming
 
 CALL_ID_HEADER = "HTTP_BERYLHAVEN_CALL_ID"
@@ -23,19 +24,30 @@
     target: str
     # End-to-end headers as they came, in their order.
     headers: list[tuple[str, str]]
-    # Reads at most so many bytes of the body; empty at its end.
-    read_body: Callable[[int], bytes]
-    # The length of the body; None if it is chunked.
-    content_length: int | None
+    # The body, its first part read already unless the caller awaits a sign to send.
+    body: RequestBody
     # The latest time at which an answer is of use, on the hub's clock.
     deadline_s: float
     # The id by which the call is known.
     call_id: str
+    # The caller's socket, watched for its close; None if there is none to watch.
+    caller_socket: socket.socket | None = None
 
     @property
     def has_body(self) -> bool:
         """Whether a body follows the request's head."""
-        return self.content_length is None or self.content_length > 0
+        return self.body.has_body
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the whole request is held, so that it can be sent again."""
+        return self.body.is_replayable
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the call may safely run more than once."""
+        path = self.target.partition("?")[0]
+        return self.service.is_idempotent(self.method, path)
 
 
 def read_deadline_s(environ: dict, service: ServiceEntry, now_s: float) -> float:
--- /dev/null
+++ b/berylhaven/proxy/_caller_watch.py
@@ -0,0 +1,89 @@
+"""Noticing callers that close their connection while their call runs."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import eventlet
+import greenlet
+from eventlet import hubs
+
+from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.results import CallerGone
+
+# Calls that were sent longer ago than this are looked at, every so often; shorter
+# ones end by themselves before a look would save anything.
+LOOK_EVERY_S = 0.1
+
+
+@dataclass(slots=True)
+class _Wait:
+    """One green thread that waits for a backend server."""
+
+    # The green thread.
+    thread: greenlet.greenlet
+    # The socket of the caller for whom it waits.
+    caller_socket: socket.socket
+    # When the wait began, on the hub's clock.
+    began_at_s: float
+    # Whether it still waits.
+    is_waiting: bool = True
+
+
+class CallerWatch:
+    """Ends waits for callers that are gone.
+
+    One green thread looks at all waits in turn, which costs a short call nothing but
+    an entry in a table; a watch on each socket would cost two calls of the kernel.
+    """
+
+    __slots__ = ("_waits", "_looker")
+
+    def __init__(self) -> None:
+        self._waits: dict[int, _Wait] = {}
+        self._looker: eventlet.greenthread.GreenThread | None = None
+
+    @contextlib.contextmanager
+    def watching(self, caller_socket: socket.socket) -> Iterator[None]:
+        """Raise CallerGone in the calling green thread if the caller closes.
+
+        Parameters
+        ----------
+        caller_socket : socket.socket
+            The caller's connection.
+        """
+        wait = _Wait(greenlet.getcurrent(), caller_socket, monotonic_s())
+        self._waits[id(wait)] = wait
+        if self._looker is None:
+            self._looker = eventlet.spawn(self._look)
+        try:
+            yield
+        finally:
+            wait.is_waiting = False
+            del self._waits[id(wait)]
+
+    def _look(self) -> None:
+        while self._waits:
+            sleep_s(LOOK_EVERY_S)
+            began_before_s = monotonic_s() - LOOK_EVERY_S
+            for wait in list(self._waits.values()):
+                if wait.began_at_s <= began_before_s and _is_gone(wait.caller_socket):
+                    hubs.get_hub().schedule_call_global(0, _end_wait, wait)
+        self._looker = None
+
+
+def _is_gone(caller_socket: socket.socket) -> bool:
+    """Tell whether the caller closed its side; a next request does not count."""
+    try:
+        return not caller_socket.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _end_wait(wait: _Wait) -> None:
+    # The wait may have ended between the look and this call.
+    if wait.is_waiting:
+        wait.thread.throw(CallerGone("the caller closed its connection"))
--- /dev/null
+++ b/berylhaven/proxy/_callers_protocol.py
@@ -0,0 +1,218 @@
+"""The WSGI server's protocol on the callers' port, strict about heads and framing."""
+
+import contextlib
+import re
+import socket
+import struct
+
+import eventlet
+import eventlet.wsgi
+
+from berylhaven.proxy._body_framing import BodyFraming, read_framing
+from berylhaven.proxy._call_answer import refusal_answer
+from berylhaven.proxy._head_source import END_OF_HEAD, HeadSource
+from berylhaven.proxy._request_body import CONTINUE_LINE, RequestBody
+from berylhaven.results import (
+    BadRequestHead,
+    CallRefused,
+    HeadTooLarge,
+    SenderTooSlow,
+)
+from berylhaven.settings import ProxySettings
+
+REQUEST_LINE = re.compile(
+    rb"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,32} (/|http://)[!-~]* HTTP/1\.[01]\r\n"
+)
+AUTHORITY = re.compile(r"http://[^/]*")
+HEAD_END = b"\r\n\r\n"
+HTTP_1_1 = "HTTP/1.1"
+CONTINUE = "100-continue"
+# After a refusal the rest that the caller sends is read for so long, and so much,
+# since a close with unread bytes would destroy the refusal on its way.
+LINGER_S = 1.0
+LINGER_BYTES = 1_000_000
+# SO_LINGER with these values makes a close a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# The environment's key of an answer body that tells whether it was cut.
+ANSWER_BODY_KEY = "berylhaven.answer_body"
+# The environment's key of a function by which this is the connection's last answer.
+END_CONNECTION_KEY = "berylhaven.end_connection"
+# The environment's key of the caller's socket.
+CALLER_SOCKET_KEY = "berylhaven.caller_socket"
+
+
+class CallersProtocol(eventlet.wsgi.HttpProtocol):
+    """Serves one caller's connection.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        With the limits of heads and senders.
+    conn_state : list
+        The WSGI server's record of the connection.
+    server : eventlet.wsgi.Server
+        The WSGI server.
+    """
+
+    def __init__(
+        self, settings: ProxySettings, conn_state: list, server: object
+    ) -> None:
+        self._settings = settings
+        self._framing = BodyFraming(0, False)
+        self._head_timer: eventlet.Timeout | None = None
+        self._lingers = False
+        self._resets = False
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Send small answers at once."""
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def handle_one_request(self) -> None:
+        """Serve a request, or refuse a head that did not come in time."""
+        try:
+            super().handle_one_request()
+        except SenderTooSlow as refusal:
+            self._refuse(refusal)
+        finally:
+            self._stop_head_timer()
+
+    def _start_head_timer(self) -> None:
+        late = SenderTooSlow("the request's head came too slowly")
+        self._head_timer = eventlet.Timeout(self._settings.sender_timeout_s, late)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _read_request_line(self) -> bytes:
+        """Read the first line; from its first byte on the sender's time runs."""
+        if self.rfile.closed:
+            return b""
+        self.connection.settimeout(self.server.keepalive)
+        try:
+            seen = self.rfile.peek(1)
+            if not seen:
+                return b""
+            self.connection.settimeout(self.server.socket_timeout)
+            if HEAD_END not in seen:
+                self._start_head_timer()
+            if seen.startswith(END_OF_HEAD):
+                self.rfile.readline(len(END_OF_HEAD))
+            limit_bytes = self._settings.header_limit_bytes
+            return self.rfile.readline(limit_bytes + 1)
+        except OSError:
+            # The caller closed, or was idle for too long.
+            return b""
+
+    def parse_request(self) -> bool:
+        """Check the head's lines, then let the library parse them."""
+        # The WSGI server has put a wrapper of its own round the reader.
+        reader = self.rfile.fp
+        try:
+            self._check_request_line()
+            left_bytes = self._settings.header_limit_bytes - len(self.raw_requestline)
+            self.rfile = HeadSource(reader, left_bytes)
+            if not super().parse_request():
+                return False
+            self._check_head()
+        except CallRefused as refusal:
+            self._refuse(refusal)
+            return False
+        finally:
+            self._stop_head_timer()
+        return True
+
+    def _check_request_line(self) -> None:
+        if len(self.raw_requestline) > self._settings.header_limit_bytes:
+            raise HeadTooLarge("the request line is over the limit")
+        if REQUEST_LINE.fullmatch(self.raw_requestline) is None:
+            raise BadRequestHead("the request line is not METHOD TARGET HTTP/1.1")
+
+    def _check_head(self) -> None:
+        fields = list(self.headers.raw_items())
+        self._framing = read_framing(fields, self.request_version)
+        hosts = sum(1 for name, _ in fields if name.lower() == "host")
+        if hosts > 1 or (hosts == 0 and self.request_version == HTTP_1_1):
+            raise BadRequestHead("send one Host header")
+        expected = self.headers.get("expect")
+        if expected is not None and expected.lower() != CONTINUE:
+            raise BadRequestHead("the only expectation taken is 100-continue")
+        if self.path.startswith("http://"):
+            self.path = AUTHORITY.sub("", self.path, count=1) or "/"
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Refuse what the library's parser refuses, in the form of our answers."""
+        self._refuse(BadRequestHead(message or f"status {int(code)}"))
+
+    def _refuse(self, refusal: CallRefused) -> None:
+        answer = refusal_answer(refusal)
+        lines = [f"HTTP/1.1 {answer.status}"]
+        lines += [f"{name}: {value}" for name, value in answer.headers]
+        lines += ["Connection: close", "", ""]
+        self.close_connection = True
+        self._lingers = True
+        with contextlib.suppress(OSError):
+            self.wfile.write("\r\n".join(lines).encode("latin-1"))
+            self.wfile.writelines(answer.body)
+            self.wfile.flush()
+
+    def get_environ(self) -> dict:
+        """Return the environment, with a body that counts what it reads."""
+        environ = super().get_environ()
+        body = RequestBody(
+            self.rfile,
+            self._framing,
+            self._settings.sender_timeout_s,
+            self._send_continue if self._is_continue_expected() else None,
+        )
+        environ["wsgi.input"] = environ["eventlet.input"] = body
+        environ[END_CONNECTION_KEY] = self._end_connection
+        environ[CALLER_SOCKET_KEY] = self.connection
+        return environ
+
+    def _is_continue_expected(self) -> bool:
+        # Expectations other than this one were refused.
+        return self.request_version == HTTP_1_1 and "expect" in self.headers
+
+    def _send_continue(self) -> None:
+        self.wfile.write(CONTINUE_LINE)
+        self.wfile.flush()
+
+    def _end_connection(self) -> None:
+        self.close_connection = True
+        self._lingers = True
+
+    def handle_one_response(self) -> None:
+        """Answer, and mark a cut that an HTTP/1.0 caller could not see."""
+        super().handle_one_response()
+        body = self.environ.get(ANSWER_BODY_KEY)
+        if self.request_version != HTTP_1_1 and getattr(body, "is_cut", False):
+            self._resets = True
+
+    def finish(self) -> None:
+        """Close; after a cut by a reset, after a refusal when the caller has read."""
+        if self._resets:
+            with contextlib.suppress(OSError):
+                self.connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+            self.connection.close()
+            return
+        if self._lingers:
+            self._read_rest()
+        super().finish()
+
+    def _read_rest(self) -> None:
+        left_bytes = LINGER_BYTES
+        with contextlib.suppress(OSError), eventlet.Timeout(LINGER_S, False):
+            self.connection.shutdown(socket.SHUT_WR)
+            while left_bytes > 0:
+                piece = self.connection.recv(65_536)
+                if not piece:
+                    return
+                left_bytes -= len(piece)
--- a/berylhaven/proxy/_hop_headers.py
+++ b/berylhaven/proxy/_hop_headers.py
@@ -15,33 +15,49 @@
         "upgrade",
     }
 )
+# A request's headers of the framing, which each connection writes for itself.
+REQUEST_FRAMING = frozenset({"content-length", "expect"})
 # Headers that this program writes itself.
 OWN_PREFIX = "berylhaven-"
+# These belong to the whole path or to the framing, whatever Connection says.
+NEVER_NAMED = frozenset({"host", "content-length"})
 
 
-def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+def end_to_end(
+    headers: Iterable[tuple[str, str]], also_dropped: frozenset[str]
+) -> list[tuple[str, str]]:
     """Return the headers without those of one connection and without our own.
 
     Parameters
     ----------
     headers : iterable of tuple
         Names and values in their order.
+    also_dropped : frozenset of str
+        Further names that are not passed on, in lower case.
 
     Returns
     -------
     list of tuple
         What may be passed on.
     """
-    pairs = list(headers)
-    named = {
-        name.strip().lower()
-        for key, value in pairs
-        if key.lower() == "connection"
-        for name in value.split(",")
-    }
-    dropped = HOP_BY_HOP | named
-    return [
-        (key, value)
-        for key, value in pairs
-        if key.lower() not in dropped and not key.lower().startswith(OWN_PREFIX)
-    ]
+    kept = []
+    named: set[str] = set()
+    for key, value in headers:
+        lowered = key.lower()
+        if lowered == "connection":
+            named.update(name.strip().lower() for name in value.split(","))
+        elif not (
+            lowered in HOP_BY_HOP
+            or lowered in also_dropped
+            or lowered.startswith(OWN_PREFIX)
+        ):
+            kept.append((key, value))
+    named -= NEVER_NAMED
+    if named.isdisjoint(lowered_names(kept)):
+        return kept
+    return [(key, value) for key, value in kept if key.lower() not in named]
+
+
+def lowered_names(pairs: Iterable[tuple[str, str]]) -> set[str]:
+    """Return the names of headers in lower case."""
+    return {key.lower() for key, _ in pairs}
--- a/berylhaven/proxy/_relay.py
+++ b/berylhaven/proxy/_relay.py
@@ -1,45 +1,131 @@
 """Relaying the body of a backend server's answer to the caller."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
-import urllib3
+import eventlet
 
-from berylhaven.proxy._attempt import UpstreamAnswer
-from berylhaven.results import UpstreamBroken
+from berylhaven.clock import monotonic_s
+from berylhaven.proxy._upstream_answer import AnswerCut, UpstreamAnswer
+from berylhaven.results import DeadlineExceeded, Outcome, UpstreamBroken
 
 
-def relay_body(
-    upstream: UpstreamAnswer, chunk_bytes: int, on_end: Callable[[bool], None]
-) -> Iterator[bytes]:
-    """Yield the pieces of an answer's body as they come.
+class AnswerBody:
+    """The pieces of an answer's body, which end whole or with an error.
+
+    It is a class with `close`, not a generator, since a generator that was never
+    started runs none of its clean-up.
 
     Parameters
     ----------
     upstream : UpstreamAnswer
-        The answer whose head was received.
+        The answer, of which the first piece was read.
     chunk_bytes : int
         How much of the body is held at once.
+    deadline_s : float
+        The call's deadline on the hub's clock; it bounds the relay too, and so how
+        long a caller that reads slowly can hold the backend server's connection.
     on_end : callable
-        Told once, with whether the body was whole and its connection can serve
-        another call.
-
-    Yields
-    ------
-    bytes
-        A piece of the body.
-
-    Raises
-    ------
-    UpstreamBroken
-        If the body was cut; the WSGI server then closes the caller's connection.
+        Told once, with whether the connection can serve another call.
     """
-    is_whole = False
-    response = upstream.response
-    try:
+
+    __slots__ = (
+        "_upstream",
+        "_chunk_bytes",
+        "_deadline_s",
+        "_on_end",
+        "_timer",
+        "_first_piece",
+        "is_cut",
+    )
+
+    def __init__(
+        self,
+        upstream: UpstreamAnswer,
+        chunk_bytes: int,
+        deadline_s: float,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self._upstream = upstream
+        self._chunk_bytes = chunk_bytes
+        self._deadline_s = deadline_s
+        self._on_end: Callable[[bool], None] | None = on_end
+        self._timer: eventlet.Timeout | None = None
+        self._first_piece: bytes | None = upstream.first_piece
+        # Whether the caller got less than the whole body.
+        self.is_cut = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next piece as soon as it has come.
+
+        Raises
+        ------
+        UpstreamBroken
+            If the body was cut; the WSGI server then closes the caller's connection.
+        DeadlineExceeded
+            If the deadline passed, also while the caller was taking a piece.
+        """
+        if self._timer is None:
+            self._start_timer()
+        if self._first_piece is not None:
+            piece, self._first_piece = self._first_piece, None
+            return piece
         try:
-            yield from response.stream(chunk_bytes, decode_content=False)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise UpstreamBroken(f"the answer was cut: {error}") from error
-        is_whole = True
-    finally:
-        on_end(is_whole and response.headers.get("connection") != "close")
+            piece = self._upstream.source.read1(self._chunk_bytes)
+        except AnswerCut as cut:
+            raise UpstreamBroken(f"the answer was cut: {cut}") from cut
+        if not piece:
+            raise StopIteration
+        return piece
+
+    def _start_timer(self) -> None:
+        remaining_s = self._deadline_s - monotonic_s()
+        late = DeadlineExceeded("the deadline passed", outcome=Outcome.RUN)
+        if remaining_s <= 0:
+            raise late
+        self._timer = eventlet.Timeout(remaining_s, late)
+
+    def close(self) -> None:
+        """Give back what the call held; further calls do nothing."""
+        if self._on_end is None:
+            return
+        on_end, self._on_end = self._on_end, None
+        if self._timer is not None:
+            self._timer.cancel()
+        is_whole = self._upstream.is_whole
+        self.is_cut = not is_whole
+        on_end(is_whole and self._upstream.keeps_connection)
+
+
+def relay_body(
+    upstream: UpstreamAnswer,
+    chunk_bytes: int,
+    deadline_s: float,
+    on_end: Callable[[bool], None],
+) -> Iterable[bytes]:
+    """Return the body for the WSGI server.
+
+    Parameters
+    ----------
+    upstream : UpstreamAnswer
+        The answer, of which the first piece was read.
+    chunk_bytes : int
+        How much of the body is held at once.
+    deadline_s : float
+        The call's deadline on the hub's clock.
+    on_end : callable
+        Told once, with whether the connection can serve another call; at once if
+        the whole body is here, so that a slow caller holds nothing of the server.
+
+    Returns
+    -------
+    iterable of bytes
+        The pieces.
+    """
+    if upstream.is_whole:
+        on_end(upstream.keeps_connection)
+        return [upstream.first_piece] if upstream.first_piece else []
+    return AnswerBody(upstream, chunk_bytes, deadline_s, on_end)
--- a/berylhaven/proxy/_server.py
+++ b/berylhaven/proxy/_server.py
@@ -1,10 +1,16 @@
 """Serving a WSGI application on one port."""
 
+import functools
 from collections.abc import Callable
 
 import eventlet
 import eventlet.wsgi
 
+from berylhaven.proxy._callers_protocol import CallersProtocol
+from berylhaven.settings import Settings
+
+# Callers keep idle connections, so more are open than calls in flight.
+CONNECTIONS_PER_CALL = 4
 LISTEN_BACKLOG = 512
 KEEPALIVE_S = 60.0
 # Answers go on as they come; the server would hold small pieces back.
@@ -26,6 +32,8 @@
     application: Callable,
     concurrency_limit: int,
     socket_timeout_s: float,
+    protocol: Callable = eventlet.wsgi.HttpProtocol,
+    request_line_limit_bytes: int = eventlet.wsgi.MAX_REQUEST_LINE,
 ) -> eventlet.greenthread.GreenThread:
     """Serve an application in a green thread.
 
@@ -41,6 +49,10 @@
         The most connections served at once.
     socket_timeout_s : float
         A peer that is silent for longer within a request is cut off.
+    protocol : callable
+        Serves one connection, given the server's record of it and the server.
+    request_line_limit_bytes : int
+        The longest request line.
 
     Returns
     -------
@@ -60,4 +72,36 @@
         keepalive=KEEPALIVE_S,
         minimum_chunk_size=MINIMUM_CHUNK_BYTES,
         capitalize_response_headers=False,
+        protocol=protocol,
+        url_length_limit=request_line_limit_bytes,
+    )
+
+
+def serve_callers(
+    settings: Settings, application: Callable
+) -> eventlet.greenthread.GreenThread:
+    """Serve the callers' port.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the port and the bounds.
+    application : callable
+        The WSGI application.
+
+    Returns
+    -------
+    GreenThread
+        Ends when the listening socket is closed or the thread is killed.
+    """
+    proxy = settings.proxy
+    return serve(
+        settings.instance.host,
+        settings.instance.callers_port,
+        application,
+        CONNECTIONS_PER_CALL * proxy.concurrency_limit,
+        proxy.sender_timeout_s,
+        functools.partial(CallersProtocol, proxy),
+        # The protocol itself refuses what is over the limit.
+        proxy.header_limit_bytes + 2,
     )
--- /dev/null
+++ b/berylhaven/proxy/_upstream_answer.py
@@ -0,0 +1,159 @@
+"""The answer of a backend server, its body counted as it is read."""
+
+import http.client
+import io
+from dataclasses import dataclass
+
+from berylhaven.proxy._body_framing import NO_BODY, BodyFraming, read_framing
+from berylhaven.proxy._chunked_reader import ChunkedReader, ChunkFault
+
+BODYLESS_STATUSES = frozenset({204, 304})
+HTTP_VERSIONS = {10: "HTTP/1.0", 11: "HTTP/1.1"}
+CONTENT_LENGTH = "content-length"
+
+
+class AnswerCut(Exception):
+    """The answer's body ended early or is malformed."""
+
+
+class NoAnswerLength(Exception):
+    """The end of the answer's body is to be told by closing the connection."""
+
+
+class AnswerSource:
+    """Reads the body of one answer.
+
+    Parameters
+    ----------
+    reader : io.BufferedReader
+        At the body's first byte.
+    framing : BodyFraming
+        How the body's end is told.
+    """
+
+    __slots__ = ("_reader", "_chunks", "_left_bytes")
+
+    def __init__(self, reader: io.BufferedReader, framing: BodyFraming) -> None:
+        self._reader = reader
+        self._chunks = ChunkedReader(reader) if framing.is_chunked else None
+        self._left_bytes = framing.content_length or 0
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the whole body was read."""
+        if self._chunks is not None:
+            return self._chunks.is_ended
+        return self._left_bytes == 0
+
+    def read1(self, size_bytes: int) -> bytes:
+        """Return what has come of the body, at most so many bytes.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The most bytes to return.
+
+        Returns
+        -------
+        bytes
+            Empty at the body's end only.
+
+        Raises
+        ------
+        AnswerCut
+            If the body was cut or is malformed.
+        """
+        try:
+            if self._chunks is not None:
+                return self._chunks.read1(size_bytes)
+            if self._left_bytes == 0:
+                return b""
+            piece = self._reader.read1(min(size_bytes, self._left_bytes))
+        except ChunkFault as fault:
+            raise AnswerCut(str(fault)) from None
+        except OSError as error:
+            raise AnswerCut(f"the connection broke: {error}") from None
+        if not piece:
+            raise AnswerCut("the body ended before its Content-Length")
+        self._left_bytes -= len(piece)
+        return piece
+
+
+@dataclass(slots=True)
+class UpstreamAnswer:
+    """An answer of which the head and the first piece of the body were read."""
+
+    # The HTTP status.
+    status: int
+    # The reason phrase.
+    reason: str
+    # The headers in their order, with one Content-Length if the length is known.
+    headers: list[tuple[str, str]]
+    # The headers by name in any case.
+    message: http.client.HTTPMessage
+    # Where the rest of the body is read.
+    source: AnswerSource
+    # What was read of the body; empty only if there is none.
+    first_piece: bytes
+    # Whether the backend server keeps its connection open after this answer.
+    keeps_connection: bool
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole body was read."""
+        return self.source.is_ended
+
+
+def read_answer(
+    response: http.client.HTTPResponse,
+    reader: io.BufferedReader,
+    method: str,
+    chunk_bytes: int,
+) -> UpstreamAnswer:
+    """Return an answer with the first piece of its body.
+
+    Parameters
+    ----------
+    response : HTTPResponse
+        The head.
+    reader : io.BufferedReader
+        At the body's first byte.
+    method : str
+        The method of the request.
+    chunk_bytes : int
+        The most bytes of the body that are held at once.
+
+    Returns
+    -------
+    UpstreamAnswer
+        The answer.
+
+    Raises
+    ------
+    BadFraming
+        If the framing is ambiguous.
+    NoAnswerLength
+        If a body follows that only the connection's close would end.
+    AnswerCut
+        If the body was cut before its first byte.
+    """
+    headers = [(name, value.strip(" \t")) for name, value in response.msg.raw_items()]
+    framing = read_framing(headers, HTTP_VERSIONS[response.version])
+    kept = [pair for pair in headers if pair[0].lower() != CONTENT_LENGTH]
+    if framing.content_length is not None:
+        kept.append(("Content-Length", str(framing.content_length)))
+    if method == "HEAD" or response.status in BODYLESS_STATUSES:
+        framing = NO_BODY
+    elif framing.content_length is None and not framing.is_chunked:
+        raise NoAnswerLength("the answer has no length")
+    source = AnswerSource(reader, framing)
+    first_piece = source.read1(chunk_bytes)
+    return UpstreamAnswer(
+        response.status,
+        response.reason or "",
+        kept,
+        response.msg,
+        source,
+        first_piece,
+        not response.will_close,
+    )
--- /dev/null
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -0,0 +1,123 @@
+"""Attempts at backend servers over pooled connections."""
+
+from collections.abc import Callable
+
+from berylhaven.proxy._attempt import AttemptBounds, send_attempt
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._caller_watch import CallerWatch
+from berylhaven.proxy._connection_pool import ConnectionCounts, ConnectionPool
+from berylhaven.proxy._upstream_answer import UpstreamAnswer
+from berylhaven.proxy._upstream_connection import UpstreamConnection
+from berylhaven.settings import ProxySettings
+
+
+class UpstreamExchange:
+    """An answer whose connection is still held for the rest of its body.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Where the connection came from.
+    connection : UpstreamConnection
+        The connection.
+    answer : UpstreamAnswer
+        The answer.
+    """
+
+    __slots__ = ("_pool", "_connection", "answer")
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        connection: UpstreamConnection,
+        answer: UpstreamAnswer,
+    ) -> None:
+        self._pool = pool
+        self._connection: UpstreamConnection | None = connection
+        # The answer, its body read in part.
+        self.answer = answer
+
+    def end(self, is_reusable: bool) -> None:
+        """Give the connection back, once; further calls do nothing.
+
+        Parameters
+        ----------
+        is_reusable : bool
+            Whether the answer was read to its exact end.
+        """
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            self._pool.put_back(connection, is_reusable)
+
+
+class UpstreamCaller:
+    """Makes attempts and keeps the connections for them.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        With the bounds of heads and bodies.
+    limit_for : callable
+        Returns the most connections that this instance may have to an address.
+    patience_s : callable
+        Returns how long an answer from an address may take before its connection is
+        held to be silent; None to wait until the deadline.
+    """
+
+    __slots__ = ("_settings", "_patience_s", "_watch", "pool")
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        limit_for: Callable[[str], int],
+        patience_s: Callable[[str], float | None],
+    ) -> None:
+        self._settings = settings
+        self._patience_s = patience_s
+        self._watch = CallerWatch()
+        # The connections.
+        self.pool = ConnectionPool(limit_for, settings.header_limit_bytes)
+
+    def attempt(
+        self, address: str, request: CallRequest, needs_new: bool = False
+    ) -> UpstreamExchange:
+        """Send a call to a backend server and wait for the head of its answer.
+
+        Parameters
+        ----------
+        address : str
+            HOST:PORT of the backend server.
+        request : CallRequest
+            The call.
+        needs_new : bool
+            Whether only a new connection will do, as after a silent one.
+
+        Returns
+        -------
+        UpstreamExchange
+            The answer; its `end` must be called.
+
+        Raises
+        ------
+        AttemptFailed
+            With the place at which it ended; the connection is closed then.
+        """
+        is_idempotent = request.is_idempotent
+        connection = self.pool.acquire(address, is_idempotent, needs_new)
+        bounds = AttemptBounds(
+            self._settings.chunk_bytes,
+            self._patience_s(address),
+            lambda: self.pool.condemn(connection),
+        )
+        answer = None
+        try:
+            answer = send_attempt(connection, request, bounds, self._watch)
+        finally:
+            if answer is None:
+                # Also when this green thread is ended from outside.
+                self.pool.put_back(connection, is_reusable=False)
+        return UpstreamExchange(self.pool, connection, answer)
+
+    def counts(self, address: str) -> ConnectionCounts:
+        """Return how many connections to a server are open."""
+        return self.pool.counts(address)
--- /dev/null
+++ b/berylhaven/proxy/_upstream_connection.py
@@ -0,0 +1,183 @@
+"""One connection to a backend server, which carries one call at a time."""
+
+import http.client
+import io
+import re
+import socket
+
+from urllib3.connection import HTTPConnection
+
+from berylhaven.clock import monotonic_s
+from berylhaven.proxy._head_source import HeadSource
+
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] [1-9][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n"
+)
+SWITCHING_PROTOCOLS = 101
+FINAL_STATUS = 200
+INTERIM_ANSWERS_LIMIT = 16
+READ_BUFFER_BYTES = 16_384
+
+
+class _SocketSource(io.RawIOBase):
+    """Raw reads of a green socket; while probing it never waits."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__()
+        self._sock = sock
+        self.is_probing = False
+        self.is_ended = False
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        """Read into a buffer; None if nothing is there while probing."""
+        if not self.is_probing:
+            return self._sock.recv_into(buffer)
+        try:
+            count = self._sock.fd.recv_into(buffer)
+        except BlockingIOError:
+            return None
+        self.is_ended = count == 0
+        return count
+
+
+class UpstreamConnection:
+    """A connection with the times that tell whether it may be used again.
+
+    Parameters
+    ----------
+    address : str
+        HOST:PORT of the backend server.
+    head_limit_bytes : int
+        The longest head of an answer.
+    """
+
+    __slots__ = (
+        "address",
+        "opened_at_s",
+        "used_at_s",
+        "was_tried",
+        "_head_limit_bytes",
+        "_http",
+        "_source",
+        "reader",
+    )
+
+    def __init__(self, address: str, head_limit_bytes: int) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        # When the connection was opened, on the hub's clock; None before.
+        self.opened_at_s: float | None = None
+        # When its last answer ended, on the hub's clock.
+        self.used_at_s = 0.0
+        # Whether opening it was tried.
+        self.was_tried = False
+        self._head_limit_bytes = head_limit_bytes
+        # urllib3 sets TCP_NODELAY on its connections.
+        self._http = HTTPConnection(host, int(port))
+        self._source: _SocketSource | None = None
+        # Reads of the answers' bodies.
+        self.reader: io.BufferedReader | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection was opened and not closed since."""
+        return self.reader is not None
+
+    def open(self, timeout_s: float) -> None:
+        """Open the connection.
+
+        Parameters
+        ----------
+        timeout_s : float
+            How long to wait for the backend server.
+        """
+        self.was_tried = True
+        self._http.timeout = timeout_s
+        self._http.connect()
+        self._http.sock.settimeout(None)
+        self._source = _SocketSource(self._http.sock)
+        self.reader = io.BufferedReader(self._source, READ_BUFFER_BYTES)
+        self.opened_at_s = self.used_at_s = monotonic_s()
+
+    def close(self) -> None:
+        """Close the connection, whatever is under way on it."""
+        self._http.close()
+        self.reader = None
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing came since the last answer, not even an end.
+
+        A byte that nobody asked for would be read as part of the next answer.
+        """
+        if self.reader is None or self._source is None:
+            return False
+        self._source.is_probing = True
+        try:
+            surplus = self.reader.peek(1)
+        except OSError:
+            return False
+        finally:
+            self._source.is_probing = False
+        return not surplus and not self._source.is_ended
+
+    def send(self, data: bytes) -> None:
+        """Send bytes."""
+        self._http.send(data)
+
+    def wait_for_answer(self, timeout_s: float | None) -> bool:
+        """Wait for the first byte of an answer or the connection's end.
+
+        Parameters
+        ----------
+        timeout_s : float or None
+            How long to wait; None for as long as it takes.
+
+        Returns
+        -------
+        bool
+            False if neither came in time.
+        """
+        self._http.sock.settimeout(timeout_s)
+        try:
+            self.reader.peek(1)
+        except TimeoutError:
+            return False
+        finally:
+            if self._http.sock is not None:
+                self._http.sock.settimeout(None)
+        return True
+
+    def read_head(self, method: str) -> http.client.HTTPResponse:
+        """Read the head of the final answer, past interim ones.
+
+        Parameters
+        ----------
+        method : str
+            The method of the request.
+
+        Returns
+        -------
+        HTTPResponse
+            With status and headers; the body is read from `reader`.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If there is no answer, or none of HTTP/1.1.
+        CallRefused
+            If a line of the head is malformed.
+        """
+        source = HeadSource(self.reader, self._head_limit_bytes, STATUS_LINE)
+        for _ in range(INTERIM_ANSWERS_LIMIT):
+            response = http.client.HTTPResponse(source, method=method)
+            response.begin()
+            if response.status >= FINAL_STATUS:
+                return response
+            if response.status == SWITCHING_PROTOCOLS:
+                raise http.client.BadStatusLine("101 Switching Protocols")
+            source.expect_first(STATUS_LINE)
+        raise http.client.BadStatusLine("too many interim answers")
--- a/berylhaven/results/_call_results.py
+++ b/berylhaven/results/_call_results.py
@@ -174,3 +174,93 @@
 )
 class BackendServerShed(CallRefused):
     """The backend servers refused the call without starting it."""
+
+
+@register_result(
+    230,
+    "bad-request-head",
+    "Send a request line and header fields in the form of HTTP/1.1.",
+    status=400,
+    outcome=Outcome.NOT_RUN,
+)
+class BadRequestHead(CallRefused):
+    """The request's head is malformed."""
+
+
+@register_result(
+    231,
+    "head-too-large",
+    "Send a shorter head, or raise header_limit_bytes in the settings.",
+    status=431,
+    outcome=Outcome.NOT_RUN,
+)
+class HeadTooLarge(CallRefused):
+    """The request's head is over the limit."""
+
+
+@register_result(
+    232,
+    "internal-error",
+    "Look for the error in the log of the entry instance, and report it.",
+    status=500,
+    outcome=Outcome.UNKNOWN,
+)
+class InternalError(CallRefused):
+    """A fault of the entry instance itself ended the call."""
+
+
+@register_result(
+    233,
+    "body-cut",
+    "Send the whole body; repeat a call that is not idempotent with the same call id.",
+    status=400,
+    outcome=Outcome.NOT_RUN,
+)
+class BodyCut(CallRefused):
+    """The request's body ended before its announced end."""
+
+
+@register_result(
+    234,
+    "sender-too-slow",
+    "Send without long pauses, or raise sender_timeout_s in the settings.",
+    status=408,
+    outcome=Outcome.NOT_RUN,
+)
+class SenderTooSlow(CallRefused):
+    """The caller took too long to send its request."""
+
+
+@register_result(
+    235,
+    "caller-gone",
+    "Repeat an idempotent call; repeat another one only with the same call id.",
+    status=503,
+    outcome=Outcome.UNKNOWN,
+)
+class CallerGone(CallRefused):
+    """The caller closed its connection before the answer."""
+
+
+@register_result(
+    236,
+    "answer-without-length",
+    "Make the backend server send Content-Length or chunks.",
+    status=502,
+    outcome=Outcome.RUN,
+)
+class AnswerWithoutLength(CallRefused):
+    """The answer's end was to be told by closing, so a cut could not be seen."""
+
+
+@register_result(
+    237,
+    "located",
+    "Nothing to do.",
+    status=200,
+    outcome=Outcome.RUN,
+)
+class Located:
+    """The entry instance answered a locate request."""
+
+    code: ResultCode
