Complete the command line

Cause: four of nine commands stood, fire's own messages were several lines long, and fire runs a function before it finds surplus words. With the binding broken (fire calling the command itself) test_a_surplus_word_runs_nothing and test_slips_give_one_clear_line were seen red. Conclusion: a slip or an unreachable address gives one line with its number.

--- a/berylhaven/catalogue/__init__.py
+++ b/berylhaven/catalogue/__init__.py
@@ -6,6 +6,10 @@
     check_catalogue,
     read_catalogue,
 )
+from berylhaven.catalogue._difference import (
+    CatalogueDifference,
+    catalogue_differences,
+)
 from berylhaven.catalogue._model import (
     CallClass,
     Catalogue,
@@ -27,6 +31,7 @@
     "CATALOGUE_SECTION",
     "CallClass",
     "Catalogue",
+    "CatalogueDifference",
     "CatalogueInForce",
     "CatalogueRefusal",
     "CatalogueRefused",
@@ -34,6 +39,7 @@
     "FleetEntry",
     "MethodPath",
     "ServiceEntry",
+    "catalogue_differences",
     "check_catalogue",
     "read_catalogue",
 ]
--- a/berylhaven/catalogue/_model.py
+++ b/berylhaven/catalogue/_model.py
@@ -25,6 +25,10 @@
     # The path's pattern, in which * stands for any text.
     path_pattern: str
 
+    def __str__(self) -> str:
+        """Return the pattern as the catalogue writes it."""
+        return f"{self.method} {self.path_pattern}"
+
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a call falls under the pattern."""
         if self.method not in ("*", method):
--- /dev/null
+++ b/berylhaven/cli/_documents.py
@@ -0,0 +1,25 @@
+"""Reading the documents that commands are given."""
+
+from pathlib import Path
+
+from berylhaven.catalogue import Catalogue, CatalogueRefused, read_catalogue
+from berylhaven.results import DocumentRefused, NotReadable
+from berylhaven.settings import Settings, SettingsRefused, load_settings
+
+
+def load_checked_settings(path: str) -> Settings:
+    """Return the settings of a file; raise DocumentRefused with every fault."""
+    try:
+        return load_settings(path)
+    except SettingsRefused as refused:
+        raise DocumentRefused(path, refused.exceptions) from None
+
+
+def load_catalogue(path: str) -> Catalogue:
+    """Return the catalogue of a file; raise DocumentRefused with every fault."""
+    try:
+        return read_catalogue(Path(path).read_bytes())
+    except OSError as error:
+        raise DocumentRefused(path, [NotReadable(error.strerror)]) from None
+    except CatalogueRefused as refused:
+        raise DocumentRefused(path, refused.exceptions) from None
--- a/berylhaven/cli/_registry.py
+++ b/berylhaven/cli/_registry.py
@@ -1,15 +1,17 @@
-"""The registry of commands, by group."""
+"""The registry of commands, by the words that call them."""
 
 import importlib
 import pkgutil
 from collections.abc import Callable
+from typing import TypeVar
 
-Command = Callable[..., object]
+Command = Callable[..., None]
+F = TypeVar("F", bound=Command)
 
 _COMMANDS: dict[tuple[str, ...], Command] = {}
 
 
-def register_command(*words: str) -> Callable[[Command], Command]:
+def register_command(*words: str) -> Callable[[F], F]:
     """Register a function as a command.
 
     Parameters
@@ -23,24 +25,18 @@
         The decorator.
     """
 
-    def decorate(command: Command) -> Command:
+    def decorate(command: F) -> F:
         _COMMANDS[words] = command
         return command
 
     return decorate
 
 
-def command_tree() -> dict:
-    """Return the commands as nested dicts, as fire wants them."""
+def registered_commands() -> dict[tuple[str, ...], Command]:
+    """Return all commands by their words, in order."""
     from berylhaven.cli import commands
 
     for module in pkgutil.iter_modules(commands.__path__):
         if not module.ispkg:
             importlib.import_module(f"{commands.__name__}.{module.name}")
-    tree: dict = {}
-    for words, command in sorted(_COMMANDS.items()):
-        branch = tree
-        for word in words[:-1]:
-            branch = branch.setdefault(word, {})
-        branch[words[-1]] = command
-    return tree
+    return dict(sorted(_COMMANDS.items()))
--- /dev/null
+++ b/berylhaven/cli/commands/_catalogue_status.py
@@ -0,0 +1,32 @@
+"""The command ``catalogue status``."""
+
+from berylhaven.cli._catalogue_view import catalogue_view
+from berylhaven.cli._operators_client import fetch_status
+from berylhaven.cli._output import print_json, table
+from berylhaven.cli._registry import register_command
+from berylhaven.results import DigestsDiffer
+
+HEADS = ("instance", "data_centre", "state", "revision", "digest", "heard_s_ago")
+
+
+@register_command("catalogue", "status")
+def catalogue_status(*, entry: str, json: bool = False) -> None:
+    """Print which catalogue is in force at every entry instance seen.
+
+    Parameters
+    ----------
+    entry : str
+        HOST:PORT of the operators' port of any entry instance.
+    json : bool
+        Print JSON.
+    """
+    view = catalogue_view(fetch_status(entry))
+    if json:
+        print_json(view.to_json())
+    else:
+        print(table(HEADS, [row.cells() for row in view.rows]))
+        print(view.summary())
+    conflicts = view.conflicting_revisions()
+    if conflicts and not json:
+        listed = ", ".join(map(str, conflicts))
+        raise DigestsDiffer(f"revision {listed} has more than one digest")
--- a/berylhaven/cli/commands/_settings_check.py
+++ b/berylhaven/cli/commands/_settings_check.py
@@ -1,21 +1,23 @@
 """The command ``settings check``."""
 
-from berylhaven.cli._errors import CommandFailed
+from berylhaven.cli._documents import load_checked_settings
+from berylhaven.cli._output import print_json
 from berylhaven.cli._registry import register_command
-from berylhaven.settings import SettingsRefused, load_settings
 
 
 @register_command("settings", "check")
-def settings_check(path: str) -> None:
+def settings_check(path: str, *, json: bool = False) -> None:
     """Check a settings file and print every fault.
 
     Parameters
     ----------
     path : str
         The path of the settings file.
+    json : bool
+        Print JSON.
     """
-    try:
-        load_settings(path)
-    except SettingsRefused as refused:
-        raise CommandFailed("\n".join(map(str, refused.exceptions))) from None
-    print(f"{path}: good")
+    load_checked_settings(path)
+    if json:
+        print_json({"path": path, "problems": []})
+    else:
+        print(f"{path}: good")
--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -31,6 +31,19 @@
     UnknownOwner,
     UnknownSection,
 )
+from berylhaven.results._command_results import (
+    EXIT_DONE,
+    EXIT_FAILED,
+    EXIT_USAGE,
+    BadUsage,
+    CannotListen,
+    CommandFailed,
+    DigestsDiffer,
+    DocumentRefused,
+    EntryUnreachable,
+    NoSuchCode,
+    UnexpectedAnswer,
+)
 from berylhaven.results._outcome import Outcome
 from berylhaven.results._registry import (
     ResultCode,
@@ -40,6 +53,17 @@
 )
 
 __all__ = [
+    "BadUsage",
+    "CannotListen",
+    "CommandFailed",
+    "DigestsDiffer",
+    "DocumentRefused",
+    "EXIT_DONE",
+    "EXIT_FAILED",
+    "EXIT_USAGE",
+    "EntryUnreachable",
+    "NoSuchCode",
+    "UnexpectedAnswer",
     "Answered",
     "BackendServerShed",
     "BadCallId",
--- a/berylhaven/results/_check_results.py
+++ b/berylhaven/results/_check_results.py
@@ -42,6 +42,17 @@
             place += f" {self.key}"
         return f"{place}: {self.code.number} {self.code.name}: {self.message}"
 
+    def to_json(self) -> dict:
+        """Return the fault as a JSON object."""
+        return {
+            "line": self.line,
+            "section": self.section,
+            "key": self.key,
+            "result": self.code.number,
+            "name": self.code.name,
+            "message": self.message,
+        }
+
 
 @register_result(
     100, "not-readable", "Check the path, its rights, and that it is UTF-8."
--- a/berylhaven/settings/_read.py
+++ b/berylhaven/settings/_read.py
@@ -43,8 +43,10 @@
     """
     try:
         text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsRefused("settings refused", [NotReadable(str(error))]) from None
+    except OSError as error:
+        raise _refused(NotReadable(error.strerror)) from None
+    except UnicodeDecodeError as error:
+        raise _refused(NotReadable(f"not UTF-8 at byte {error.start}")) from None
     return read_settings(text)
 
 
@@ -77,7 +79,7 @@
     for name in SECTION_FIELDS:
         values[name] = _read_section(name, sections.get(name), problems)
     if problems:
-        raise SettingsRefused("settings refused", problems)
+        raise _refused(*problems)
     return Settings(
         instance=InstanceSettings(**values["instance"]),
         platform=PlatformSettings(**values["platform"]),
@@ -86,6 +88,11 @@
     )
 
 
+def _refused(*problems: CheckProblem) -> SettingsRefused:
+    ordered = sorted(problems, key=lambda problem: problem.line or 0)
+    return SettingsRefused("settings refused", ordered)
+
+
 def _read_section(
     name: str, section: IniSection | None, problems: list[CheckProblem]
 ) -> dict:
