--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -3,7 +3,7 @@
 import random
 
 from berylhaven.admission import AdmissionGate, AdmissionTicket
-from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
+from berylhaven.backend import LOAD_HEADER, is_failure, is_shed, read_load_header
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.catalogue import Catalogue
 from berylhaven.clock import monotonic_s
@@ -29,6 +29,20 @@
 # The load header concerns this program; callers get the rest.
 DROPPED_ANSWER_HEADERS = frozenset({LOAD_HEADER})
 
+# These ends tell nothing of the backend server.
+ENDS_WITHOUT_BLAME = frozenset(
+    {
+        AttemptEnd.CALLER_BODY_CUT,
+        AttemptEnd.CALLER_BODY_TOO_LARGE,
+        AttemptEnd.CALLER_TOO_SLOW,
+        AttemptEnd.CALLER_GONE,
+        AttemptEnd.CONNECTION_LIMIT,
+        AttemptEnd.DEADLINE_BEFORE_SENDING,
+    }
+)
+# These ends came after a wait, whose length tells whether the server is to blame.
+ENDS_BY_LATENESS = frozenset({AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.SILENT})
+
 
 class CallHandler:
     """Admits a call, chooses a backend server and relays the answer.
@@ -152,16 +166,26 @@
         sent_at_s = monotonic_s()
         try:
             exchange = self._upstreams.attempt(server.address, request)
-        except AttemptFailed:
-            server.call_failed(monotonic_s())
+        except AttemptFailed as failure:
+            now_s = monotonic_s()
+            if failure.end in ENDS_WITHOUT_BLAME:
+                server.call_cancelled()
+            elif failure.end in ENDS_BY_LATENESS:
+                server.call_timed_out(now_s - sent_at_s, now_s)
+            else:
+                server.call_failed(now_s)
             raise
         now_s = monotonic_s()
         answer = exchange.answer
         report = read_load_header(answer.message.get(LOAD_HEADER), now_s)
-        server.call_answered(now_s - sent_at_s, report)
         if is_shed(answer.status, answer.message):
             exchange.end(answer.is_whole and answer.keeps_connection)
+            server.call_shed(now_s, report)
             raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
+        if is_failure(answer.status):
+            server.call_failed(now_s, report)
+        else:
+            server.call_answered(now_s - sent_at_s, report, now_s)
         return exchange
 
     def _choose(self, request: CallRequest) -> ServerLoad:
