--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -15,7 +15,7 @@
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
 from berylhaven.exchange import PeerClient, PeersApplication
-from berylhaven.load import LOAD_SECTION, LoadTable
+from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable, new_identity
 from berylhaven.operations import (
     CallMetrics,
@@ -25,7 +25,7 @@
     PartLog,
 )
 from berylhaven.platform import ConfigurationService, InstanceListService
-from berylhaven.proxy import CallersApplication, CallHandler, serve
+from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
 LOG = PartLog("entry")
@@ -100,16 +100,7 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        proxy = self._settings.proxy
-        # Callers keep idle connections, so more are open than calls in flight.
-        connection_limit = 4 * proxy.concurrency_limit
-        return serve(
-            self._settings.instance.host,
-            self._settings.instance.callers_port,
-            application,
-            connection_limit,
-            proxy.sender_timeout_s,
-        )
+        return serve_callers(self._settings, application)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
@@ -141,7 +132,6 @@
 def _build_context(settings: Settings) -> ControllerContext:
     blackboard = Blackboard()
     load_table = LoadTable()
-    blackboard.claim(LOAD_SECTION, "load").write(load_table)
     random = Random()
     gate = AdmissionGate(settings.proxy, random, monotonic_s())
     identity = new_identity(settings.instance.peers_address)
