Show limits and leases, lend from idle instances, refuse limits too small to divide

Cause: an instance that had served no call of a service had no limits to lend; a limit below the largest fleet left instances with no whole unit; status was silent. Change: the lending controller applies each catalogue at the gate; the check refuses such limits (108); status has firms, limits and leases; the connection limit's part comes from admission. Conclusion: idle instances carry busy ones, which is what escrow is for.

--- a/berylhaven/admission/_gate.py
+++ b/berylhaven/admission/_gate.py
@@ -140,10 +140,24 @@
         self, catalogue: Catalogue, service: ServiceEntry, now_s: float
     ) -> ServiceLimits:
         """Return a service's limits, brought up to the catalogue in force."""
-        if catalogue is not self._catalogue:
-            self._apply(catalogue, now_s)
+        self.apply(catalogue, now_s)
         return self._limits[service.name]
 
+    def apply(self, catalogue: Catalogue, now_s: float) -> None:
+        """Bring the limits up to a catalogue, unless they are so already."""
+        if catalogue is self._catalogue:
+            return
+        kept = {}
+        for name, service in catalogue.services.items():
+            limits = self._limits.get(name)
+            if limits is None:
+                limits = ServiceLimits(service, catalogue.fleet, self._started_at_s)
+            else:
+                limits.apply(service, catalogue.fleet, now_s)
+            kept[name] = limits
+        self._limits = kept
+        self._catalogue = catalogue
+
     def limits(self) -> dict[str, ServiceLimits]:
         """Return the limits by service."""
         return self._limits
@@ -159,18 +173,6 @@
         filled = self.in_flight_count / self._settings.concurrency_limit
         return max(filled, self.overload.pressure)
 
-    def _apply(self, catalogue: Catalogue, now_s: float) -> None:
-        kept = {}
-        for name, service in catalogue.services.items():
-            limits = self._limits.get(name)
-            if limits is None:
-                limits = ServiceLimits(service, catalogue.fleet, self._started_at_s)
-            else:
-                limits.apply(service, catalogue.fleet, now_s)
-            kept[name] = limits
-        self._limits = kept
-        self._catalogue = catalogue
-
     def _check_instance(self, catalogue: Catalogue, service: ServiceEntry) -> None:
         share_ratio = catalogue.firms[service.owner].guaranteed_share_ratio
         self.overload.note_call(service.owner)
--- a/berylhaven/catalogue/_check.py
+++ b/berylhaven/catalogue/_check.py
@@ -8,6 +8,7 @@
     CheckProblem,
     MissingSection,
     NotReadable,
+    OutOfRange,
     SharesTooLarge,
     TooLarge,
     UnknownOwner,
@@ -16,6 +17,8 @@
 from berylhaven.routing import routing_policies
 
 CATALOGUE_LIMIT_BYTES = 1_000_000
+# Each entry instance owns an equal part of these, which must be one at least.
+DIVIDED_LIMITS = ("concurrency_limit", "connection_limit_per_backend_server")
 # Shares are decimal fractions, whose binary sum may be a little off.
 SHARE_TOLERANCE = 1e-9
 
@@ -72,6 +75,7 @@
     fleet = _read_fleet(document, problems)
     firms = _read_firms(document, problems)
     services = _read_services(document, firms, problems)
+    _check_parts(document, fleet, problems)
     _check_sections(document, problems)
     _check_shares(firms, problems)
     if problems:
@@ -159,3 +163,21 @@
     total = sum(firm.guaranteed_share_ratio or 0 for firm in firms.values())
     if total > 1 + SHARE_TOLERANCE:
         problems.append(SharesTooLarge(f"the shares add up to {total:g}"))
+
+
+def _check_parts(
+    document: IniDocument, fleet: FleetEntry | None, problems: list[CheckProblem]
+) -> None:
+    """Find limits of which some entry instance would own no whole unit."""
+    if fleet is None or fleet.max_entry_instances is None:
+        return
+    smallest = fleet.max_entry_instances
+    for _, section in _named(document, "service"):
+        for key in DIVIDED_LIMITS:
+            entry = section.entries.get(key)
+            if entry is None or not entry.value.isdigit():
+                continue
+            if 0 < int(entry.value) < smallest:
+                message = f"{entry.value}: at least max_entry_instances, {smallest}"
+                problem = OutOfRange(message, entry.line, section.name, key)
+                problems.append(problem)
--- a/berylhaven/catalogue/tests/test_check.py
+++ b/berylhaven/catalogue/tests/test_check.py
@@ -66,6 +66,12 @@
                 self.assertIsNone(catalogue)
                 self.assertIn(number, found)
 
+    def test_a_limit_that_leaves_an_instance_nothing_is_refused(self):
+        catalogue, found = numbers(GOOD.replace("= 64", "= 19"))
+        self.assertIsNone(catalogue)
+        self.assertEqual(found, [108])
+        self.assertIsNotNone(numbers(GOOD.replace("= 64", "= 20"))[0])
+
     def test_bytes_that_are_not_text_or_too_many(self):
         self.assertEqual(check_catalogue(b"\xff")[1][0].code.number, 100)
         self.assertEqual(check_catalogue(b"#" * 1_000_001)[1][0].code.number, 109)
--- a/berylhaven/controllers/_lending_controller.py
+++ b/berylhaven/controllers/_lending_controller.py
@@ -12,6 +12,7 @@
     idle_lease_ids,
     wanted_amount,
 )
+from berylhaven.catalogue import CATALOGUE_SECTION
 from berylhaven.clock import monotonic_s
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._lending_endpoint import BORROW_PATH
@@ -47,6 +48,7 @@
     def step(self) -> None:
         """Look at each limit's demand once."""
         now_s = monotonic_s()
+        self._apply_catalogue(now_s)
         questions_left = QUESTIONS_PER_STEP
         for service, limits in list(self._context.gate.limits().items()):
             limits.observe_demand(now_s)
@@ -56,6 +58,12 @@
                     questions_left -= 1
                     self._borrow(service, limits, kind)
 
+    def _apply_catalogue(self, now_s: float) -> None:
+        # An instance without calls of a service has its part of it to lend.
+        reading = self._context.blackboard.read(CATALOGUE_SECTION)
+        if reading is not None:
+            self._context.gate.apply(reading.value.catalogue, now_s)
+
     def _wants(
         self, service: str, limits: ServiceLimits, kind: LimitKind, now_s: float
     ) -> bool:
--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -1,8 +1,13 @@
 """The status document of one entry instance."""
 
-from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
+from berylhaven.catalogue import (
+    CATALOGUE_REFUSAL_SECTION,
+    CATALOGUE_SECTION,
+    Catalogue,
+)
 from berylhaven.clock import monotonic_s
 from berylhaven.controllers import ControllerContext
+from berylhaven.entry._limits_status import firm_rows, lease_rows, limits_rows
 from berylhaven.load import ServerLoad
 
 # A refused catalogue may have thousands of faults; `catalogue check` shows all.
@@ -43,10 +48,19 @@
             for service in context.load_table.services()
         },
         "calls_in_flight": context.gate.in_flight_count,
+        "overload_pressure": round(context.gate.overload.pressure, 3),
+        "firms": firm_rows(context.gate, _catalogue_in_force(context)),
+        "limits": limits_rows(context.gate, now_s),
+        "leases": lease_rows(context.gate, now_s),
         "blackboard": context.blackboard.owners(),
     }
 
 
+def _catalogue_in_force(context: ControllerContext) -> Catalogue | None:
+    reading = context.blackboard.read(CATALOGUE_SECTION)
+    return None if reading is None else reading.value.catalogue
+
+
 def _catalogue(context: ControllerContext, now_s: float) -> dict | None:
     reading = context.blackboard.read(CATALOGUE_SECTION)
     if reading is None:
--- a/berylhaven/entry/tests/_whole_path.py
+++ b/berylhaven/entry/tests/_whole_path.py
@@ -63,7 +63,7 @@
 
     def __init__(self, entry_count=3, servers_per_service=2):
         self.threads = []
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = urllib3.PoolManager(retries=False, maxsize=128)
         self.configuration = ConfigurationServiceStandIn()
         self.configuration.put("berylhaven%2Fcatalogue", CATALOGUE)
         self.configuration_port = self.serve(self.configuration)
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -2,7 +2,7 @@
 
 import random
 
-from berylhaven.admission import AdmissionGate, AdmissionTicket
+from berylhaven.admission import AdmissionGate, AdmissionTicket, connection_part
 from berylhaven.backend import LOAD_HEADER, is_failure, is_shed, read_load_header
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.catalogue import Catalogue
@@ -133,10 +133,8 @@
         server = self._choose(request)
         # A caller that awaits a sign to send gets it now that its call has a place.
         request.body.read_first(self._settings.proxy.chunk_bytes)
-        self._connection_limits[server.address] = max(
-            1,
-            request.service.connection_limit_per_backend_server
-            // catalogue.fleet.max_entry_instances,
+        self._connection_limits[server.address] = connection_part(
+            request.service, catalogue.fleet
         )
         try:
             exchange = self._attempt(server, request)
