--- a/berylhaven/admission/__init__.py
+++ b/berylhaven/admission/__init__.py
@@ -13,6 +13,7 @@
     borrower_end_s,
 )
 from berylhaven.admission._lending import (
+    HEADROOM_RATIO,
     BorrowAnswer,
     BorrowRequest,
     LimitKind,
@@ -30,6 +31,7 @@
     "BURST_S",
     "CLOCK_RATE_ERROR_RATIO",
     "LATENESS_TARGET_S",
+    "HEADROOM_RATIO",
     "LEASE_S",
     "LENDABLE_RATIO",
     "AdmissionGate",
