Start fleets of processes from one place, and show what a process uses

Cause: demonstrations, the soak and the slopes each need stand-ins and entry instances as processes; status did not tell processor time and memory.

--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -9,6 +9,7 @@
 from berylhaven.controllers import ControllerContext
 from berylhaven.entry._limits_status import firm_rows, lease_rows, limits_rows
 from berylhaven.load import ServerLoad
+from berylhaven.operations import process_usage
 
 # A refused catalogue may have thousands of faults; `catalogue check` shows all.
 PROBLEMS_SHOWN = 20
@@ -52,6 +53,7 @@
         "firms": firm_rows(context.gate, _catalogue_in_force(context)),
         "limits": limits_rows(context.gate, now_s),
         "leases": lease_rows(context.gate, now_s),
+        "process": process_usage().to_json(),
         "blackboard": context.blackboard.owners(),
     }
 
--- a/berylhaven/operations/__init__.py
+++ b/berylhaven/operations/__init__.py
@@ -4,6 +4,7 @@
 from berylhaven.operations._decision_log import DecisionLog, PlacementDecision
 from berylhaven.operations._log_setup import PartLog, set_up_logging
 from berylhaven.operations._metrics import CallMetrics, MetricsRegistry
+from berylhaven.operations._process_usage import ProcessUsage, process_usage
 
 __all__ = [
     "CallMetrics",
@@ -12,5 +13,7 @@
     "OperatorsApplication",
     "PartLog",
     "PlacementDecision",
+    "ProcessUsage",
+    "process_usage",
     "set_up_logging",
 ]
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,290 @@
+"""A fleet of processes on loopback: stand-ins and entry instances.
+
+For demonstrations and measurements; the product itself starts no process.
+"""
+
+import contextlib
+import os
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+import urllib3
+
+HOST = "127.0.0.1"
+START_PATIENCE_S = 60.0
+STOP_PATIENCE_S = 10.0
+POLL_S = 0.1
+DATA_CENTRES_PER_FIRM = 3
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceShape:
+    """One service of a fleet."""
+
+    # The firm that owns it.
+    firm: str
+    # Its name.
+    name: str
+    # Its class in the catalogue.
+    call_class: str
+    # How many backend servers it has.
+    server_count: int
+    # How many calls each of them runs at once.
+    slot_count: int
+
+
+@dataclass(slots=True)
+class FleetShape:
+    """What a fleet consists of."""
+
+    # The services, with their backend servers.
+    services: tuple[ServiceShape, ...]
+    # How many entry instances there are, firms taking turns.
+    entry_count: int
+    # The words that run the program, before ``entry run``.
+    program: tuple[str, ...] = (sys.executable, "-m", "berylhaven")
+    # How long a backend server runs one call.
+    service_time_s: float = 0.002
+    # Further lines of each [service] section of the catalogue.
+    service_lines: str = "idempotent = GET /*\n"
+    # Further sections of each entry instance's settings.
+    settings_lines: str = ""
+    # Comment bytes that make the catalogue larger.
+    catalogue_padding_bytes: int = 0
+    # The largest number of entry instances in the catalogue; 0 means entry_count.
+    max_entry_instances: int = 0
+
+    @property
+    def firms(self) -> list[str]:
+        """The firms, in the order of their first service."""
+        return list(dict.fromkeys(service.firm for service in self.services))
+
+    def catalogue_text(self, number: int = 1) -> str:
+        """Return the catalogue; another number gives another digest."""
+        largest = self.max_entry_instances or self.entry_count
+        parts = [f"# Version {number} of the fleet's catalogue.\n"]
+        parts.append(f"[fleet]\nmax_entry_instances = {largest}\n")
+        share = 0.8 / len(self.firms)
+        for firm in self.firms:
+            parts.append(f"[firm {firm}]\nguaranteed_share_ratio = {share}\n")
+        for service in self.services:
+            parts.append(
+                f"[service {service.name}]\nowner = {service.firm}\n"
+                f"class = {service.call_class}\nconcurrency_limit = 4000\n"
+                "rate_limit_per_s = 50000\ndeadline_ms = 2000\n" + self.service_lines
+            )
+        padding_line = "# " + "x" * 77 + "\n"
+        line_count = self.catalogue_padding_bytes // len(padding_line)
+        return "\n".join(parts) + padding_line * line_count
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """One entry instance as a process."""
+
+    # Its ports for callers, peers and operators.
+    ports: tuple[int, int, int]
+    # The path of its settings.
+    settings_path: Path
+    # The path of its log.
+    log_path: Path
+    # The running process; None before the first start.
+    process: subprocess.Popen | None = None
+
+    def url(self, path: str, port_index: int = 0) -> str:
+        """Return a URL at one of its three ports."""
+        return f"http://{HOST}:{self.ports[port_index]}{path}"
+
+
+@dataclass(slots=True)
+class ProcessFleet:
+    """Processes of a fleet, stopped when the ``with`` block ends."""
+
+    # What the fleet consists of.
+    shape: FleetShape
+    # The entry instances.
+    entries: list[EntryProcess] = field(default_factory=list)
+    # The instance list's document.
+    document: dict = field(default_factory=dict)
+    # The port of the configuration service.
+    configuration_port: int = 0
+    # The port of the instance list.
+    list_port: int = 0
+    # A client for the operators' and the stand-ins' ports.
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(num_pools=128, retries=False)
+    )
+    _directory: Path | None = None
+    _standins: list[subprocess.Popen] = field(default_factory=list)
+
+    def __enter__(self) -> "ProcessFleet":
+        """Start the stand-ins and the entry instances, and wait until all are ready."""
+        self._directory = Path(tempfile.mkdtemp(prefix="berylhaven-fleet-"))
+        try:
+            self._start_standins()
+            self._prepare_entries()
+            for entry in self.entries:
+                self.start_entry(entry)
+            for entry in self.entries:
+                self.wait_until_ready(entry)
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        """Stop all processes."""
+        self.stop()
+
+    def start_entry(self, entry: EntryProcess) -> None:
+        """Start an entry instance's process."""
+        command = [*self.shape.program, "entry", "run"]
+        command += ["--settings", str(entry.settings_path)]
+        with entry.log_path.open("ab") as log:
+            entry.process = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def wait_until_ready(self, entry: EntryProcess) -> float:
+        """Wait for an entry instance and return how many seconds that took."""
+        started_s = time.monotonic()
+        while time.monotonic() - started_s < START_PATIENCE_S:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                answer = self.http.request("GET", entry.url("/v1/health", 2))
+                if answer.status == 200:
+                    return time.monotonic() - started_s
+            time.sleep(POLL_S)
+        raise TimeoutError(f"not ready: {entry.log_path.read_text()[-2000:]}")
+
+    def status(self, entry: EntryProcess) -> dict:
+        """Return an entry instance's status document."""
+        answer = self.http.request("GET", entry.url("/v1/status", 2), timeout=10.0)
+        return orjson.loads(answer.data)
+
+    def publish_catalogue(self, text: str) -> int:
+        """Store a catalogue at the configuration service and return its version."""
+        url = f"http://{HOST}:{self.configuration_port}"
+        url += "/v1/values/berylhaven%2Fcatalogue"
+        answer = self.http.request("PUT", url, body=text.encode())
+        return orjson.loads(answer.data)["version"]
+
+    def publish_instances(self) -> None:
+        """Store the document at the instance list."""
+        url = f"http://{HOST}:{self.list_port}/v1/instances"
+        self.http.request("PUT", url, body=orjson.dumps(self.document))
+
+    def stop(self) -> None:
+        """Stop all processes and forget their files."""
+        processes = [e.process for e in self.entries if e.process is not None]
+        processes += self._standins
+        for process in processes:
+            process.terminate()
+        until_s = time.monotonic() + STOP_PATIENCE_S
+        for process in processes:
+            try:
+                process.wait(max(0.1, until_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        if self._directory is not None:
+            shutil.rmtree(self._directory, ignore_errors=True)
+
+    def _start_standins(self) -> None:
+        server_count = sum(service.server_count for service in self.shape.services)
+        ports = free_ports(server_count + 2)
+        self.configuration_port, self.list_port = ports.pop(), ports.pop()
+        self.document = {
+            "backend_servers": _server_rows(self.shape, ports),
+            "entry_instances": [],
+        }
+        document_path = self._directory / "instances.json"
+        document_path.write_bytes(orjson.dumps(self.document))
+        catalogue_path = self._directory / "catalogue.ini"
+        catalogue_path.write_text(self.shape.catalogue_text())
+        self._start_standin(
+            "configuration_service",
+            f"--port={self.configuration_port}",
+            f"--catalogue={catalogue_path}",
+        )
+        self._start_standin(
+            "instance_list", f"--port={self.list_port}", f"--document={document_path}"
+        )
+        for service in self.shape.services:
+            self._start_standin(
+                "backend_group",
+                f"--document={document_path}",
+                f"--service={service.name}",
+                f"--service_time_s={self.shape.service_time_s}",
+            )
+
+    def _start_standin(self, module: str, *arguments: str) -> None:
+        command = [sys.executable, "-m", f"standins.{module}", *arguments]
+        environment = {**os.environ, "PYTHONPATH": os.getcwd()}
+        self._standins.append(subprocess.Popen(command, env=environment))
+
+    def _prepare_entries(self) -> None:
+        ports = free_ports(3 * self.shape.entry_count)
+        triples = list(zip(ports[::3], ports[1::3], ports[2::3], strict=True))
+        seeds = ", ".join(f"{HOST}:{triple[1]}" for triple in triples[:3])
+        for index, triple in enumerate(triples):
+            firm = self.shape.firms[index % len(self.shape.firms)]
+            centre = index // len(self.shape.firms) % DATA_CENTRES_PER_FIRM + 1
+            path = self._directory / f"entry-{index}.ini"
+            path.write_text(
+                f"[instance]\nhost = {HOST}\ncallers_port = {triple[0]}\n"
+                f"peers_port = {triple[1]}\noperators_port = {triple[2]}\n"
+                f"data_centre = {firm}-{centre}\nfirm = {firm}\nseed_peers = {seeds}\n"
+                f"[platform]\nconfiguration_service = {HOST}:{self.configuration_port}"
+                f"\ninstance_list = {HOST}:{self.list_port}\n"
+                + self.shape.settings_lines
+            )
+            log_path = self._directory / f"entry-{index}.log"
+            self.entries.append(EntryProcess(triple, path, log_path))
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago.
+
+    Parameters
+    ----------
+    count : int
+        How many.
+
+    Returns
+    -------
+    list of int
+        Ports on the loopback address.
+    """
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((HOST, 0))
+            ports.append(listener.getsockname()[1])
+        return ports
+
+
+def _server_rows(shape: FleetShape, ports: list[int]) -> list[dict]:
+    rows = []
+    left = iter(ports)
+    for service in shape.services:
+        for index in range(service.server_count):
+            centre = index % DATA_CENTRES_PER_FIRM + 1
+            rows.append(
+                {
+                    "address": f"{HOST}:{next(left)}",
+                    "service": service.name,
+                    "data_centre": f"{service.firm}-{centre}",
+                    "slot_count": service.slot_count,
+                    "incarnation": 1,
+                    "state": "live",
+                }
+            )
+    return rows
