--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes: what one entry instance costs as the fleet around it grows."""
--- /dev/null
+++ b/bench/slopes/_experiments.py
@@ -0,0 +1,184 @@
+"""The experiments, each varying one amount, in a registry."""
+
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from bench.slopes._sample import Sample, measure
+from standins.fleet import FleetShape, ProcessFleet, ServiceShape
+
+SETTLE_S = 8.0
+WINDOW_S = 10.0
+CALLERS = 16
+LOG_QUIETLY = "[log]\nlevel = warning\n"
+
+
+@dataclass(slots=True, frozen=True)
+class Point:
+    """One measured point."""
+
+    # The amount that the experiment varies.
+    amount: float
+    # What was measured there.
+    sample: Sample
+
+
+Experiment = Callable[[], Iterator[Point]]
+
+_EXPERIMENTS: dict[str, Experiment] = {}
+
+
+def register_experiment(name: str) -> Callable[[Experiment], Experiment]:
+    """Register an experiment.
+
+    Parameters
+    ----------
+    name : str
+        What it varies, as the report's heading.
+
+    Returns
+    -------
+    callable
+        The decorator.
+    """
+
+    def decorate(experiment: Experiment) -> Experiment:
+        _EXPERIMENTS[name] = experiment
+        return experiment
+
+    return decorate
+
+
+def experiments() -> dict[str, Experiment]:
+    """Return the experiments by name, in their order."""
+    return dict(_EXPERIMENTS)
+
+
+def spread_services(service_count: int, server_count: int) -> tuple[ServiceShape, ...]:
+    """Return services of both firms that share some backend servers evenly.
+
+    Parameters
+    ----------
+    service_count : int
+        How many services.
+    server_count : int
+        How many backend servers, all services together.
+
+    Returns
+    -------
+    tuple of ServiceShape
+        Firms take turns.
+    """
+    shapes = []
+    for index in range(service_count):
+        servers = server_count // service_count
+        servers += index < server_count % service_count
+        firm = ("carpatic", "kivu")[index % 2]
+        shapes.append(ServiceShape(firm, f"service-{index}", "interactive", servers, 4))
+    return tuple(shapes)
+
+
+@register_experiment("peers")
+def vary_peers() -> Iterator[Point]:
+    """Entry instances without calls, with more and more peers."""
+    for entry_count in (3, 10, 20, 40):
+        shape = FleetShape(
+            spread_services(2, 16), entry_count, settings_lines=LOG_QUIETLY
+        )
+        with ProcessFleet(shape) as fleet:
+            time.sleep(SETTLE_S)
+            yield Point(entry_count, measure(fleet, fleet.entries, WINDOW_S))
+
+
+@register_experiment("backend servers")
+def vary_servers() -> Iterator[Point]:
+    """Three entry instances without calls, with more and more backend servers."""
+    for server_count in (16, 200, 400, 730):
+        shape = FleetShape(
+            spread_services(6, server_count), 3, settings_lines=LOG_QUIETLY
+        )
+        with ProcessFleet(shape) as fleet:
+            time.sleep(SETTLE_S)
+            yield Point(server_count, measure(fleet, fleet.entries, WINDOW_S))
+
+
+@register_experiment("services")
+def vary_services() -> Iterator[Point]:
+    """Three entry instances without calls, with more and more services."""
+    for service_count in (6, 40, 75, 110):
+        shape = FleetShape(
+            spread_services(service_count, 110), 3, settings_lines=LOG_QUIETLY
+        )
+        with ProcessFleet(shape) as fleet:
+            time.sleep(SETTLE_S)
+            yield Point(service_count, measure(fleet, fleet.entries, WINDOW_S))
+
+
+@register_experiment("calls a second")
+def vary_calls() -> Iterator[Point]:
+    """One of three entry instances with more and more calls a second."""
+    shape = FleetShape(spread_services(2, 16), 3, settings_lines=LOG_QUIETLY)
+    with ProcessFleet(shape) as fleet:
+        time.sleep(SETTLE_S)
+        entry = fleet.entries[0]
+        for rate_per_s in (0, 100, 200, 400):
+            callers = _start_callers(fleet, rate_per_s) if rate_per_s else None
+            time.sleep(2.0)
+            yield Point(rate_per_s, measure(fleet, [entry], WINDOW_S))
+            if callers is not None:
+                callers.communicate(timeout=60.0)
+
+
+@register_experiment("catalogue kilobytes")
+def vary_catalogue_size() -> Iterator[Point]:
+    """Three entry instances with a larger and larger catalogue that stays as it is."""
+    for kilobytes in (10, 200, 500, 900):
+        shape = FleetShape(
+            spread_services(6, 16),
+            3,
+            settings_lines=LOG_QUIETLY,
+            catalogue_padding_bytes=kilobytes * 1000,
+        )
+        with ProcessFleet(shape) as fleet:
+            time.sleep(SETTLE_S)
+            yield Point(kilobytes, measure(fleet, fleet.entries, WINDOW_S))
+
+
+@register_experiment("catalogue changes a minute")
+def vary_catalogue_changes() -> Iterator[Point]:
+    """Three entry instances with a catalogue of 110 services that changes often."""
+    shape = FleetShape(spread_services(110, 110), 3, settings_lines=LOG_QUIETLY)
+    with ProcessFleet(shape) as fleet:
+        time.sleep(SETTLE_S)
+        for changes_per_minute in (0, 12, 30, 60):
+            yield Point(changes_per_minute, _measure_changes(fleet, changes_per_minute))
+
+
+def _measure_changes(fleet: ProcessFleet, changes_per_minute: int) -> Sample:
+    if changes_per_minute == 0:
+        return measure(fleet, fleet.entries, WINDOW_S)
+    publisher = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "bench.slopes.publish",
+            f"--port={fleet.configuration_port}",
+            f"--changes_per_minute={changes_per_minute}",
+            f"--duration_s={WINDOW_S + 2.0}",
+            f"--service_count={len(fleet.shape.services)}",
+        ]
+    )
+    sample = measure(fleet, fleet.entries, WINDOW_S)
+    publisher.wait(timeout=30.0)
+    return sample
+
+
+def _start_callers(fleet: ProcessFleet, rate_per_s: int) -> subprocess.Popen:
+    host, port = "127.0.0.1", fleet.entries[0].ports[0]
+    command = [sys.executable, "-m", "bench.latency_callers"]
+    command += [f"--addresses={host}:{port}", "--path=/v1/services/service-0/x"]
+    command += [f"--callers_count={CALLERS}", f"--duration_s={WINDOW_S + 6.0}"]
+    command += [f"--rate_per_s={rate_per_s}"]
+    return subprocess.Popen(command, stdout=subprocess.PIPE)
--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measuring tools."""
--- /dev/null
+++ b/bench/tests/test_slopes.py
@@ -0,0 +1,46 @@
+"""Tests of the fits and of the report."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.slopes._experiments import Point, spread_services
+from bench.slopes._fit import fit_line
+from bench.slopes._report import ExperimentResult, markdown
+from bench.slopes._sample import Sample
+
+numbers = st.floats(-1e3, 1e3)
+
+
+class FitTest(unittest.TestCase):
+    """A line is found again from its points."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(numbers, numbers)
+    def test_points_on_a_line_give_the_line(self, intercept, slope):
+        amounts = [1.0, 2.0, 5.0, 9.0]
+        fit = fit_line(amounts, [intercept + slope * x for x in amounts])
+        self.assertAlmostEqual(fit.slope, slope, places=6)
+        self.assertAlmostEqual(fit.intercept, intercept, places=6)
+        self.assertAlmostEqual(fit.slope_error, 0.0, places=6)
+
+    def test_scatter_shows_in_the_error(self):
+        fit = fit_line([0, 1, 2, 3], [0, 2, 1, 3])
+        self.assertGreater(fit.slope_error, 0.1)
+        self.assertLess(fit.explained_ratio, 0.9)
+
+
+class ReportTest(unittest.TestCase):
+    """The report has each point and the slope."""
+
+    def test_the_slope_is_in_the_table(self):
+        points = [Point(x, Sample(0.01 * x, 1e6, 2e3, 4.0)) for x in (1, 2, 3)]
+        text = markdown([ExperimentResult("peers", points)])
+        self.assertIn("| 2 | 2.000 | 1.000 | 2.000 | 4.000 |", text)
+        self.assertIn("| slope | 1.00000 ± 0.00000 |", text)
+
+    def test_servers_are_spread_evenly(self):
+        counts = [s.server_count for s in spread_services(6, 16)]
+        self.assertEqual(sum(counts), 16)
+        self.assertLessEqual(max(counts) - min(counts), 1)
