--- a/berylhaven/proxy/_callers_protocol.py
+++ b/berylhaven/proxy/_callers_protocol.py
@@ -197,16 +197,22 @@
     def finish(self) -> None:
         """Close; after a cut by a reset, after a refusal when the caller has read."""
         if self._resets:
-            with contextlib.suppress(OSError):
-                self.connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            self.connection.close()
+            self._reset()
             return
         if self._lingers:
             self._read_rest()
         super().finish()
 
+    def _reset(self) -> None:
+        with contextlib.suppress(OSError):
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            # The socket closes when the last file object over it does.
+            self.rfile.close()
+            self.wfile.close()
+        self.connection.close()
+
     def _read_rest(self) -> None:
         left_bytes = LINGER_BYTES
         with contextlib.suppress(OSError), eventlet.Timeout(LINGER_S, False):
--- a/berylhaven/proxy/_head_source.py
+++ b/berylhaven/proxy/_head_source.py
@@ -22,10 +22,11 @@
     limit_bytes : int
         The most bytes of all lines together.
     first_line : re.Pattern or None
-        The form of the first line; None if the first line was read already.
+        The form of the first line, also of each head after an interim one; None if
+        the first line was read already.
     """
 
-    __slots__ = ("_reader", "_left_bytes", "_first_line")
+    __slots__ = ("_reader", "_left_bytes", "_first_line", "_is_first")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         self._reader = reader
         self._left_bytes = limit_bytes
         self._first_line = first_line
+        self._is_first = first_line is not None
 
     def makefile(self, mode: str) -> "HeadSource":
         """Return itself, as the library asks a socket for a file."""
@@ -66,8 +68,9 @@
         if self._left_bytes < 0:
             raise HeadTooLarge("the head is over the limit")
         if line == END_OF_HEAD:
+            self._is_first = self._first_line is not None
             return line
-        if self._first_line is not None:
+        if self._is_first:
             return self._checked_first(line)
         if FIELD_LINE.fullmatch(line) is None:
             raise BadRequestHead(f"malformed header line {line[:60]!r}")
@@ -77,12 +80,8 @@
         # An empty line means that the peer closed, which the library reports.
         if line and self._first_line.fullmatch(line) is None:
             raise BadRequestHead(f"malformed first line {line[:60]!r}")
-        self._first_line = None
+        self._is_first = False
         return line
 
-    def expect_first(self, first_line: re.Pattern[bytes]) -> None:
-        """Expect another first line, after an interim answer."""
-        self._first_line = first_line
-
     def close(self) -> None:
         """Do nothing; the reader belongs to its connection."""
--- a/berylhaven/proxy/_upstream_connection.py
+++ b/berylhaven/proxy/_upstream_connection.py
@@ -179,5 +179,4 @@
                 return response
             if response.status == SWITCHING_PROTOCOLS:
                 raise http.client.BadStatusLine("101 Switching Protocols")
-            source.expect_first(STATUS_LINE)
         raise http.client.BadStatusLine("too many interim answers")
--- /dev/null
+++ b/berylhaven/proxy/tests/_raw_backend.py
@@ -0,0 +1,119 @@
+"""A backend server that answers byte for byte as a test says."""
+
+import socket
+
+import eventlet
+
+PATIENCE_S = 10.0
+
+
+class RawRequest:
+    """What reached the backend server of one request."""
+
+    def __init__(self, head, sock):
+        self.head = head
+        # The connection over which it came.
+        self.sock = sock
+        self.body = b""
+        # Whether the body came to its announced end.
+        self.is_whole = False
+
+    @property
+    def path(self):
+        return self.head.split(b" ", 2)[1].decode()
+
+    def header(self, name):
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.decode().lower() == name.lower():
+                return value.strip().decode()
+        return None
+
+
+class RawBackend:
+    """Answers each path by a function of the socket and the request."""
+
+    def __init__(self):
+        self.listener = eventlet.listen(("127.0.0.1", 0), backlog=512)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.requests = []
+        self.answers = {}
+        self.connections_count = 0
+        # Requests whose body came to its end or was cut.
+        self.ended_count = 0
+        self.open_sockets = []
+        self.thread = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections_count += 1
+            self.open_sockets.append(sock)
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock):
+        try:
+            reader = sock.makefile("rb")
+            while self._serve_one(sock, reader):
+                pass
+        except OSError:
+            pass
+        finally:
+            # The file object would keep the socket open.
+            reader.close()
+            sock.close()
+
+    def _serve_one(self, sock, reader):
+        head = b""
+        while not head.endswith(b"\r\n\r\n"):
+            line = reader.readline()
+            if not line:
+                return False
+            head += line
+        request = RawRequest(head, sock)
+        self.requests.append(request)
+        try:
+            self._read_body(request, reader)
+        finally:
+            self.ended_count += 1
+        answer = self.answers.get(request.path, answer_ok)
+        return answer(sock, request) is not False
+
+    def _read_body(self, request, reader):
+        if request.header("transfer-encoding") == "chunked":
+            while line := reader.readline():
+                size = int(line, 16)
+                request.body += reader.read(size)
+                reader.readline()
+                if size == 0:
+                    request.is_whole = True
+                    return
+            return
+        length = int(request.header("content-length") or 0)
+        while len(request.body) < length:
+            piece = reader.read1(length - len(request.body))
+            if not piece:
+                return
+            request.body += piece
+        request.is_whole = True
+
+    def stop(self):
+        self.thread.kill()
+        self.listener.close()
+        for sock in self.open_sockets:
+            sock.close()
+
+
+def answer_ok(sock, request):
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+def answers_raw(data, keeps_open=True):
+    """Return an answer of exactly these bytes."""
+
+    def answer(sock, request):
+        sock.sendall(data)
+        return keeps_open
+
+    return answer
