Find silent connections by lateness against the estimate

Cause: an open connection that goes silent was noticed only at the deadline.

Change: an answer later than three times what 99 of 100 calls take, but never later than half of the time that is left, condemns its connection and closes idle siblings of its age. A call that is safe to send again ends as silent, so that it can go on over a new connection; any other is waited for and never sent again. The pool has tests for its limit, ages, order and backoff under a paused clock.

Conclusion: one lateness is enough for the whole pool to recover.

--- a/berylhaven/proxy/__init__.py
+++ b/berylhaven/proxy/__init__.py
@@ -3,6 +3,7 @@
 from berylhaven.proxy._application import CallersApplication
 from berylhaven.proxy._call_handler import CallHandler
 from berylhaven.proxy._connection_pool import ConnectionCounts, ConnectionPool
+from berylhaven.proxy._patience import patience_s
 from berylhaven.proxy._server import serve, serve_callers
 from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 
@@ -13,6 +14,7 @@
     "ConnectionPool",
     "UpstreamCaller",
     "UpstreamExchange",
+    "patience_s",
     "serve",
     "serve_callers",
 ]
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -87,7 +87,7 @@
         self._metrics = metrics
         self._connection_limits: dict[str, int] = {}
         self._upstreams = UpstreamCaller(
-            settings.proxy, self._connection_limits.__getitem__, lambda _: None
+            settings.proxy, self._connection_limits.__getitem__
         )
         self._random = random.Random()
 
--- a/berylhaven/proxy/_upstream_caller.py
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -59,27 +59,24 @@
         With the bounds of heads and bodies.
     limit_for : callable
         Returns the most connections that this instance may have to an address.
-    patience_s : callable
-        Returns how long an answer from an address may take before its connection is
-        held to be silent; None to wait until the deadline.
     """
 
-    __slots__ = ("_settings", "_patience_s", "_watch", "pool")
+    __slots__ = ("_settings", "_watch", "pool")
 
     def __init__(
-        self,
-        settings: ProxySettings,
-        limit_for: Callable[[str], int],
-        patience_s: Callable[[str], float | None],
+        self, settings: ProxySettings, limit_for: Callable[[str], int]
     ) -> None:
         self._settings = settings
-        self._patience_s = patience_s
         self._watch = CallerWatch()
         # The connections.
         self.pool = ConnectionPool(limit_for, settings.header_limit_bytes)
 
     def attempt(
-        self, address: str, request: CallRequest, needs_new: bool = False
+        self,
+        address: str,
+        request: CallRequest,
+        patience_s: float | None = None,
+        needs_new: bool = False,
     ) -> UpstreamExchange:
         """Send a call to a backend server and wait for the head of its answer.
 
@@ -89,6 +86,9 @@
             HOST:PORT of the backend server.
         request : CallRequest
             The call.
+        patience_s : float or None
+            How long the answer may take before the connection is held to be silent;
+            None to wait until the deadline.
         needs_new : bool
             Whether only a new connection will do, as after a silent one.
 
@@ -106,7 +106,7 @@
         connection = self.pool.acquire(address, is_idempotent, needs_new)
         bounds = AttemptBounds(
             self._settings.chunk_bytes,
-            self._patience_s(address),
+            patience_s,
             lambda: self.pool.condemn(connection),
         )
         answer = None
--- /dev/null
+++ b/berylhaven/proxy/tests/test_connection_pool.py
@@ -0,0 +1,118 @@
+"""Tests of the pool: limits, ages, and what a silent connection teaches."""
+
+import random
+import unittest
+
+import eventlet
+
+from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.clock import ManualClock
+from berylhaven.proxy._connection_pool import (
+    IDLE_FOR_ONCE_ONLY_S,
+    IDLE_LIMIT_S,
+    ConnectionCounts,
+    ConnectionPool,
+)
+from berylhaven.proxy.tests._raw_backend import RawBackend
+
+LIMIT = 4
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    """The clock stands still; the connections are real."""
+
+    def setUp(self):
+        self.backend = RawBackend()
+        self.addCleanup(self.backend.stop)
+        self.address = self.backend.address
+        self.pool = ConnectionPool(lambda _: LIMIT, 10_000, random.Random(1))
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
+
+    def open(self, **options):
+        connection = self.pool.acquire(self.address, **options)
+        if not connection.is_open:
+            connection.open(5.0)
+        return connection
+
+    def open_many(self, count):
+        return [self.open() for _ in range(count)]
+
+    def put_back(self, connections):
+        for connection in connections:
+            self.pool.put_back(connection, is_reusable=True)
+
+    def test_the_limit_holds_and_is_a_refusal_that_proves_not_run(self):
+        connections = self.open_many(LIMIT)
+        with self.assertRaises(AttemptFailed) as caught:
+            self.open()
+        self.assertIs(caught.exception.end, AttemptEnd.CONNECTION_LIMIT)
+        self.assertEqual(caught.exception.judgement.outcome.value, "not-run")
+        self.assertEqual(self.pool.counts(self.address), ConnectionCounts(LIMIT, 0))
+        self.put_back(connections[:1])
+        self.assertIs(self.open(), connections[0])
+
+    def test_the_connection_used_last_is_taken_first(self):
+        connections = self.open_many(3)
+        self.put_back(connections)
+        self.assertIs(self.open(), connections[2])
+
+    def test_an_idle_one_past_its_age_carries_only_what_may_run_twice(self):
+        (connection,) = self.open_many(1)
+        self.put_back([connection])
+        self.clock.advance_s(IDLE_FOR_ONCE_ONLY_S + 0.1)
+        other = self.open(is_idempotent=False)
+        self.assertIsNot(other, connection)
+        self.assertIs(self.open(is_idempotent=True), connection)
+
+    def test_a_connection_idle_for_too_long_is_closed(self):
+        connections = self.open_many(2)
+        self.put_back(connections)
+        self.clock.advance_s(IDLE_LIMIT_S + 1)
+        self.pool.close_aged()
+        self.assertEqual(self.pool.open_count(), 0)
+        self.assertFalse(connections[0].is_open)
+
+    def test_an_old_idle_one_makes_room_for_a_new_one_at_the_limit(self):
+        connections = self.open_many(LIMIT)
+        self.put_back(connections)
+        fresh = self.open(needs_new=True)
+        self.assertNotIn(fresh, connections)
+        self.assertEqual(self.pool.open_count(), LIMIT)
+
+    def test_a_silent_connection_takes_its_siblings_of_the_same_age_along(self):
+        old = self.open_many(2)
+        self.clock.advance_s(1.0)
+        young = self.open()
+        silent, sibling = old
+        self.put_back([sibling, young])
+        self.pool.condemn(silent)
+        self.assertFalse(sibling.is_open)
+        self.assertTrue(young.is_open)
+        self.assertIs(self.open(), young)
+
+    def test_failed_openings_are_held_back_until_one_succeeds(self):
+        self.backend.stop()
+        refused = {AttemptEnd.NOT_CONNECTED: 0, "tried": 0}
+        for _ in range(50):
+            try:
+                connection = self.pool.acquire(self.address)
+            except AttemptFailed as failure:
+                refused[failure.end] += 1
+                continue
+            refused["tried"] += 1
+            with self.assertRaises(Exception):  # noqa: B017
+                connection.open(1.0)
+            self.pool.put_back(connection, is_reusable=False)
+        self.assertEqual(refused, {AttemptEnd.NOT_CONNECTED: 49, "tried": 1})
+        self.assertEqual(self.pool.open_count(), 0)
+        self.clock.advance_s(10.0)
+        self.pool.acquire(self.address)
+
+    def test_a_connection_that_was_never_opened_leaves_no_trace(self):
+        connection = self.pool.acquire(self.address)
+        self.pool.put_back(connection, is_reusable=False)
+        self.assertEqual(self.pool.counts(self.address), ConnectionCounts(0, 0))
+        eventlet.sleep(0)
+        self.pool.acquire(self.address)
--- /dev/null
+++ b/berylhaven/proxy/tests/test_silent_connections.py
@@ -0,0 +1,145 @@
+"""Tests of open connections that go silent while new ones work."""
+
+import unittest
+import unittest.mock
+
+import eventlet
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.catalogue import read_catalogue
+from berylhaven.clock import monotonic_s
+from berylhaven.entry.tests._whole_path import CATALOGUE
+from berylhaven.proxy._body_framing import NO_BODY
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._patience import FLOOR_S, patience_s
+from berylhaven.proxy._request_body import RequestBody
+from berylhaven.proxy._upstream_caller import UpstreamCaller
+from berylhaven.proxy.tests._raw_backend import RawBackend, answer_ok
+from berylhaven.settings import ProxySettings
+
+SETTINGS = ProxySettings(512, 32_768, 65_536, 15.0, 5.0, 60.0)
+PATIENCE_S = 0.1
+CONNECTIONS_COUNT = 8
+
+
+class SilentConnectionsTest(unittest.TestCase):
+    """Connections that were open at one moment answer nothing any more."""
+
+    def setUp(self):
+        self.backend = RawBackend()
+        self.addCleanup(self.backend.stop)
+        self.caller = UpstreamCaller(SETTINGS, lambda _: 100)
+        self.silent = set()
+        self.late = set()
+        self.backend.answers["/x"] = self.answer
+        self.services = read_catalogue(CATALOGUE).services
+
+    def answer(self, sock, request):
+        if sock in self.silent:
+            return True
+        if sock in self.late:
+            eventlet.sleep(3 * PATIENCE_S)
+        return answer_ok(sock, request)
+
+    def request(self, service, timeout_s=5.0):
+        return CallRequest(
+            service=self.services[service],
+            method="GET",
+            target="/x",
+            headers=[],
+            body=RequestBody(None, NO_BODY, 1.0),
+            deadline_s=monotonic_s() + timeout_s,
+            call_id="c",
+        )
+
+    def attempt(self, service="positions", **options):
+        exchange = self.caller.attempt(
+            self.backend.address, self.request(service), PATIENCE_S, **options
+        )
+        exchange.end(is_reusable=True)
+        return exchange.answer
+
+    def fill_pool(self):
+        threads = [eventlet.spawn(self.attempt) for _ in range(CONNECTIONS_COUNT)]
+        for thread in threads:
+            thread.wait()
+
+    def test_one_silent_answer_is_enough_for_the_whole_pool_to_recover(self):
+        self.fill_pool()
+        self.silent.update(self.backend.open_sockets)
+        with self.assertRaises(AttemptFailed) as caught:
+            self.attempt()
+        self.assertIs(caught.exception.end, AttemptEnd.SILENT)
+        self.assertTrue(caught.exception.judgement.may_retry)
+        self.assertEqual(self.attempt(needs_new=True).status, 200)
+        sent_count = len(self.backend.requests)
+        for _ in range(CONNECTIONS_COUNT):
+            self.assertEqual(self.attempt().status, 200)
+        self.assertEqual(len(self.backend.requests), sent_count + CONNECTIONS_COUNT)
+
+    def test_what_may_not_run_twice_is_waited_for_and_never_sent_again(self):
+        self.fill_pool()
+        self.late.update(self.backend.open_sockets)
+        sent_count = len(self.backend.requests)
+        self.assertEqual(self.attempt("bookings").status, 200)
+        self.assertEqual(len(self.backend.requests), sent_count + 1)
+        # Its lateness spoke against its siblings all the same.
+        counts = self.caller.counts(self.backend.address)
+        self.assertEqual(counts.idle_count, 1)
+
+    def test_a_call_on_a_silent_connection_ends_unknown_at_its_deadline(self):
+        self.fill_pool()
+        self.silent.update(self.backend.open_sockets)
+        request = self.request("bookings", timeout_s=0.2)
+        with self.assertRaises(AttemptFailed) as caught:
+            self.caller.attempt(self.backend.address, request, PATIENCE_S)
+        self.assertIs(caught.exception.end, AttemptEnd.DEADLINE_BEFORE_HEAD)
+        self.assertEqual(caught.exception.judgement.outcome.value, "unknown")
+
+    def test_a_deadline_that_passed_before_sending_sends_nothing(self):
+        request = self.request("bookings", timeout_s=0.0)
+        with self.assertRaises(AttemptFailed) as caught:
+            self.caller.attempt(self.backend.address, request)
+        self.assertIs(caught.exception.end, AttemptEnd.DEADLINE_BEFORE_SENDING)
+        self.assertEqual(self.backend.requests, [])
+
+    def test_a_process_that_slept_past_the_deadline_sends_nothing(self):
+        request = self.request("bookings")
+
+        def sleep_through(size_bytes):
+            # The process stops here and wakes up when it is too late.
+            request.deadline_s = monotonic_s() - 1.0
+            return iter(())
+
+        request.body = unittest.mock.Mock(wraps=request.body, has_body=False)
+        request.body.content_length = 0
+        request.body.pieces = sleep_through
+        with self.assertRaises(AttemptFailed) as caught:
+            self.caller.attempt(self.backend.address, request)
+        self.assertIs(caught.exception.end, AttemptEnd.DEADLINE_BEFORE_SENDING)
+        self.assertEqual(self.backend.requests, [])
+
+    def test_attempts_leave_no_connection_behind(self):
+        self.fill_pool()
+        self.silent.update(self.backend.open_sockets)
+        for _ in range(3):
+            request = self.request("bookings", timeout_s=0.1)
+            with self.assertRaises(AttemptFailed):
+                self.caller.attempt(self.backend.address, request)
+        self.assertEqual(self.caller.counts(self.backend.address).busy_count, 0)
+
+
+class PatienceTest(unittest.TestCase):
+    """The lateness that condemns a connection."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.floats(0, 100), st.floats(0, 100))
+    def test_it_leaves_time_for_another_attempt_unless_the_server_is_slow(
+        self, p99_s, remaining_s
+    ):
+        patience = patience_s(p99_s, remaining_s)
+        self.assertGreaterEqual(patience, p99_s)
+        self.assertLessEqual(patience, max(p99_s, remaining_s / 2))
+        self.assertLessEqual(patience, max(FLOOR_S, 3 * p99_s))
