--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -1,5 +1,6 @@
 """Numbered result codes: the typed errors that bear them, and their registry."""
 
+from berylhaven.results._admission_results import InstanceOverloaded, ShareExceeded
 from berylhaven.results._call_results import (
     Answered,
     AnswerWithoutLength,
@@ -87,6 +88,7 @@
     "DeadlineExceeded",
     "DuplicateKey",
     "DuplicateSection",
+    "InstanceOverloaded",
     "HeadTooLarge",
     "InternalError",
     "Located",
@@ -100,6 +102,7 @@
     "Outcome",
     "OverLimit",
     "ResultCode",
+    "ShareExceeded",
     "SenderTooSlow",
     "SharesTooLarge",
     "TooLarge",
