Make two tests of refusals and early answers able to fail

Cause: broken on purpose, the early answer and the close after a refusal left their tests green: the upload fitted into the socket's buffer, and the server closed anyway.

Change: the backend server closes before the rest of the upload is sent; a refusal that ends its connection must say so in its Connection header.

--- a/bench/latency_callers.py
+++ b/bench/latency_callers.py
@@ -83,6 +83,7 @@
     own_rate_per_s = rate_per_s / callers_count
 
     def run_all(run_s: float) -> list[float]:
+        """Let all callers call for some seconds."""
         latencies_s: list[float] = []
         until_s = time.perf_counter() + run_s
         threads = [
--- a/bench/latency_pass_through.py
+++ b/bench/latency_pass_through.py
@@ -27,6 +27,7 @@
     state = {"next": 0}
 
     def application(environ: dict, start_response: Callable) -> list[bytes]:
+        """Pass one request on."""
         state["next"] = (state["next"] + 1) % len(addresses)
         url = f"http://{addresses[state['next']]}{environ['RAW_PATH_INFO']}"
         answer = pools.request(environ["REQUEST_METHOD"], url)
--- a/berylhaven/proxy/tests/test_answer_edges.py
+++ b/berylhaven/proxy/tests/test_answer_edges.py
@@ -246,9 +246,13 @@
         bookings._read_body = lambda request, reader: None
         self.addCleanup(delattr, bookings, "_read_body")
         bookings.answers["/early"] = answers_raw(data, keeps_open=False)
-        body = b"x" * 99_000
-        lines = (f"Content-Length: {len(body)}",)
-        answer = self.path.exchange(post(BOOKINGS + "/early", *lines, body=body))
+        with self.path.connect() as caller:
+            caller.send(post(BOOKINGS + "/early", "Content-Length: 99000"))
+            caller.send(b"x" * 70_000)
+            self.path.wait_until(lambda: bookings.open_sockets[-1].fd.fileno() < 0)
+            # The backend server is gone by now, so that sending the rest fails.
+            caller.send(b"x" * 29_000)
+            answer = caller.answer()
         self.assertEqual(answer.status, 409)
         self.assertEqual(answer.body, b"no")
 
--- a/berylhaven/proxy/tests/test_request_edges.py
+++ b/berylhaven/proxy/tests/test_request_edges.py
@@ -43,7 +43,9 @@
     def assert_refused_and_closed(self, data, status=400, name="bad-framing"):
         with self.path.connect() as caller:
             caller.send(data)
-            self.assert_refused(caller.answer(), status, name)
+            answer = caller.answer()
+            self.assert_refused(answer, status, name)
+            self.assertEqual(answer.header("Connection"), "close")
             self.assertTrue(caller.is_closed())
         self.assertEqual(self.path.raw["positions"].requests, [])
         self.assertEqual(self.bookings.requests, [])
