Count connections opened within half a second as of one age

Cause: in one run of the whole suite the silent connection was not the youngest of its burst, and seven siblings opened microseconds later stayed in the pool.

Change: siblings are those opened up to 0.5 s after the silent one.

Conclusion: the order within a burst says nothing about who lost track of it.

--- a/berylhaven/proxy/_connection_pool.py
+++ b/berylhaven/proxy/_connection_pool.py
@@ -14,6 +14,8 @@
 IDLE_FOR_ONCE_ONLY_S = 2.0
 # Idle for longer, a connection is closed.
 IDLE_LIMIT_S = 20.0
+# Connections that were opened within this time of one another are of one age.
+SAME_AGE_S = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -181,12 +183,12 @@
             The connection whose answer is late beyond its estimate.
         """
         server = self._server(connection.address)
-        opened_at_s = connection.opened_at_s
-        if opened_at_s is None:
+        if connection.opened_at_s is None:
             return
+        suspect_until_s = connection.opened_at_s + SAME_AGE_S
         kept = []
         for idle in server.idle:
-            if idle.opened_at_s <= opened_at_s:
+            if idle.opened_at_s <= suspect_until_s:
                 idle.close()
             else:
                 kept.append(idle)
