--- a/berylhaven/admission/_overload.py
+++ b/berylhaven/admission/_overload.py
@@ -5,8 +5,8 @@
 # A loop later than this at its timers costs calls more than they may be delayed.
 LATENESS_TARGET_S = 0.010
 # How fast the pressure follows the lateness.
-RISE_RATIO = 0.10
-FALL_RATIO = 0.05
+RISE_RATIO = 0.20
+FALL_RATIO = 0.10
 # How many recent calls the firms' shares are taken over.
 RECENT_CALL_COUNT = 200.0
 # Each class is shed over its third of the pressure, bulk first.
--- a/berylhaven/controllers/_overload_controller.py
+++ b/berylhaven/controllers/_overload_controller.py
@@ -17,7 +17,7 @@
         With the gate, whose estimator is told.
     """
 
-    interval_s = 0.03
+    interval_s = 0.1
 
     def __init__(self, context: ControllerContext) -> None:
         self._overload = context.gate.overload
