Add the routing bench

Cause: nothing measured the decisions. Change: bench/routing drives the real records, policies, load topic and probe planner of 20 deciding instances against small fake servers on the hub's clock, which jumps to the next timer; make bench writes the report.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 DURATION_S ?= 0
 
-.PHONY: run test install format lint unit binary smoke clean
+.PHONY: run test bench install format lint unit binary smoke clean
 
 run: binary
 	$(BIN)/python -m standins.demo --duration-s $(DURATION_S) --program dist/berylhaven
@@ -40,5 +40,8 @@
 smoke: binary
 	$(BIN)/python -m tools.smoke_test dist/berylhaven
 
+bench: install
+	$(BIN)/python -m bench.routing
+
 clean:
 	rm -rf build dist .hypothesis .ruff_cache
--- /dev/null
+++ b/bench/routing/__init__.py
@@ -0,0 +1,1 @@
+"""A measurement of the routing policies at small fake backend servers."""
--- /dev/null
+++ b/bench/routing/_fake_service.py
@@ -0,0 +1,56 @@
+"""One service's fake servers."""
+
+from bench.routing._fake_server import FakeServer
+from bench.routing._firms import DATA_CENTRES
+from berylhaven.platform import BackendServer
+
+
+def data_centre_of(index: int) -> str:
+    """Return the data centre of the server or instance of this index."""
+    return DATA_CENTRES[index % len(DATA_CENTRES)]
+
+
+class FakeService:
+    """One service's fake servers and their rows in the instance list.
+
+    Parameters
+    ----------
+    name : str
+        The service's name.
+    servers : list of FakeServer
+        Its servers.
+    """
+
+    __slots__ = ("name", "servers", "incarnations", "rate_per_s")
+
+    def __init__(self, name: str, servers: list[FakeServer]) -> None:
+        self.name = name
+        self.servers = servers
+        # By server, raised with each return.
+        self.incarnations = [1] * len(servers)
+        # Calls a second over the whole fleet.
+        self.rate_per_s = 0.0
+
+    def rows(self) -> list[BackendServer]:
+        """Return the servers that are not leaving."""
+        return [
+            BackendServer(
+                self.address(index),
+                self.name,
+                data_centre_of(index),
+                server.slot_count,
+                self.incarnations[index],
+                is_leaving=False,
+            )
+            for index, server in enumerate(self.servers)
+            if not server.is_leaving
+        ]
+
+    def address(self, index: int) -> str:
+        """Return the address of one server."""
+        return f"{self.name}-{index}:80"
+
+    def server(self, address: str) -> FakeServer:
+        """Return the server of an address."""
+        index = address.removeprefix(self.name + "-").removesuffix(":80")
+        return self.servers[int(index)]
--- /dev/null
+++ b/bench/routing/_fleet.py
@@ -0,0 +1,198 @@
+"""Twenty deciding instances of one firm, each with its own load records."""
+
+import types
+from random import Random
+
+import orjson
+
+from bench.routing._fake_server import FakeServer
+from bench.routing._fake_service import FakeService, data_centre_of
+from bench.routing._firms import (
+    ENTRY_INSTANCES,
+    MEASURING_BUDGET_RATIO,
+    Firm,
+)
+from bench.routing._measure import RunFigures
+from bench.routing._one_call import OneCall
+from bench.routing._virtual_time import call_later
+from berylhaven.catalogue import Catalogue, read_catalogue
+from berylhaven.clock import monotonic_s
+from berylhaven.load import LoadTable, LoadTopic, Probe, ProbePlanner, ServerLoad
+from berylhaven.routing import RoutingRequest, choose
+
+EXCHANGE_EVERY_S = 0.5
+PEERS_PER_ROUND = 2
+PEER_DELAY_S = 0.001
+TOPIC_LIMIT_BYTES = 1_000
+PROBE_EVERY_S = 0.25
+# A call's time in a slot: a fixed part and an exponential one.
+FIXED_RATIO = 0.4
+
+
+class DecidingInstance:
+    """One entry instance, of which only the decisions are real.
+
+    Parameters
+    ----------
+    index : int
+        Its place in the fleet.
+    catalogue : Catalogue
+        The catalogue in force.
+    """
+
+    __slots__ = ("index", "data_centre", "side", "table", "topic", "planner")
+
+    def __init__(self, index: int, catalogue: Catalogue) -> None:
+        self.index = index
+        self.data_centre = data_centre_of(index)
+        # Instances of different sides don't hear one another.
+        self.side = 0
+        self.table = LoadTable()
+        self.topic = LoadTopic(types.SimpleNamespace(load_table=self.table))
+        self.planner = ProbePlanner(monotonic_s())
+
+
+class Fleet:
+    """Drives the calls of one run.
+
+    Parameters
+    ----------
+    firm : Firm
+        Whose services are called.
+    policy : str
+        The routing policy's registry name.
+    load_ratio : float
+        Calls as a share of the servers' capacity.
+    figures : RunFigures
+        Where the calls' ends are counted.
+    seed : int
+        The seed of all random numbers.
+    """
+
+    __slots__ = (
+        "firm",
+        "random",
+        "services",
+        "instances",
+        "figures",
+        "_arrivals",
+        "_policy",
+        "_catalogue",
+    )
+
+    def __init__(
+        self, firm: Firm, policy: str, load_ratio: float, figures: RunFigures, seed: int
+    ) -> None:
+        self.firm = firm
+        # The calls are the same for all policies: they have numbers of their own.
+        self._arrivals = Random(seed)
+        self.random = Random(seed + 1)
+        self.figures = figures
+        self._policy = policy
+        self.services = [
+            self._service(f"s{index}", count, load_ratio)
+            for index, count in enumerate(firm.server_counts)
+        ]
+        self._catalogue = read_catalogue(_catalogue_text(firm, self.services))
+        self.instances = [
+            DecidingInstance(index, self._catalogue) for index in range(ENTRY_INSTANCES)
+        ]
+        for service in self.services:
+            self.list_servers(service)
+
+    def start(self) -> None:
+        """Begin to send calls, news and probes."""
+        for service in self.services:
+            self._arrive(service)
+        for instance in self.instances:
+            call_later(self.random.random() * EXCHANGE_EVERY_S, self._round, instance)
+            call_later(self.random.random() * PROBE_EVERY_S, self._probe, instance)
+
+    def list_servers(self, service: FakeService) -> None:
+        """Let all instances read the instance list."""
+        for instance in self.instances:
+            rows = service.rows()
+            instance.table.update_servers(service.name, rows, monotonic_s())
+
+    def _service(self, name: str, count: int, load_ratio: float) -> FakeService:
+        firm = self.firm
+        servers = [FakeServer(firm.slot_count) for _ in range(count)]
+        service = FakeService(name, servers)
+        service.rate_per_s = load_ratio * firm.capacity_per_s(count)
+        return service
+
+    def _arrive(self, service: FakeService) -> None:
+        arrivals = self._arrivals
+        delay_s = arrivals.expovariate(service.rate_per_s)
+        call_later(delay_s, self._arrive, service)
+        instance = self.instances[int(arrivals.random() * ENTRY_INSTANCES)]
+        drawn = FIXED_RATIO + arrivals.expovariate(1 / (1 - FIXED_RATIO))
+        work_s = self.firm.service_time_s * drawn
+        now_s = monotonic_s()
+        request = RoutingRequest(
+            now_s, now_s + self.firm.deadline_s, instance.data_centre, self.random
+        )
+        candidates = instance.table.candidates(service.name)
+        decision = choose(self._policy, request, candidates)
+        if decision.server is None:
+            self.figures.call_refused(now_s)
+            return
+        OneCall(self, instance, service, decision.server, work_s).send()
+
+    def one_way_s(self, instance: DecidingInstance, record: ServerLoad) -> float:
+        """Return the time of a message between an instance and a server."""
+        if record.data_centre == instance.data_centre:
+            return self.firm.within_data_centre_s
+        return self.firm.between_data_centres_s
+
+    def _round(self, instance: DecidingInstance) -> None:
+        call_later(EXCHANGE_EVERY_S, self._round, instance)
+        peers = [p for p in self.instances if p.side == instance.side]
+        for peer in self.random.sample(peers, PEERS_PER_ROUND):
+            if peer is not instance:
+                self._pass_news(instance, peer)
+                self._pass_news(peer, instance)
+
+    def _pass_news(self, sender: DecidingInstance, to: DecidingInstance) -> None:
+        now_s = monotonic_s()
+        payload = sender.topic.outgoing(str(to.index), now_s, TOPIC_LIMIT_BYTES)
+        if payload is not None:
+            self.figures.news_sent(len(orjson.dumps(payload)))
+            call_later(PEER_DELAY_S, _hear, to, payload, str(sender.index))
+
+    def _probe(self, instance: DecidingInstance) -> None:
+        call_later(PROBE_EVERY_S, self._probe, instance)
+        now_s = monotonic_s()
+        for probe in instance.planner.plan(self._catalogue, instance.table, now_s):
+            self._send_probe(instance, probe)
+
+    def _send_probe(self, instance: DecidingInstance, probe: Probe) -> None:
+        service = next(s for s in self.services if s.name == probe.service)
+        server = service.server(probe.server.address)
+        started_at_s = monotonic_s()
+
+        def ended(end: str) -> None:
+            """Take in the probe's answer."""
+            duration_s = monotonic_s() - started_at_s
+            instance.planner.probe_ended(probe, duration_s)
+            probe.server.take_report(server.report())
+
+        server.probe(self.firm.probe_cost_s, ended)
+
+
+def _hear(instance: DecidingInstance, payload: object, sender: str) -> None:
+    instance.topic.incoming(payload, sender, monotonic_s())
+
+
+def _catalogue_text(firm: Firm, services: list[FakeService]) -> bytes:
+    parts = [f"[fleet]\nmax_entry_instances = {ENTRY_INSTANCES}\n"]
+    parts.append(f"[firm {firm.name}]\nguaranteed_share_ratio = 0.5\n")
+    for service in services:
+        parts.append(
+            f"[service {service.name}]\nowner = {firm.name}\nclass = interactive\n"
+            "concurrency_limit = 1000\nrate_limit_per_s = 100000\n"
+            f"deadline_ms = {int(firm.deadline_s * 1000)}\n"
+            f"measuring_budget_ratio = {MEASURING_BUDGET_RATIO}\n"
+            f"probe_cost_ms = {firm.probe_cost_s * 1000}\n"
+        )
+    return "\n".join(parts).encode()
