--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,6 +6,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import monotonic_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
@@ -131,7 +132,8 @@
 def _build_context(settings: Settings) -> ControllerContext:
     blackboard = Blackboard()
     load_table = LoadTable()
-    gate = AdmissionGate(settings.proxy)
+    random = Random()
+    gate = AdmissionGate(settings.proxy, random, monotonic_s())
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
         settings.instance, identity, blackboard, lambda: gate.load_ratio
@@ -147,5 +149,5 @@
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
         metrics=MetricsRegistry(),
-        random=Random(),
+        random=random,
     )
