Never shed a firm within its guaranteed share

Cause: at full pressure every call was shed with the same probability, and 4,000 calls/s of one firm kept the pressure full. Ruled out: the firm's room (ShareExceeded was not seen) and the service's limits (their parts were not used up). Conclusion: admission is guaranteed; the delay behind a flood is not yet bounded.

--- a/bench/latency_callers.py
+++ b/bench/latency_callers.py
@@ -8,12 +8,14 @@
 
 import random
 import time
+from collections import Counter
 
 import eventlet
 import fire
 import orjson
 
 WARM_UP_S = 0.5
+HTTP_OK = 200
 CONTENT_LENGTH = b"content-length:"
 
 
@@ -29,19 +31,18 @@
             "User-Agent: bench\r\nAccept-Encoding: identity\r\n\r\n"
         ).encode()
 
-    def call(self) -> None:
-        """Send a request and read its whole answer; fail on anything but 200."""
+    def call(self) -> int:
+        """Send a request, read its whole answer and return its status."""
         self._sock.sendall(self._request)
         data = b""
         while (end := data.find(b"\r\n\r\n")) < 0:
             data += self._read()
-        if not data.startswith(b"HTTP/1.1 200"):
-            raise SystemExit(f"unexpected answer {data[:300]!r}")
         head = data[:end].lower()
         at = head.index(CONTENT_LENGTH) + len(CONTENT_LENGTH)
         length = int(head[at:].split(b"\r\n", 1)[0])
         while len(data) < end + 4 + length:
             data += self._read()
+        return int(data[9:12])
 
     def _read(self) -> bytes:
         piece = self._sock.recv(65_536)
@@ -51,7 +52,11 @@
 
 
 def _run(
-    caller: _Caller, rate_per_s: float, until_s: float, latencies_s: list[float]
+    caller: _Caller,
+    rate_per_s: float,
+    until_s: float,
+    latencies_s: list[float],
+    statuses: Counter[int],
 ) -> None:
     planned_s = time.perf_counter()
     while True:
@@ -62,8 +67,10 @@
             planned_s = time.perf_counter()
         if planned_s > until_s:
             return
-        caller.call()
-        latencies_s.append(time.perf_counter() - planned_s)
+        status = caller.call()
+        statuses[status] += 1
+        if status == HTTP_OK:
+            latencies_s.append(time.perf_counter() - planned_s)
 
 
 def main(
@@ -73,21 +80,27 @@
     duration_s: float,
     rate_per_s: float = 0.0,
     seed: int = 1,
+    any_status: bool = False,
 ) -> None:
-    """Call for some seconds and print ``{"count", "duration_s", "latencies_us"}``."""
+    """Call for some seconds and print counts, statuses and latencies of 200 answers.
+
+    Without ``any_status`` every other answer ends the process with a failure.
+    """
     random.seed(seed)
     targets = str(addresses).split(",")
     callers = [
         _Caller(targets[index % len(targets)], path) for index in range(callers_count)
     ]
+    statuses: Counter[int] = Counter()
     own_rate_per_s = rate_per_s / callers_count
 
     def run_all(run_s: float) -> list[float]:
         """Let all callers call for some seconds."""
         latencies_s: list[float] = []
+        statuses.clear()
         until_s = time.perf_counter() + run_s
         threads = [
-            eventlet.spawn(_run, caller, own_rate_per_s, until_s, latencies_s)
+            eventlet.spawn(_run, caller, own_rate_per_s, until_s, latencies_s, statuses)
             for caller in callers
         ]
         for thread in threads:
@@ -97,7 +110,10 @@
     run_all(WARM_UP_S)
     began_s = time.perf_counter()
     latencies_s = run_all(duration_s)
+    if not any_status and set(statuses) != {HTTP_OK}:
+        raise SystemExit(f"unexpected answers: {dict(statuses)}")
     document = {
+        "statuses": {str(status): count for status, count in statuses.items()},
         "count": len(latencies_s),
         "duration_s": time.perf_counter() - began_s,
         "latencies_us": [round(1e6 * latency_s) for latency_s in latencies_s],
--- a/berylhaven/admission/_overload.py
+++ b/berylhaven/admission/_overload.py
@@ -21,8 +21,8 @@
     """Turns the event loop's lateness into a probability of shedding.
 
     The pressure rises while the loop is late and falls while it is not. A firm
-    whose share of recent calls is within its guarantee is shed only when the
-    pressure is full.
+    whose share of recent calls is within its guarantee is never shed: guarantees add
+    up to one at most, so while calls are too many, some other firm is over its own.
     """
 
     __slots__ = ("_pressure", "_recent", "_recent_total")
@@ -34,7 +34,7 @@
 
     @property
     def pressure(self) -> float:
-        """From 0, nothing is shed, to 1, everything but guaranteed shares is."""
+        """From 0, nothing is shed, to 1, all over the guaranteed shares is."""
         return self._pressure
 
     def observe_lateness(self, lateness_s: float) -> None:
@@ -81,7 +81,7 @@
         if self._pressure == 0.0:
             return 0.0
         share = self._recent.get(firm, 0.0) / max(1.0, self._recent_total)
-        if share <= guaranteed_share_ratio and self._pressure < 1.0:
+        if share <= guaranteed_share_ratio:
             return 0.0
         third = self._pressure * len(CLASS_RANKS) - CLASS_RANKS[call_class]
         return min(1.0, max(0.0, third))
--- a/berylhaven/admission/tests/test_gate.py
+++ b/berylhaven/admission/tests/test_gate.py
@@ -178,7 +178,8 @@
         self.assertEqual(shed[2], 0.0)
 
     def test_the_quiet_firm_is_not_shed(self):
-        overload = self.late(turns=4)
+        overload = self.late(turns=50)
+        self.assertEqual(overload.pressure, 1.0)
         self.assertEqual(overload.shed_probability("kivu", 0.4, CallClass.BULK), 0.0)
 
     def test_the_pressure_falls_when_the_loop_is_on_time(self):
