Number the fleet's events, and find controllers after a direct import

Cause: events of membership and the platform had no numbers; a test that imports one controller kept controller_classes() from importing the others. Conclusion: registries do not depend on the order of imports.

--- a/berylhaven/controllers/_registry.py
+++ b/berylhaven/controllers/_registry.py
@@ -49,9 +49,9 @@
 
 def controller_classes() -> dict[str, type]:
     """Return the registered controllers by name."""
-    if not _CONTROLLERS:
-        package = importlib.import_module("berylhaven.controllers")
-        for module in pkgutil.iter_modules(package.__path__):
-            if module.name.endswith("_controller"):
-                importlib.import_module(f"{package.__name__}.{module.name}")
+    # Some may be registered already, because one was imported by itself.
+    package = importlib.import_module("berylhaven.controllers")
+    for module in pkgutil.iter_modules(package.__path__):
+        if module.name.endswith("_controller"):
+            importlib.import_module(f"{package.__name__}.{module.name}")
     return dict(_CONTROLLERS)
--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -44,6 +44,15 @@
     NoSuchCode,
     UnexpectedAnswer,
 )
+from berylhaven.results._fleet_results import (
+    AddressContested,
+    CatalogueRevisionRefused,
+    ConfigurationServiceUnavailable,
+    FleetEvent,
+    InstanceListSuspicious,
+    InstanceListUnavailable,
+    RevisionConflict,
+)
 from berylhaven.results._outcome import Outcome
 from berylhaven.results._registry import (
     ResultCode,
@@ -53,6 +62,13 @@
 )
 
 __all__ = [
+    "AddressContested",
+    "CatalogueRevisionRefused",
+    "ConfigurationServiceUnavailable",
+    "FleetEvent",
+    "InstanceListSuspicious",
+    "InstanceListUnavailable",
+    "RevisionConflict",
     "BadUsage",
     "CannotListen",
     "CommandFailed",
