Exchange digests within a byte budget, and judge peers by evidence

Cause: each message bore all members, so bytes grew with the square of the fleet, and a relayed announcement counted as heard now, so that a dead peer could look alive. Change: rows and short pulses with their age, wanted rows by nonce, failed contacts that spread as doubts and are refuted by younger news, a budget of 2,200 B/s that bounds each message, urgent rounds with fan-out 3, a low-rate retry of gone peers, incarnations that rise above a forgotten run's, a pause that counts against oneself, a bounded table. HTTP bytes are counted as they stand on the wire and shown in status. The test that held 5 s of silence for suspicion is replaced: silence alone counts after 60 s, a failed contact after 3 s; the new tests hold both bounds from both sides. Shown to fail: relayed age dropped (test_relayed_news_counts_from_when_it_was_made); doubts off (test_a_dead_peer_becomes_gone_everywhere_and_stays_gone); retry 0 (test_both_sides_of_a_partition_part_and_heal); wake off (test_a_paused_node_asks_before_it_judges); guard off (test_a_restart_with_the_clock_gone_back_is_heard); urgent signal off (test_leaving_is_known_everywhere_by_urgent_news); fixed limit of 4,000 bytes (test_a_node_keeps_to_its_byte_budget_whatever_the_fleet). Conclusion: bytes follow the budget, not the fleet's size.

--- a/berylhaven/controllers/_context.py
+++ b/berylhaven/controllers/_context.py
@@ -5,7 +5,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
-from berylhaven.exchange import PeerClient
+from berylhaven.exchange import PeerClient, PeerTraffic, UrgentSignal
 from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable
 from berylhaven.operations import MetricsRegistry
@@ -27,6 +27,10 @@
     peer_table: PeerTable
     # Requests to peers.
     peer_client: PeerClient
+    # Bytes to and from peers, and their budget.
+    peer_traffic: PeerTraffic
+    # Set by whoever has news that must not wait for the next round.
+    urgent_signal: UrgentSignal
     # The load records.
     load_table: LoadTable
     # The limits.
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -13,7 +13,12 @@
 )
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
-from berylhaven.exchange import PeerClient, PeersApplication
+from berylhaven.exchange import (
+    PeerClient,
+    PeersApplication,
+    PeerTraffic,
+    UrgentSignal,
+)
 from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable, new_identity
 from berylhaven.operations import (
@@ -112,7 +117,8 @@
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
-            peer_endpoints(self._context, self._controllers["exchange"].receive)
+            peer_endpoints(self._context, self._controllers["exchange"].receive),
+            self._context.peer_traffic,
         )
         return serve(
             self._settings.instance.host,
@@ -141,6 +147,7 @@
     blackboard = Blackboard()
     load_table = LoadTable()
     gate = AdmissionGate(settings.proxy)
+    peer_traffic = PeerTraffic()
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
         settings.instance, identity, blackboard, lambda: gate.load_ratio
@@ -150,7 +157,9 @@
         blackboard=blackboard,
         local_instance=local_instance,
         peer_table=PeerTable(settings.instance.peers_address),
-        peer_client=PeerClient(),
+        peer_client=PeerClient(peer_traffic),
+        peer_traffic=peer_traffic,
+        urgent_signal=UrgentSignal(),
         load_table=load_table,
         gate=gate,
         configuration_service=ConfigurationService(settings.platform),
--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -42,6 +42,7 @@
             ]
             for service in context.load_table.services()
         },
+        "peer_traffic": _peer_traffic(context),
         "calls_in_flight": context.gate.in_flight_count,
         "blackboard": context.blackboard.owners(),
     }
@@ -74,6 +75,16 @@
     }
 
 
+def _peer_traffic(context: ControllerContext) -> dict:
+    traffic = context.peer_traffic
+    return {
+        "sent_bytes": traffic.sent_bytes,
+        "received_bytes": traffic.received_bytes,
+        "sent_messages": traffic.sent_messages,
+        "received_messages": traffic.received_messages,
+    }
+
+
 def _server(record: ServerLoad, now_s: float) -> dict:
     age_s = record.news_age_s(now_s)
     return {
--- a/berylhaven/exchange/__init__.py
+++ b/berylhaven/exchange/__init__.py
@@ -1,7 +1,10 @@
 """The protocol between entry instances: rounds of small JSON messages over HTTP."""
 
 from berylhaven.exchange._application import PeersApplication
-from berylhaven.exchange._message import ExchangeMessage
+from berylhaven.exchange._http_size import answer_bytes, request_bytes
+from berylhaven.exchange._member_exchange import MemberExchange, TakenIn
+from berylhaven.exchange._message import ExchangeMessage, MemberNews
+from berylhaven.exchange._partner import choose_partner, choose_urgent_partners
 from berylhaven.exchange._peer_client import PeerClient, PeerUnreachable
 from berylhaven.exchange._peer_endpoint import (
     PeerAnswer,
@@ -10,19 +13,42 @@
     peer_endpoint_classes,
     register_peer_endpoint,
 )
+from berylhaven.exchange._rows import DoubtRow, MemberRow, PulseRow
 from berylhaven.exchange._topic import Topic, register_topic, topic_classes
+from berylhaven.exchange._traffic import (
+    EXCHANGE_BYTES_PER_S,
+    MESSAGE_FLOOR_BYTES,
+    PEER_TRAFFIC_SECTION,
+    PeerTraffic,
+)
+from berylhaven.exchange._urgent_signal import UrgentSignal
 
 __all__ = [
+    "EXCHANGE_BYTES_PER_S",
+    "MESSAGE_FLOOR_BYTES",
+    "PEER_TRAFFIC_SECTION",
+    "DoubtRow",
     "ExchangeMessage",
+    "MemberExchange",
+    "MemberNews",
+    "MemberRow",
     "PeerAnswer",
     "PeerClient",
     "PeerEndpoint",
     "PeerRequest",
+    "PeerTraffic",
     "PeerUnreachable",
     "PeersApplication",
+    "PulseRow",
+    "TakenIn",
     "Topic",
+    "UrgentSignal",
+    "answer_bytes",
+    "choose_partner",
+    "choose_urgent_partners",
     "peer_endpoint_classes",
     "register_peer_endpoint",
     "register_topic",
+    "request_bytes",
     "topic_classes",
 ]
--- a/berylhaven/exchange/_message.py
+++ b/berylhaven/exchange/_message.py
@@ -5,21 +5,70 @@
 
 import orjson
 
-from berylhaven.membership import Announcement
+from berylhaven.exchange._rows import DoubtRow, MemberRow, PulseRow
+
+
+@dataclass(slots=True)
+class MemberNews:
+    """What a message says of members other than its sender."""
+
+    # Members that the receiver may not know; "f" on the wire.
+    rows: list[MemberRow] = field(default_factory=list)
+    # Signs of life of members that the receiver may know; "p" on the wire.
+    pulses: list[PulseRow] = field(default_factory=list)
+    # Failed contacts; "d" on the wire.
+    doubts: list[DoubtRow] = field(default_factory=list)
+    # Nonces of members whose rows the answer shall have; "w" on the wire.
+    wanted_nonces: list[str] = field(default_factory=list)
+    # Whether the answer shall have all members; "a" on the wire.
+    wants_all: bool = False
+
+    def to_json(self) -> dict:
+        """Return the news as a JSON object without what is empty."""
+        document = {
+            "f": [row.to_json() for row in self.rows],
+            "p": [row.to_json() for row in self.pulses],
+            "d": [row.to_json() for row in self.doubts],
+            "w": self.wanted_nonces,
+            "a": self.wants_all,
+        }
+        return {key: value for key, value in document.items() if value}
+
+    @classmethod
+    def from_json(cls, document: dict) -> "MemberNews":
+        """Read the news; raise ValueError if they are malformed."""
+        wanted = _list(document, "w")
+        if not all(isinstance(nonce, str) for nonce in wanted):
+            raise ValueError("members: a nonce is not text")
+        return cls(
+            rows=[MemberRow.from_json(row) for row in _list(document, "f")],
+            pulses=[PulseRow.from_json(row) for row in _list(document, "p")],
+            doubts=[DoubtRow.from_json(row) for row in _list(document, "d")],
+            wanted_nonces=wanted,
+            wants_all=document.get("a") is True,
+        )
 
 
 @dataclass(slots=True)
 class ExchangeMessage:
     """One message of a round."""
 
-    # Who sends it.
-    sender: Announcement
-    # JSON values by the name of their topic.
+    # Who sends it, whole or for a receiver that knows the run; "s" on the wire.
+    sender: MemberRow | PulseRow
+    # What it says of other members; "m" on the wire.
+    members: MemberNews = field(default_factory=MemberNews)
+    # JSON values by the name of their topic; "t" on the wire.
     topics: dict[str, Any] = field(default_factory=dict)
 
     def to_bytes(self) -> bytes:
         """Return the message as JSON."""
-        return orjson.dumps({"sender": self.sender.to_json(), "topics": self.topics})
+        document = {"s": self.sender.to_json()}
+        members = self.members.to_json()
+        if members:
+            document["m"] = members
+        if self.topics:
+            document["t"] = self.topics
+        return orjson.dumps(document)
 
     @classmethod
     def from_bytes(cls, raw: bytes) -> "ExchangeMessage":
@@ -43,8 +92,22 @@
         document = orjson.loads(raw)
         if not isinstance(document, dict):
             raise ValueError("message: not an object")
-        sender = document.get("sender")
-        topics = document.get("topics")
-        if not isinstance(sender, dict) or not isinstance(topics, dict):
-            raise ValueError("message: sender and topics must be objects")
-        return cls(Announcement.from_json(sender), topics)
+        sender = document.get("s")
+        members = document.get("m", {})
+        topics = document.get("t", {})
+        if not isinstance(members, dict) or not isinstance(topics, dict):
+            raise ValueError("message: members and topics must be objects")
+        return cls(_sender(sender), MemberNews.from_json(members), topics)
+
+
+def _sender(row: Any) -> MemberRow | PulseRow:
+    if isinstance(row, list) and len(row) == len(PulseRow.__slots__):
+        return PulseRow.from_json(row)
+    return MemberRow.from_json(row)
+
+
+def _list(document: dict, key: str) -> list:
+    value = document.get(key, [])
+    if not isinstance(value, list):
+        raise ValueError(f"members: {key} is not an array")
+    return value
--- a/berylhaven/exchange/_peer_client.py
+++ b/berylhaven/exchange/_peer_client.py
@@ -1,9 +1,16 @@
 """Requests to peers over kept-alive connections."""
 
 import urllib3
+from urllib3.util import SKIP_HEADER
+
+from berylhaven.exchange._http_size import answer_bytes, request_bytes
+from berylhaven.exchange._traffic import PeerTraffic
 
 CONNECTIONS_PER_PEER = 2
-POOLS = 64
+# More peers than this cost a new connection now and then.
+POOLS = 256
+# Headers that peers do not need would be a good part of a small message.
+SKIPPED_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 
 
 class PeerUnreachable(Exception):
@@ -15,17 +22,20 @@
 
     Parameters
     ----------
+    traffic : PeerTraffic
+        Counts the bytes.
     timeout_s : float
         How long to wait for a peer.
     """
 
-    __slots__ = ("_pools", "_timeout_s")
+    __slots__ = ("_pools", "_timeout_s", "_traffic")
 
-    def __init__(self, timeout_s: float = 1.0) -> None:
+    def __init__(self, traffic: PeerTraffic, timeout_s: float = 1.0) -> None:
         self._pools = urllib3.PoolManager(
             num_pools=POOLS, maxsize=CONNECTIONS_PER_PEER, retries=False
         )
         self._timeout_s = timeout_s
+        self._traffic = traffic
 
     def request(
         self, method: str, peers_address: str, path: str, body: bytes | None = None
@@ -82,12 +92,28 @@
             If there is no 200 answer in time.
         """
         url = f"http://{peers_address}{path}"
+        self._count_request(method, peers_address, path, body)
         try:
             answer = self._pools.request(
-                method, url, body=body, timeout=self._timeout_s
+                method,
+                url,
+                body=body,
+                headers=SKIPPED_HEADERS,
+                timeout=self._timeout_s,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise PeerUnreachable(f"{peers_address}{path}: {error}") from error
+        status = f"{answer.status} {answer.reason}"
+        size_bytes = answer_bytes(status, answer.headers.items(), len(answer.data))
+        self._traffic.received(size_bytes)
         if answer.status != 200:
             raise PeerUnreachable(f"{peers_address}{path}: status {answer.status}")
         return answer
+
+    def _count_request(
+        self, method: str, peers_address: str, path: str, body: bytes | None
+    ) -> None:
+        headers = [("Host", peers_address)]
+        if body is not None:
+            headers.append(("Content-Length", str(len(body))))
+        self._traffic.sent(request_bytes(method, path, headers, len(body or b"")))
--- a/berylhaven/membership/__init__.py
+++ b/berylhaven/membership/__init__.py
@@ -3,18 +3,41 @@
 from berylhaven.membership._announcement import Announcement
 from berylhaven.membership._identity import Identity, new_identity
 from berylhaven.membership._local_instance import LocalInstance
-from berylhaven.membership._peer_table import (
-    MEMBERSHIP_SECTION,
+from berylhaven.membership._own_address_guard import OwnAddressGuard
+from berylhaven.membership._pause import PAUSE_SECTION, Pause
+from berylhaven.membership._pause_detector import PauseDetector
+from berylhaven.membership._peer import (
+    GONE_AFTER_S,
+    SILENCE_S,
+    SUSPECT_AFTER_S,
     Peer,
     PeerState,
+)
+from berylhaven.membership._peer_table import (
+    FORGET_AFTER_S,
+    MEMBERSHIP_SECTION,
+    NEWS_LIMIT_S,
+    PEER_LIMIT,
+    Merge,
     PeerTable,
 )
 
 __all__ = [
+    "FORGET_AFTER_S",
+    "GONE_AFTER_S",
     "MEMBERSHIP_SECTION",
+    "NEWS_LIMIT_S",
+    "PAUSE_SECTION",
+    "PEER_LIMIT",
+    "SILENCE_S",
+    "SUSPECT_AFTER_S",
     "Announcement",
     "Identity",
     "LocalInstance",
+    "Merge",
+    "OwnAddressGuard",
+    "Pause",
+    "PauseDetector",
     "Peer",
     "PeerState",
     "PeerTable",
--- a/berylhaven/membership/_announcement.py
+++ b/berylhaven/membership/_announcement.py
@@ -71,3 +71,9 @@
         """Tell whether this one supersedes another of the same instance."""
         mine = (self.incarnation, self.sequence)
         return mine > (other.incarnation, other.sequence)
+
+    def differs_from(self, other: "Announcement") -> bool:
+        """Tell whether others must hear of the difference soon."""
+        if self.nonce != other.nonce:
+            return True
+        return self.is_leaving != other.is_leaving
--- a/berylhaven/membership/_local_instance.py
+++ b/berylhaven/membership/_local_instance.py
@@ -1,6 +1,7 @@
 """What this entry instance says of itself."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from berylhaven.blackboard import Blackboard
 from berylhaven.catalogue import CATALOGUE_SECTION
@@ -63,6 +64,16 @@
         has_catalogue = self._blackboard.read(CATALOGUE_SECTION) is not None
         return has_catalogue and not self.is_leaving
 
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Take on a higher incarnation; the nonce, and so the calls' home, stays.
+
+        Parameters
+        ----------
+        incarnation : int
+            Above what peers know of an earlier run at this address.
+        """
+        self.identity = replace(self.identity, incarnation=incarnation)
+
     def next_announcement(self) -> Announcement:
         """Return a new announcement, which supersedes all before it."""
         self._sequence += 1
