--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,6 +6,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import monotonic_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
@@ -29,7 +30,7 @@
     PartLog,
 )
 from berylhaven.platform import ConfigurationService, InstanceListService
-from berylhaven.proxy import CallersApplication, CallHandler, serve
+from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
 LOG = PartLog("entry")
@@ -104,16 +105,7 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        proxy = self._settings.proxy
-        # Callers keep idle connections, so more are open than calls in flight.
-        connection_limit = 4 * proxy.concurrency_limit
-        return serve(
-            self._settings.instance.host,
-            self._settings.instance.callers_port,
-            application,
-            connection_limit,
-            proxy.sender_timeout_s,
-        )
+        return serve_callers(self._settings, application)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
@@ -146,7 +138,8 @@
 def _build_context(settings: Settings) -> ControllerContext:
     blackboard = Blackboard()
     load_table = LoadTable()
-    gate = AdmissionGate(settings.proxy)
+    random = Random()
+    gate = AdmissionGate(settings.proxy, random, monotonic_s())
     peer_traffic = PeerTraffic()
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
@@ -165,5 +158,5 @@
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
         metrics=MetricsRegistry(),
-        random=Random(),
+        random=random,
     )
