--- a/berylhaven/controllers/tests/test_exchange_controller.py
+++ b/berylhaven/controllers/tests/test_exchange_controller.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from absl import logging
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -36,6 +37,7 @@
     """What nodes come to know of one another."""
 
     def setUp(self):
+        logging.set_verbosity(logging.ERROR)
         self.clock = ManualClock()
         self.clock.__enter__()
         self.addCleanup(self.clock.__exit__, None, None, None)
