Take the ports of fleets from below the kernel's own range

Cause: a measurement of 730 backend servers read another program's answer: a port found free had been given to an outgoing connection before its server listened. Change: ports from 26000 to 32000 in random order. Conclusion: fleets of several people can run side by side.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import os
+import random
 import shutil
 import socket
 import subprocess
@@ -18,6 +19,8 @@
 import urllib3
 
 HOST = "127.0.0.1"
+FIRST_PORT = 26_000
+LAST_PORT = 32_000
 START_PATIENCE_S = 60.0
 STOP_PATIENCE_S = 10.0
 POLL_S = 0.1
@@ -252,6 +255,9 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
 
+    They are below the range from which the kernel takes the ports of outgoing
+    connections, so that none of those comes in between.
+
     Parameters
     ----------
     count : int
@@ -262,13 +268,16 @@
     list of int
         Ports on the loopback address.
     """
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            ports.append(listener.getsockname()[1])
-        return ports
+    candidates = list(range(FIRST_PORT, LAST_PORT + 1))
+    random.shuffle(candidates)
+    ports = []
+    for port in candidates:
+        with contextlib.suppress(OSError), socket.socket() as listener:
+            listener.bind((HOST, port))
+            ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
 
 
 def _server_rows(shape: FleetShape, ports: list[int]) -> list[dict]:
