Run a call at most once, by call ids with a home

Cause: a call id was echoed and nothing more; a repeat ran the call again, and a request was sent once with no retry. Change: a registry, pure and without a clock, in which the run that a call id names remembers its calls for the ids' lifetime, joins repeats, keeps small answers and refuses new ids when its memory is full. Other instances pass the call on once, or answer unknown. A call proved not run reopens after the Retry-After that its caller was told, and never for a request that came in before. The handler is split into chooser, sender, retries, home forwarder and once runner; retries draw on a budget. Shown to fail: with the check of received times, of the nonce, of the outcome, of the age or of the closed second taken out, test_call_registry or test_at_most_once is red.

--- a/berylhaven/calls/__init__.py
+++ b/berylhaven/calls/__init__.py
@@ -7,13 +7,46 @@
     EndJudgement,
 )
 from berylhaven.calls._call_id import CallId, call_id_prefix, read_call_id
+from berylhaven.calls._call_record import (
+    CallRecord,
+    CallState,
+    KeptAnswer,
+    KeptRefusal,
+)
+from berylhaven.calls._call_registry import (
+    REOPENS_AFTER_S,
+    CallRegistry,
+    Opening,
+)
+from berylhaven.calls._outcomes import joint_outcome
+from berylhaven.calls._retry_budget import RESERVE_RETRIES, RetryBudget
+from berylhaven.calls._retry_decision import (
+    ATTEMPTS_LIMIT,
+    FailedAttempt,
+    backoff_s,
+    is_safe_to_retry,
+)
 
 __all__ = [
+    "ATTEMPTS_LIMIT",
     "JUDGEMENTS",
+    "REOPENS_AFTER_S",
+    "RESERVE_RETRIES",
     "AttemptEnd",
     "AttemptFailed",
     "CallId",
+    "CallRecord",
+    "CallRegistry",
+    "CallState",
     "EndJudgement",
+    "FailedAttempt",
+    "KeptAnswer",
+    "KeptRefusal",
+    "Opening",
+    "RetryBudget",
+    "backoff_s",
     "call_id_prefix",
+    "is_safe_to_retry",
+    "joint_outcome",
     "read_call_id",
 ]
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -56,6 +56,8 @@
             self._context.load_table,
             DecisionLog(settings.log),
             CallMetrics(self._context.metrics),
+            self._context.local_instance,
+            self._context.blackboard,
         )
         self._threads: list[eventlet.greenthread.GreenThread] = []
 
--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
+from berylhaven.backend import CALL_ID_HEADER as CALL_ID_ANSWER_HEADER
 from berylhaven.blackboard import Blackboard
-from berylhaven.calls import call_id_prefix, read_call_id
+from berylhaven.calls import CallId, read_call_id
 from berylhaven.catalogue import CATALOGUE_SECTION, CatalogueInForce, ServiceEntry
 from berylhaven.clock import monotonic_s
 from berylhaven.membership import MEMBERSHIP_SECTION, Announcement, PeerState
@@ -13,8 +14,10 @@
 from berylhaven.proxy._call_handler import CallHandler
 from berylhaven.proxy._call_request import (
     CALL_ID_HEADER,
+    FORWARDED_BY_KEY,
     CallRequest,
     read_deadline_s,
+    read_received_at_s,
 )
 from berylhaven.proxy._hop_headers import end_to_end
 from berylhaven.proxy._locate import locate_document
@@ -106,18 +109,34 @@
         )
 
     def _call(self, environ: dict, rest: str) -> CallAnswer:
+        call_id = self._call_id(environ)
+        try:
+            answer = self._identified_call(environ, rest, call_id)
+        except CallRefused as refusal:
+            answer = refusal_answer(refusal)
+        answer.headers.append((CALL_ID_ANSWER_HEADER, str(call_id)))
+        return answer
+
+    def _identified_call(self, environ: dict, rest: str, call_id: CallId) -> CallAnswer:
         name, _, path = rest.partition("/")
-        in_force = self._in_force()
-        service = self._service(in_force, name)
-        request = self._request(environ, service, "/" + path)
+        try:
+            in_force = self._in_force()
+            service = self._service(in_force, name)
+            request = self._request(environ, service, "/" + path, call_id)
+        except CallRefused as refusal:
+            self._handler.make_truthful(refusal, call_id)
+            raise
         return self._handler.handle(in_force.catalogue, request)
 
-    def _request(self, environ: dict, service: ServiceEntry, path: str) -> CallRequest:
+    def _request(
+        self, environ: dict, service: ServiceEntry, path: str, call_id: CallId
+    ) -> CallRequest:
         query = environ.get("QUERY_STRING")
         body = environ["wsgi.input"]
         length = None if body.chunked_input else body.content_length or 0
         if length is not None and length > service.body_limit_bytes:
             raise BodyTooLarge(f"allowed is {service.body_limit_bytes} bytes")
+        now_s = monotonic_s()
         return CallRequest(
             service=service,
             method=environ["REQUEST_METHOD"],
@@ -125,14 +144,17 @@
             headers=end_to_end(environ["headers_raw"]),
             read_body=body.read,
             content_length=length,
-            deadline_s=read_deadline_s(environ, service, monotonic_s()),
-            call_id=self._call_id(environ),
+            deadline_s=read_deadline_s(environ, service, now_s),
+            call_id=str(call_id),
+            call_id_parts=call_id,
+            received_at_s=read_received_at_s(environ, now_s),
+            is_forwarded=FORWARDED_BY_KEY in environ,
         )
 
-    def _call_id(self, environ: dict) -> str:
+    def _call_id(self, environ: dict) -> CallId:
         text = environ.get(CALL_ID_HEADER)
         if text is not None:
-            return str(read_call_id(text))
+            return read_call_id(text)
         announcement = self._announce()
-        prefix = call_id_prefix(announcement.nonce, announcement.uptime_s)
-        return prefix + secrets.token_hex(OWN_PART_BYTES)
+        own_part = secrets.token_hex(OWN_PART_BYTES)
+        return CallId(announcement.nonce, announcement.uptime_s, own_part)
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -1,39 +1,36 @@
-"""Passing one call to a backend server."""
+"""One call from its admission to its answer."""
 
 import random
 
-from urllib3.connection import HTTPConnection
-
-from berylhaven.admission import AdmissionGate, AdmissionTicket
-from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.admission import AdmissionGate
+from berylhaven.backend import LOAD_HEADER
+from berylhaven.blackboard import Blackboard
+from berylhaven.calls import CallId, CallRegistry
 from berylhaven.catalogue import Catalogue
 from berylhaven.clock import monotonic_s
-from berylhaven.load import LoadTable, ServerLoad
-from berylhaven.operations import CallMetrics, DecisionLog, PlacementDecision
-from berylhaven.proxy._attempt import UpstreamAnswer, send_attempt
+from berylhaven.load import LoadTable
+from berylhaven.membership import LocalInstance
+from berylhaven.operations import CallMetrics, DecisionLog
+from berylhaven.proxy._attempt import UpstreamAnswer
+from berylhaven.proxy._attempt_sender import AttemptSender
 from berylhaven.proxy._call_answer import CallAnswer, outcome_headers
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._connection_pool import ConnectionPool
+from berylhaven.proxy._home_forwarder import HomeForwarder
 from berylhaven.proxy._hop_headers import end_to_end
+from berylhaven.proxy._once_runner import OnceRunner
 from berylhaven.proxy._relay import relay_body
-from berylhaven.results import (
-    Answered,
-    CallRefused,
-    NoBackendServer,
-    NoBackendServerInTime,
-    Outcome,
-)
-from berylhaven.routing import RoutingDecision, RoutingRequest, choose
+from berylhaven.proxy._retrying_sender import RetryingSender
+from berylhaven.proxy._server_chooser import ServerChooser
+from berylhaven.results import Answered, CallRefused, Outcome
 from berylhaven.settings import Settings
 
-RETRY_AFTER_S = 1.0
 # The load header concerns this program; callers get the rest.
 DROPPED_ANSWER_HEADERS = frozenset({LOAD_HEADER})
 
 
 class CallHandler:
-    """Admits a call, chooses a backend server and relays the answer.
+    """Admits a call, has it sent and relays the answer.
 
     Parameters
     ----------
@@ -47,16 +44,21 @@
         Gets a line for each decision.
     metrics : CallMetrics
         Counts the calls' ends.
+    local_instance : LocalInstance
+        This run, the home of the call ids that it issues.
+    blackboard : Blackboard
+        With the peers, the homes of other call ids.
     """
 
     __slots__ = (
         "_settings",
         "_gate",
-        "_load_table",
-        "_decision_log",
         "_metrics",
-        "_pool",
-        "_random",
+        "_local_instance",
+        "_registry",
+        "_once_runner",
+        "_forwarder",
+        "_sender",
     )
 
     def __init__(
@@ -66,17 +68,30 @@
         load_table: LoadTable,
         decision_log: DecisionLog,
         metrics: CallMetrics,
+        local_instance: LocalInstance,
+        blackboard: Blackboard,
     ) -> None:
         self._settings = settings
         self._gate = gate
-        self._load_table = load_table
-        self._decision_log = decision_log
         self._metrics = metrics
-        self._pool = ConnectionPool()
-        self._random = random.Random()
+        self._local_instance = local_instance
+        chunk_bytes = settings.proxy.chunk_bytes
+        nonce = local_instance.identity.nonce
+        self._registry = CallRegistry(settings.calls, nonce)
+        self._once_runner = OnceRunner(settings.calls, self._registry, local_instance)
+        self._forwarder = HomeForwarder(blackboard, nonce, chunk_bytes)
+        source = random.Random()
+        self._sender = RetryingSender(
+            ServerChooser(
+                settings.instance.data_centre, load_table, decision_log, source
+            ),
+            AttemptSender(ConnectionPool(), chunk_bytes),
+            source,
+            settings.calls.held_body_limit_bytes,
+        )
 
     def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
-        """Run one call.
+        """Answer one call.
 
         Parameters
         ----------
@@ -88,7 +103,7 @@
         Returns
         -------
         CallAnswer
-            The backend server's answer, its body streamed.
+            The backend server's answer, its body streamed, or one that was kept.
 
         Raises
         ------
@@ -96,94 +111,62 @@
             If the call ends without a backend server's answer.
         """
         started_at_s = monotonic_s()
-        ticket = self._gate.admit(catalogue, request.service, started_at_s)
         try:
-            answer = self._try_once(request, ticket)
+            answer = self._handle(catalogue, request)
         except CallRefused as refusal:
-            ticket.release()
             self._metrics.call_ended(request.service.name, refusal.code, started_at_s)
             raise
         self._metrics.call_ended(request.service.name, Answered.code, started_at_s)
         return answer
 
-    def _try_once(self, request: CallRequest, ticket: AdmissionTicket) -> CallAnswer:
-        server = self._choose(request)
-        connection = self._pool.acquire(server.address)
+    def make_truthful(self, refusal: CallRefused, call_id: CallId) -> None:
+        """Take `not-run` from a refusal if an earlier request may have run the call.
+
+        Parameters
+        ----------
+        refusal : CallRefused
+            A refusal of a request before its call id was looked up.
+        call_id : CallId
+            The id that the caller sent.
+        """
+        uptime_s = self._local_instance.uptime_s
+        if self._registry.is_known_unrun(call_id, uptime_s):
+            return
+        if refusal.outcome is Outcome.NOT_RUN:
+            refusal.outcome = Outcome.UNKNOWN
+
+    def _handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
+        if request.is_idempotent:
+            return self._run(catalogue, request)
+        if request.home_nonce != self._local_instance.identity.nonce:
+            return self._forwarder.forward(request)
+        return self._once_runner.run(request, lambda: self._run(catalogue, request))
+
+    def _run(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
+        ticket = self._gate.admit(catalogue, request.service, monotonic_s())
+        try:
+            opened = self._sender.send(request)
+        except BaseException:
+            ticket.release()
+            raise
 
         def end_call(is_reusable: bool) -> None:
             """Give back what the call held."""
             ticket.release()
-            self._pool.put_back(server.address, connection, is_reusable)
+            opened.end(is_reusable)
 
-        try:
-            upstream = self._attempt(server, connection, request)
-        except AttemptFailed as failure:
-            self._pool.put_back(server.address, connection, is_reusable=False)
-            judgement = failure.judgement
-            raise judgement.refusal(
-                failure.message, RETRY_AFTER_S, judgement.outcome
-            ) from failure
+        upstream = opened.upstream
         return CallAnswer(
             f"{upstream.status} {upstream.reason}",
-            self._answer_headers(upstream),
+            _answer_headers(upstream),
             relay_body(upstream, self._settings.proxy.chunk_bytes, end_call),
         )
 
-    def _attempt(
-        self, server: ServerLoad, connection: HTTPConnection, request: CallRequest
-    ) -> UpstreamAnswer:
-        server.call_started()
-        sent_at_s = monotonic_s()
-        try:
-            upstream = send_attempt(
-                connection, request, self._settings.proxy.chunk_bytes
-            )
-        except AttemptFailed:
-            server.call_failed(monotonic_s())
-            raise
-        now_s = monotonic_s()
-        headers = upstream.response.headers
-        report = read_load_header(headers.get(LOAD_HEADER), now_s)
-        server.call_answered(now_s - sent_at_s, report)
-        if is_shed(upstream.status, headers):
-            raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
-        return upstream
-
-    def _choose(self, request: CallRequest) -> ServerLoad:
-        now_s = monotonic_s()
-        routing_request = RoutingRequest(
-            now_s=now_s,
-            deadline_s=request.deadline_s,
-            data_centre=self._settings.instance.data_centre,
-            random=self._random,
-        )
-        candidates = self._load_table.candidates(request.service.name)
-        decision = choose(request.service.routing_policy, routing_request, candidates)
-        self._log_decision(request, decision)
-        if decision.server is not None:
-            return decision.server
-        if not candidates:
-            message = f"service {request.service.name} has no backend server"
-            raise NoBackendServer(message, RETRY_AFTER_S)
-        raise NoBackendServerInTime("all backend servers are too busy", RETRY_AFTER_S)
-
-    def _log_decision(self, request: CallRequest, decision: RoutingDecision) -> None:
-        self._decision_log.write(
-            PlacementDecision(
-                call_id=request.call_id,
-                service=request.service.name,
-                policy=request.service.routing_policy,
-                chosen=decision.server.address if decision.server else None,
-                candidate_count=decision.candidate_count,
-                news_age_s=decision.news_age_s,
-                estimated_finish_s=decision.estimated_finish_s,
-            )
-        )
 
-    def _answer_headers(self, upstream: UpstreamAnswer) -> list[tuple[str, str]]:
-        kept = [
-            (name, value)
-            for name, value in end_to_end(upstream.headers)
-            if name.lower() not in DROPPED_ANSWER_HEADERS
-        ]
-        return kept + outcome_headers(Answered.code, Outcome.RUN)
+def _answer_headers(upstream: UpstreamAnswer) -> list[tuple[str, str]]:
+    kept = [
+        (name, value)
+        for name, value in end_to_end(upstream.headers)
+        if name.lower() not in DROPPED_ANSWER_HEADERS
+    ]
+    return kept + outcome_headers(Answered.code, Outcome.RUN)
--- a/berylhaven/proxy/_call_request.py
+++ b/berylhaven/proxy/_call_request.py
@@ -3,11 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from berylhaven.calls import CallId
 from berylhaven.catalogue import ServiceEntry
 from berylhaven.results import BadFraming
 
 CALL_ID_HEADER = "HTTP_BERYLHAVEN_CALL_ID"
 TIMEOUT_HEADER = "HTTP_BERYLHAVEN_TIMEOUT_MS"
+# Set by the entry instance that passed a call on to its home: its nonce, and how long
+# before that it had received the call.
+FORWARDED_BY_HEADER = "Berylhaven-Forwarded-By"
+RECEIVED_AGO_HEADER = "Berylhaven-Received-Ms-Ago"
+FORWARDED_BY_KEY = "HTTP_BERYLHAVEN_FORWARDED_BY"
+RECEIVED_AGO_KEY = "HTTP_BERYLHAVEN_RECEIVED_MS_AGO"
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -31,12 +38,29 @@
     deadline_s: float
     # The id by which the call is known.
     call_id: str
+    # The same id in its parts.
+    call_id_parts: CallId
+    # When an entry instance first received the request, on the hub's clock.
+    received_at_s: float
+    # Whether another entry instance passed the request on to this one.
+    is_forwarded: bool = False
 
     @property
     def has_body(self) -> bool:
         """Whether a body follows the request's head."""
         return self.content_length is None or self.content_length > 0
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the catalogue says that the call may safely run more than once."""
+        path = self.target.partition("?")[0]
+        return self.service.is_idempotent(self.method, path)
+
+    @property
+    def home_nonce(self) -> str:
+        """The nonce of the only run that may start the call, if not idempotent."""
+        return self.call_id_parts.home_nonce
+
 
 def read_deadline_s(environ: dict, service: ServiceEntry, now_s: float) -> float:
     """Return when a call's answer is due, on the hub's clock.
@@ -67,3 +91,24 @@
             raise BadFraming("Berylhaven-Timeout-Ms is not a whole number above zero")
         timeout_ms = min(timeout_ms, int(text))
     return now_s + timeout_ms / MILLISECONDS_PER_SECOND
+
+
+def read_received_at_s(environ: dict, now_s: float) -> float:
+    """Return when an entry instance first received a request, on the hub's clock.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    now_s : float
+        When this entry instance received it.
+
+    Returns
+    -------
+    float
+        Earlier than now if another entry instance passed the request on.
+    """
+    text = environ.get(RECEIVED_AGO_KEY, "")
+    if not text.isascii() or not text.isdigit() or len(text) > 12:
+        return now_s
+    return now_s - int(text) / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/berylhaven/proxy/_home_forwarder.py
@@ -0,0 +1,124 @@
+"""Passing a call on to the home of its call id."""
+
+import dataclasses
+
+from urllib3.connection import HTTPConnection
+
+from berylhaven.blackboard import Blackboard
+from berylhaven.calls import AttemptFailed
+from berylhaven.clock import monotonic_s
+from berylhaven.membership import MEMBERSHIP_SECTION
+from berylhaven.proxy._attempt import UpstreamAnswer, send_attempt
+from berylhaven.proxy._call_answer import OUTCOME_HEADER, RESULT_HEADER, CallAnswer
+from berylhaven.proxy._call_request import (
+    FORWARDED_BY_HEADER,
+    RECEIVED_AGO_HEADER,
+    CallRequest,
+)
+from berylhaven.proxy._hop_headers import end_to_end
+from berylhaven.proxy._relay import relay_body
+from berylhaven.results import HomeUnknown, HomeUnreachable
+
+RETRY_AFTER_S = 1.0
+SERVICES_PREFIX = "/v1/services/"
+# What the home says of the call goes to the caller as it is.
+RELAYED_OWN_HEADERS = (OUTCOME_HEADER, RESULT_HEADER, "Retry-After")
+
+
+class HomeForwarder:
+    """Passes calls to the entry instances that may run them.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+        With the peers.
+    own_nonce : str
+        The nonce of this run.
+    chunk_bytes : int
+        How much of a body is held at once.
+    """
+
+    __slots__ = ("_blackboard", "_own_nonce", "_chunk_bytes")
+
+    def __init__(
+        self, blackboard: Blackboard, own_nonce: str, chunk_bytes: int
+    ) -> None:
+        self._blackboard = blackboard
+        self._own_nonce = own_nonce
+        self._chunk_bytes = chunk_bytes
+
+    def forward(self, request: CallRequest) -> CallAnswer:
+        """Pass a call on and return the home's answer.
+
+        Every refusal from here has the outcome `unknown`: an earlier request with
+        the same id may have reached the home by another way.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call, whose id names another run as its home.
+
+        Returns
+        -------
+        CallAnswer
+            The home's answer, its body streamed.
+
+        Raises
+        ------
+        CallRefused
+            If the home is not known or does not answer.
+        """
+        if request.is_forwarded:
+            raise HomeUnknown("the call was passed on to a run that is not its home")
+        connection = self._connection(request.home_nonce)
+        try:
+            upstream = send_attempt(
+                connection, self._forwarded(request), self._chunk_bytes
+            )
+        except AttemptFailed as failure:
+            connection.close()
+            message = f"the home of the call id did not answer: {failure.message}"
+            raise HomeUnreachable(message, RETRY_AFTER_S) from failure
+        except BaseException:
+            connection.close()
+            raise
+        if OUTCOME_HEADER not in upstream.response.headers:
+            connection.close()
+            raise HomeUnreachable("something else answered at the home's address")
+        return CallAnswer(
+            f"{upstream.status} {upstream.reason}",
+            _relayed_headers(upstream),
+            relay_body(upstream, self._chunk_bytes, lambda _: connection.close()),
+        )
+
+    def _connection(self, home_nonce: str) -> HTTPConnection:
+        table = self._blackboard.value(MEMBERSHIP_SECTION)
+        for peer in table.peers():
+            if peer.announcement.nonce == home_nonce:
+                host, _, port = peer.announcement.callers_address.rpartition(":")
+                # A new connection for each call: a kept one may have gone silent.
+                return HTTPConnection(host, int(port))
+        message = "no entry instance is known that issued the call id"
+        raise HomeUnknown(message, RETRY_AFTER_S)
+
+    def _forwarded(self, request: CallRequest) -> CallRequest:
+        ago_ms = int((monotonic_s() - request.received_at_s) * 1000)
+        added = [
+            (FORWARDED_BY_HEADER, self._own_nonce),
+            (RECEIVED_AGO_HEADER, str(ago_ms)),
+        ]
+        return dataclasses.replace(
+            request,
+            target=f"{SERVICES_PREFIX}{request.service.name}{request.target}",
+            headers=request.headers + added,
+        )
+
+
+def _relayed_headers(upstream: UpstreamAnswer) -> list[tuple[str, str]]:
+    kept = end_to_end(upstream.headers)
+    names = {name.lower() for name, _ in kept}
+    for name in RELAYED_OWN_HEADERS:
+        value = upstream.response.headers.get(name)
+        if value is not None and name.lower() not in names:
+            kept.append((name, value))
+    return kept
--- /dev/null
+++ b/berylhaven/proxy/_kept_body.py
@@ -0,0 +1,61 @@
+"""Keeping a small answer while it is relayed."""
+
+from collections.abc import Callable, Iterator
+
+
+class KeptBody:
+    """Passes the pieces of a body on and keeps them while they are few.
+
+    Parameters
+    ----------
+    pieces : iterator of bytes
+        The body; it has a ``close`` method.
+    limit_bytes : int
+        A longer body is not kept.
+    on_known : callable
+        Told once: with the whole body, or with None as soon as it is known that it
+        is not kept.
+    """
+
+    __slots__ = ("_pieces", "_limit_bytes", "_on_known", "_kept")
+
+    def __init__(
+        self,
+        pieces: Iterator[bytes],
+        limit_bytes: int,
+        on_known: Callable[[bytes | None], None],
+    ) -> None:
+        self._pieces = pieces
+        self._limit_bytes = limit_bytes
+        self._on_known = on_known
+        self._kept: bytearray | None = bytearray()
+
+    def __iter__(self) -> "KeptBody":
+        """Return itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next piece."""
+        try:
+            piece = next(self._pieces)
+        except StopIteration:
+            self._tell(bytes(self._kept) if self._kept is not None else None)
+            raise
+        except BaseException:
+            self._tell(None)
+            raise
+        if self._kept is not None:
+            self._kept += piece
+            if len(self._kept) > self._limit_bytes:
+                self._tell(None)
+        return piece
+
+    def close(self) -> None:
+        """End early, if the body has not ended."""
+        self._pieces.close()
+        self._tell(None)
+
+    def _tell(self, body: bytes | None) -> None:
+        if self._kept is not None:
+            self._kept = None
+            self._on_known(body)
--- /dev/null
+++ b/berylhaven/proxy/_once_runner.py
@@ -0,0 +1,190 @@
+"""Running a call at most once, by the home's memory of its call id."""
+
+from collections.abc import Callable
+from hashlib import blake2b
+
+import eventlet
+import eventlet.event
+
+from berylhaven.calls import (
+    REOPENS_AFTER_S,
+    CallRecord,
+    CallRegistry,
+    CallState,
+    KeptAnswer,
+    Opening,
+)
+from berylhaven.clock import monotonic_s
+from berylhaven.membership import LocalInstance
+from berylhaven.proxy._call_answer import CallAnswer
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._kept_body import KeptBody
+from berylhaven.results import (
+    AnswerGone,
+    CallRefused,
+    DeadlineExceeded,
+    Outcome,
+    StillRunning,
+    UpstreamBroken,
+)
+from berylhaven.settings import CallsSettings
+
+FINGERPRINT_BYTES = 8
+RETRY_AFTER_S = 1.0
+
+
+class OnceRunner:
+    """Starts a call, joins it, or answers from what is remembered of it.
+
+    Parameters
+    ----------
+    settings : CallsSettings
+        With the bounds of what is kept.
+    registry : CallRegistry
+        The memory of this run's call ids.
+    local_instance : LocalInstance
+        With the uptime, on which call ids are dated.
+    """
+
+    __slots__ = ("_settings", "_registry", "_local_instance")
+
+    def __init__(
+        self,
+        settings: CallsSettings,
+        registry: CallRegistry,
+        local_instance: LocalInstance,
+    ) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._local_instance = local_instance
+
+    def run(self, request: CallRequest, start: Callable[[], CallAnswer]) -> CallAnswer:
+        """Answer a request whose home is this run.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        start : callable
+            Runs the call; it is called at most once for each call id, unless it
+            ended with the proof that no backend server started the call.
+
+        Returns
+        -------
+        CallAnswer
+            The answer, or the one kept from an earlier request.
+
+        Raises
+        ------
+        CallRefused
+            If there is no answer.
+        """
+        uptime_s = self._local_instance.uptime_s
+        received_at_uptime_s = uptime_s - (monotonic_s() - request.received_at_s)
+        opening, record = self._registry.open(
+            request.call_id_parts, fingerprint(request), uptime_s, received_at_uptime_s
+        )
+        if opening is Opening.START:
+            return self._start(request, record, start)
+        if opening is Opening.JOIN:
+            self._join(request, record)
+        return _ended_answer(record)
+
+    def _start(
+        self, request: CallRequest, record: CallRecord, start: Callable
+    ) -> CallAnswer:
+        try:
+            answer = start()
+            return self._keep(request, record, answer)
+        except CallRefused as refusal:
+            self._end(record, refusal)
+            raise
+        except BaseException:
+            self._end(record, UpstreamBroken("the call was given up"))
+            raise
+
+    def _end(self, record: CallRecord, refusal: CallRefused) -> None:
+        if record.state is CallState.RUNNING:
+            self._registry.refused(record, refusal, self._local_instance.uptime_s)
+
+    def _keep(
+        self, request: CallRequest, record: CallRecord, answer: CallAnswer
+    ) -> CallAnswer:
+        """Read a small answer whole, so that it is kept even if the caller left."""
+        limit_bytes = self._settings.kept_answer_limit_bytes
+        length = _content_length(answer)
+        if length is not None and length <= limit_bytes:
+            body = _read_whole(answer, request.deadline_s)
+            self._registry.answered(record, _kept(answer, body))
+            return CallAnswer(answer.status, answer.headers, [body])
+        if length is not None:
+            self._registry.answered(record, None)
+            return answer
+
+        def end_record(body: bytes | None) -> None:
+            """Keep the whole body, if there is one."""
+            kept = None if body is None else _kept(answer, body)
+            self._registry.answered(record, kept)
+
+        kept_body = KeptBody(answer.body, limit_bytes, end_record)
+        return CallAnswer(answer.status, answer.headers, kept_body)
+
+    def _join(self, request: CallRequest, record: CallRecord) -> None:
+        ended = eventlet.event.Event()
+        record.wait_for_end(ended.send)
+        ended.wait(timeout=max(0.0, request.deadline_s - monotonic_s()))
+        if record.state is CallState.RUNNING:
+            raise StillRunning("the call is still in flight", RETRY_AFTER_S)
+
+
+def fingerprint(request: CallRequest) -> bytes:
+    """Return a digest of what a request asks for.
+
+    Parameters
+    ----------
+    request : CallRequest
+        The call.
+
+    Returns
+    -------
+    bytes
+        The same for a repeat; other for another service, method, target or length.
+    """
+    parts = (
+        request.service.name,
+        request.method,
+        request.target,
+        str(request.content_length),
+    )
+    text = "\n".join(parts).encode("utf-8", "surrogateescape")
+    return blake2b(text, digest_size=FINGERPRINT_BYTES).digest()
+
+
+def _content_length(answer: CallAnswer) -> int | None:
+    for name, value in answer.headers:
+        if name.lower() == "content-length" and value.isdigit():
+            return int(value)
+    return None
+
+
+def _read_whole(answer: CallAnswer, deadline_s: float) -> bytes:
+    late = DeadlineExceeded("the answer was not whole in time", RETRY_AFTER_S)
+    try:
+        with eventlet.Timeout(max(0.0, deadline_s - monotonic_s()), late):
+            return b"".join(answer.body)
+    finally:
+        answer.body.close()
+
+
+def _kept(answer: CallAnswer, body: bytes) -> KeptAnswer:
+    return KeptAnswer(answer.status, list(answer.headers), body)
+
+
+def _ended_answer(record: CallRecord) -> CallAnswer:
+    if record.refusal is not None:
+        may_return = record.refusal.outcome is Outcome.NOT_RUN
+        raise record.refusal.to_exception(REOPENS_AFTER_S if may_return else None)
+    kept = record.answer
+    if kept is None:
+        raise AnswerGone("the call ran, and its answer is not kept")
+    return CallAnswer(kept.status, list(kept.headers), [kept.body])
--- /dev/null
+++ b/berylhaven/proxy/_server_chooser.py
@@ -0,0 +1,94 @@
+"""Asking the routing policy for a backend server, with a line for each decision."""
+
+from random import Random
+
+from berylhaven.clock import monotonic_s
+from berylhaven.load import LoadTable, ServerLoad
+from berylhaven.operations import DecisionLog, PlacementDecision
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.results import NoBackendServer, NoBackendServerInTime
+from berylhaven.routing import RoutingDecision, RoutingRequest, choose
+
+RETRY_AFTER_S = 1.0
+
+
+class ServerChooser:
+    """Chooses backend servers for calls.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where this entry instance stands.
+    load_table : LoadTable
+        The load records.
+    decision_log : DecisionLog
+        Gets a line for each decision.
+    random : Random
+        The source of random numbers.
+    """
+
+    __slots__ = ("_data_centre", "_load_table", "_decision_log", "_random")
+
+    def __init__(
+        self,
+        data_centre: str,
+        load_table: LoadTable,
+        decision_log: DecisionLog,
+        random: Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._load_table = load_table
+        self._decision_log = decision_log
+        self._random = random
+
+    def choose(self, request: CallRequest, excluded: frozenset[str]) -> ServerLoad:
+        """Choose a backend server for one attempt.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Addresses at which an attempt failed; they are used if no other is left.
+
+        Returns
+        -------
+        ServerLoad
+            The record of the chosen server.
+
+        Raises
+        ------
+        CallRefused
+            If there is none, or none that can answer in time.
+        """
+        candidates = self._load_table.candidates(request.service.name)
+        if all(server.address in excluded for server in candidates):
+            excluded = frozenset()
+        routing_request = RoutingRequest(
+            now_s=monotonic_s(),
+            deadline_s=request.deadline_s,
+            data_centre=self._data_centre,
+            random=self._random,
+            excluded=excluded,
+        )
+        decision = choose(request.service.routing_policy, routing_request, candidates)
+        self._log(request, decision)
+        if decision.server is not None:
+            return decision.server
+        if not candidates:
+            message = f"service {request.service.name} has no backend server"
+            raise NoBackendServer(message, RETRY_AFTER_S)
+        raise NoBackendServerInTime("all backend servers are too busy", RETRY_AFTER_S)
+
+    def _log(self, request: CallRequest, decision: RoutingDecision) -> None:
+        self._decision_log.write(
+            PlacementDecision(
+                call_id=request.call_id,
+                service=request.service.name,
+                policy=request.service.routing_policy,
+                chosen=decision.server.address if decision.server else None,
+                candidate_count=decision.candidate_count,
+                news_age_s=decision.news_age_s,
+                estimated_finish_s=decision.estimated_finish_s,
+            )
+        )
--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -1,5 +1,15 @@
 """Numbered result codes: the typed errors that bear them, and their registry."""
 
+from berylhaven.results._call_id_results import (
+    AnswerGone,
+    CallIdExpired,
+    CallIdNotIssued,
+    CallIdReused,
+    CallMemoryFull,
+    HomeUnknown,
+    HomeUnreachable,
+    StillRunning,
+)
 from berylhaven.results._call_results import (
     Answered,
     BackendServerShed,
@@ -40,17 +50,24 @@
 )
 
 __all__ = [
+    "AnswerGone",
     "Answered",
     "BackendServerShed",
     "BadCallId",
     "BadFraming",
     "BadValue",
     "BodyTooLarge",
+    "CallIdExpired",
+    "CallIdNotIssued",
+    "CallIdReused",
+    "CallMemoryFull",
     "CallRefused",
     "CheckProblem",
     "DeadlineExceeded",
     "DuplicateKey",
     "DuplicateSection",
+    "HomeUnknown",
+    "HomeUnreachable",
     "MissingKey",
     "MissingSection",
     "NoBackendServer",
@@ -62,6 +79,7 @@
     "OverLimit",
     "ResultCode",
     "SharesTooLarge",
+    "StillRunning",
     "TooLarge",
     "UnknownKey",
     "UnknownOwner",
--- a/berylhaven/settings/__init__.py
+++ b/berylhaven/settings/__init__.py
@@ -1,6 +1,7 @@
 """The settings of one process: an INI file, checked whole before start."""
 
 from berylhaven.settings._model import (
+    CallsSettings,
     InstanceSettings,
     LogSettings,
     PlatformSettings,
@@ -10,6 +11,7 @@
 from berylhaven.settings._read import SettingsRefused, load_settings, read_settings
 
 __all__ = [
+    "CallsSettings",
     "InstanceSettings",
     "LogSettings",
     "PlatformSettings",
--- a/berylhaven/settings/_fields.py
+++ b/berylhaven/settings/_fields.py
@@ -46,7 +46,38 @@
     ),
     Field("sender_timeout_s", "number", default=15.0, minimum=0.1, maximum=600),
     Field("locate_time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),
+)
+
+CALLS_FIELDS = (
     Field("call_id_lifetime_s", "number", default=60.0, minimum=1, maximum=3_600),
+    Field(
+        "remembered_calls_limit",
+        "integer",
+        default=150_000,
+        minimum=1,
+        maximum=100_000_000,
+    ),
+    Field(
+        "kept_answer_limit_bytes",
+        "integer",
+        default=4_096,
+        minimum=0,
+        maximum=MEGABYTE_BYTES,
+    ),
+    Field(
+        "kept_answers_limit_bytes",
+        "integer",
+        default=16 * MEGABYTE_BYTES,
+        minimum=0,
+        maximum=1_000 * MEGABYTE_BYTES,
+    ),
+    Field(
+        "held_body_limit_bytes",
+        "integer",
+        default=65_536,
+        minimum=0,
+        maximum=16 * MEGABYTE_BYTES,
+    ),
 )
 
 SECTION_FIELDS = {
@@ -54,7 +85,8 @@
     "platform": PLATFORM_FIELDS,
     "log": LOG_FIELDS,
     "proxy": PROXY_FIELDS,
+    "calls": CALLS_FIELDS,
 }
 
 # Every key of these sections has a default, so the section may be left out.
-OPTIONAL_SECTIONS = ("log", "proxy")
+OPTIONAL_SECTIONS = ("log", "proxy", "calls")
--- a/berylhaven/settings/_model.py
+++ b/berylhaven/settings/_model.py
@@ -73,8 +73,22 @@
     sender_timeout_s: float
     # How long callers may keep a locate answer.
     locate_time_to_live_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class CallsSettings:
+    """Bounds of what is remembered of calls."""
+
     # How long a call id may be used after its issue.
     call_id_lifetime_s: float
+    # The most call ids remembered; new ones are refused beyond it.
+    remembered_calls_limit: int
+    # The largest answer that is kept for repeats of its call.
+    kept_answer_limit_bytes: int
+    # The most memory for kept answers; the oldest are dropped beyond it.
+    kept_answers_limit_bytes: int
+    # How much of a request's body is held so that it can be sent again.
+    held_body_limit_bytes: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,3 +103,5 @@
     log: LogSettings
     # Bounds of the callers' interface.
     proxy: ProxySettings
+    # Bounds of what is remembered of calls.
+    calls: CallsSettings
--- a/berylhaven/settings/_read.py
+++ b/berylhaven/settings/_read.py
@@ -11,6 +11,7 @@
 )
 from berylhaven.settings._fields import OPTIONAL_SECTIONS, SECTION_FIELDS
 from berylhaven.settings._model import (
+    CallsSettings,
     InstanceSettings,
     LogSettings,
     PlatformSettings,
@@ -83,6 +84,7 @@
         platform=PlatformSettings(**values["platform"]),
         log=LogSettings(**values["log"]),
         proxy=ProxySettings(**values["proxy"]),
+        calls=CallsSettings(**values["calls"]),
     )
 
 
