--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -4,7 +4,7 @@
 
 from urllib3.connection import HTTPConnection
 
-from berylhaven.backend import LOAD_HEADER, is_shed, read_load_header
+from berylhaven.backend import LOAD_HEADER, is_failure, is_shed, read_load_header
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.load import ServerLoad
@@ -12,6 +12,11 @@
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._connection_pool import ConnectionPool
 
+# These ends tell nothing of the backend server.
+ENDS_WITHOUT_BLAME = frozenset(
+    {AttemptEnd.CALLER_BODY_CUT, AttemptEnd.DEADLINE_BEFORE_SENDING}
+)
+
 
 @dataclass(slots=True)
 class OpenAnswer:
@@ -79,20 +84,41 @@
         sent_at_s = monotonic_s()
         try:
             upstream = send_attempt(connection, request, self._chunk_bytes)
-        except AttemptFailed:
-            server.call_failed(monotonic_s())
+            _tell_answered(server, upstream, sent_at_s)
+        except AttemptFailed as failure:
             self._pool.put_back(server.address, connection, is_reusable=False)
+            if failure.end is not AttemptEnd.SHED:
+                _tell_failed(server, failure, sent_at_s)
             raise
         except BaseException:
             # The green thread was ended from outside, which says nothing of the server.
             server.call_cancelled()
             self._pool.put_back(server.address, connection, is_reusable=False)
             raise
-        now_s = monotonic_s()
-        headers = upstream.response.headers
-        report = read_load_header(headers.get(LOAD_HEADER), now_s)
-        server.call_answered(now_s - sent_at_s, report)
-        if is_shed(upstream.status, headers):
-            self._pool.put_back(server.address, connection, is_reusable=False)
-            raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
         return OpenAnswer(upstream, server.address, connection, self._pool)
+
+
+def _tell_answered(
+    server: ServerLoad, upstream: UpstreamAnswer, sent_at_s: float
+) -> None:
+    """Tell the load record of an answer's head; raise if it says `not started`."""
+    now_s = monotonic_s()
+    headers = upstream.response.headers
+    report = read_load_header(headers.get(LOAD_HEADER), now_s)
+    if is_shed(upstream.status, headers):
+        server.call_shed(now_s, report)
+        raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
+    if is_failure(upstream.status):
+        server.call_failed(now_s, report)
+    else:
+        server.call_answered(now_s - sent_at_s, report, now_s)
+
+
+def _tell_failed(server: ServerLoad, failure: AttemptFailed, sent_at_s: float) -> None:
+    now_s = monotonic_s()
+    if failure.end in ENDS_WITHOUT_BLAME:
+        server.call_cancelled()
+    elif failure.end is AttemptEnd.DEADLINE_BEFORE_HEAD:
+        server.call_timed_out(now_s - sent_at_s, now_s)
+    else:
+        server.call_failed(now_s)
