--- a/berylhaven/calls/_call_registry.py
+++ b/berylhaven/calls/_call_registry.py
@@ -48,13 +48,16 @@
     Parameters
     ----------
     settings : CallsSettings
-        With the ids' lifetime and the memory bounds.
+        With the memory bounds.
+    call_id_lifetime_s : float
+        How long a call id may be used after its issue.
     nonce : str
         The nonce of this run; ids of other runs are never opened.
     """
 
     __slots__ = (
         "_settings",
+        "_lifetime_s",
         "_nonce",
         "_records",
         "_closed_issue_times_s",
@@ -64,8 +67,11 @@
         "kept_answer_bytes",
     )
 
-    def __init__(self, settings: CallsSettings, nonce: str) -> None:
+    def __init__(
+        self, settings: CallsSettings, call_id_lifetime_s: float, nonce: str
+    ) -> None:
         self._settings = settings
+        self._lifetime_s = call_id_lifetime_s
         self._nonce = nonce
         # Records by time of issue and by the caller's own part of the id.
         self._records: dict[int, dict[str, CallRecord]] = {}
@@ -185,14 +191,13 @@
 
     def _check_age(self, call_id: CallId, uptime_s: float) -> None:
         if self._is_expired(call_id, uptime_s):
-            lifetime_s = self._settings.call_id_lifetime_s
-            raise CallIdExpired(f"a call id may be used for {lifetime_s:g} s")
+            raise CallIdExpired(f"a call id may be used for {self._lifetime_s:g} s")
         if call_id.issued_at_uptime_s > uptime_s + FUTURE_TOLERANCE_S:
             raise CallIdNotIssued("the call id bears a time that has not come yet")
 
     def _is_expired(self, call_id: CallId, uptime_s: float) -> bool:
         age_s = uptime_s - call_id.issued_at_uptime_s
-        return age_s > self._settings.call_id_lifetime_s
+        return age_s > self._lifetime_s
 
     def _find(self, call_id: CallId) -> CallRecord | None:
         issued = self._records.get(call_id.issued_at_uptime_s)
@@ -240,7 +245,7 @@
             record.answer = None
 
     def _forget_expired(self, uptime_s: float) -> None:
-        oldest_s = int(uptime_s - self._settings.call_id_lifetime_s)
+        oldest_s = int(uptime_s - self._lifetime_s)
         if oldest_s <= self._expired_before_s:
             return
         self._expired_before_s = oldest_s
--- a/berylhaven/calls/tests/test_at_most_once.py
+++ b/berylhaven/calls/tests/test_at_most_once.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from berylhaven.calls import CallId, CallRegistry, Opening
-from berylhaven.calls.tests._limits import calls_settings
+from berylhaven.calls.tests._limits import LIFETIME_S, calls_settings
 from berylhaven.results import (
     BackendServerShed,
     CallRefused,
@@ -41,7 +41,7 @@
         self.nonce = f"{number:08x}"
         self.started_at_s = now_s
         self.registry = CallRegistry(
-            calls_settings(remembered_calls_limit=4), self.nonce
+            calls_settings(remembered_calls_limit=4), LIFETIME_S, self.nonce
         )
 
     def uptime_s(self, now_s):
--- a/berylhaven/calls/tests/test_call_registry.py
+++ b/berylhaven/calls/tests/test_call_registry.py
@@ -3,7 +3,7 @@
 import unittest
 
 from berylhaven.calls import CallId, CallRegistry, CallState, KeptAnswer, Opening
-from berylhaven.calls.tests._limits import calls_settings
+from berylhaven.calls.tests._limits import LIFETIME_S, calls_settings
 from berylhaven.results import (
     BackendServerShed,
     CallIdExpired,
@@ -24,7 +24,7 @@
     """What the home does with a request that bears one of its ids."""
 
     def setUp(self):
-        self.registry = CallRegistry(calls_settings(), NONCE)
+        self.registry = CallRegistry(calls_settings(), LIFETIME_S, NONCE)
 
     def open(self, own="caller_1", at=10.0, issued=10, received=None, asked=BOOKING):
         call_id = CallId(NONCE, issued, own)
@@ -77,7 +77,9 @@
         self.assertIs(self.open(at=20.0)[0], Opening.JOIN)
 
     def test_a_full_memory_refuses_new_ids_for_good_and_keeps_the_old(self):
-        self.registry = CallRegistry(calls_settings(remembered_calls_limit=2), NONCE)
+        self.registry = CallRegistry(
+            calls_settings(remembered_calls_limit=2), LIFETIME_S, NONCE
+        )
         self.open("first_id")
         self.open("second_id", issued=50, at=50.0)
         with self.assertRaises(CallMemoryFull) as caught:
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -1,5 +1,6 @@
 """One call from its admission to its answer."""
 
+import dataclasses
 import random
 
 from berylhaven.admission import AdmissionGate
@@ -11,17 +12,16 @@
 from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance
 from berylhaven.operations import CallMetrics, DecisionLog
-from berylhaven.proxy._attempt import UpstreamAnswer
 from berylhaven.proxy._attempt_sender import AttemptSender
 from berylhaven.proxy._call_answer import CallAnswer, outcome_headers
 from berylhaven.proxy._call_request import CallRequest
-from berylhaven.proxy._connection_pool import ConnectionPool
 from berylhaven.proxy._home_forwarder import HomeForwarder
 from berylhaven.proxy._hop_headers import end_to_end
 from berylhaven.proxy._once_runner import OnceRunner
 from berylhaven.proxy._relay import relay_body
 from berylhaven.proxy._retrying_sender import RetryingSender
 from berylhaven.proxy._server_chooser import ServerChooser
+from berylhaven.proxy._upstream_answer import UpstreamAnswer
 from berylhaven.results import Answered, CallRefused, Outcome
 from berylhaven.settings import Settings
 
@@ -77,17 +77,19 @@
         self._local_instance = local_instance
         chunk_bytes = settings.proxy.chunk_bytes
         nonce = local_instance.identity.nonce
-        self._registry = CallRegistry(settings.calls, nonce)
+        self._registry = CallRegistry(
+            settings.calls, settings.proxy.call_id_lifetime_s, nonce
+        )
         self._once_runner = OnceRunner(settings.calls, self._registry, local_instance)
-        self._forwarder = HomeForwarder(blackboard, nonce, chunk_bytes)
+        self._forwarder = HomeForwarder(blackboard, nonce, settings.proxy)
         source = random.Random()
         self._sender = RetryingSender(
             ServerChooser(
                 settings.instance.data_centre, load_table, decision_log, source
             ),
-            AttemptSender(ConnectionPool(), chunk_bytes),
+            AttemptSender(settings),
             source,
-            settings.calls.held_body_limit_bytes,
+            chunk_bytes,
         )
 
     def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
@@ -140,33 +142,39 @@
             return self._run(catalogue, request)
         if request.home_nonce != self._local_instance.identity.nonce:
             return self._forwarder.forward(request)
-        return self._once_runner.run(request, lambda: self._run(catalogue, request))
+        # The call goes on if its caller leaves, since a repeat is answered from it.
+        started = dataclasses.replace(request, caller_socket=None)
+        return self._once_runner.run(request, lambda: self._run(catalogue, started))
 
     def _run(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
-        ticket = self._gate.admit(catalogue, request.service, monotonic_s())
+        ticket = self._gate.admit(
+            catalogue, request.service, monotonic_s(), request.deadline_s
+        )
+        exchange = None
         try:
-            opened = self._sender.send(request)
-        except BaseException:
-            ticket.release()
-            raise
+            exchange = self._sender.send(catalogue.fleet, request)
+        finally:
+            if exchange is None:
+                ticket.release()
+        upstream = exchange.answer
 
         def end_call(is_reusable: bool) -> None:
             """Give back what the call held."""
             ticket.release()
-            opened.end(is_reusable)
+            exchange.end(is_reusable)
 
-        upstream = opened.upstream
         return CallAnswer(
             f"{upstream.status} {upstream.reason}",
             _answer_headers(upstream),
-            relay_body(upstream, self._settings.proxy.chunk_bytes, end_call),
+            relay_body(
+                upstream,
+                self._settings.proxy.chunk_bytes,
+                request.deadline_s,
+                end_call,
+            ),
         )
 
 
 def _answer_headers(upstream: UpstreamAnswer) -> list[tuple[str, str]]:
-    kept = [
-        (name, value)
-        for name, value in end_to_end(upstream.headers)
-        if name.lower() not in DROPPED_ANSWER_HEADERS
-    ]
+    kept = end_to_end(upstream.headers, DROPPED_ANSWER_HEADERS)
     return kept + outcome_headers(Answered.code, Outcome.RUN)
--- a/berylhaven/proxy/_home_forwarder.py
+++ b/berylhaven/proxy/_home_forwarder.py
@@ -2,13 +2,11 @@
 
 import dataclasses
 
-from urllib3.connection import HTTPConnection
-
 from berylhaven.blackboard import Blackboard
 from berylhaven.calls import AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.membership import MEMBERSHIP_SECTION
-from berylhaven.proxy._attempt import UpstreamAnswer, send_attempt
+from berylhaven.proxy._attempt import AttemptBounds, send_attempt
 from berylhaven.proxy._call_answer import OUTCOME_HEADER, RESULT_HEADER, CallAnswer
 from berylhaven.proxy._call_request import (
     FORWARDED_BY_HEADER,
@@ -17,7 +15,10 @@
 )
 from berylhaven.proxy._hop_headers import end_to_end
 from berylhaven.proxy._relay import relay_body
+from berylhaven.proxy._upstream_answer import UpstreamAnswer
+from berylhaven.proxy._upstream_connection import UpstreamConnection
 from berylhaven.results import HomeUnknown, HomeUnreachable
+from berylhaven.settings import ProxySettings
 
 RETRY_AFTER_S = 1.0
 SERVICES_PREFIX = "/v1/services/"
@@ -34,18 +35,18 @@
         With the peers.
     own_nonce : str
         The nonce of this run.
-    chunk_bytes : int
-        How much of a body is held at once.
+    settings : ProxySettings
+        With the bounds of heads and bodies.
     """
 
-    __slots__ = ("_blackboard", "_own_nonce", "_chunk_bytes")
+    __slots__ = ("_blackboard", "_own_nonce", "_settings")
 
     def __init__(
-        self, blackboard: Blackboard, own_nonce: str, chunk_bytes: int
+        self, blackboard: Blackboard, own_nonce: str, settings: ProxySettings
     ) -> None:
         self._blackboard = blackboard
         self._own_nonce = own_nonce
-        self._chunk_bytes = chunk_bytes
+        self._settings = settings
 
     def forward(self, request: CallRequest) -> CallAnswer:
         """Pass a call on and return the home's answer.
@@ -71,33 +72,38 @@
         if request.is_forwarded:
             raise HomeUnknown("the call was passed on to a run that is not its home")
         connection = self._connection(request.home_nonce)
+        bounds = AttemptBounds(self._settings.chunk_bytes)
+        upstream = None
         try:
-            upstream = send_attempt(
-                connection, self._forwarded(request), self._chunk_bytes
-            )
+            upstream = send_attempt(connection, self._forwarded(request), bounds)
         except AttemptFailed as failure:
-            connection.close()
             message = f"the home of the call id did not answer: {failure.message}"
             raise HomeUnreachable(message, RETRY_AFTER_S) from failure
-        except BaseException:
-            connection.close()
-            raise
-        if OUTCOME_HEADER not in upstream.response.headers:
+        finally:
+            if upstream is None:
+                connection.close()
+        if OUTCOME_HEADER not in upstream.message:
             connection.close()
             raise HomeUnreachable("something else answered at the home's address")
         return CallAnswer(
             f"{upstream.status} {upstream.reason}",
             _relayed_headers(upstream),
-            relay_body(upstream, self._chunk_bytes, lambda _: connection.close()),
+            relay_body(
+                upstream,
+                self._settings.chunk_bytes,
+                request.deadline_s,
+                lambda _: connection.close(),
+            ),
         )
 
-    def _connection(self, home_nonce: str) -> HTTPConnection:
+    def _connection(self, home_nonce: str) -> UpstreamConnection:
         table = self._blackboard.value(MEMBERSHIP_SECTION)
         for peer in table.peers():
             if peer.announcement.nonce == home_nonce:
-                host, _, port = peer.announcement.callers_address.rpartition(":")
                 # A new connection for each call: a kept one may have gone silent.
-                return HTTPConnection(host, int(port))
+                return UpstreamConnection(
+                    peer.announcement.callers_address, self._settings.header_limit_bytes
+                )
         message = "no entry instance is known that issued the call id"
         raise HomeUnknown(message, RETRY_AFTER_S)
 
@@ -115,10 +121,10 @@
 
 
 def _relayed_headers(upstream: UpstreamAnswer) -> list[tuple[str, str]]:
-    kept = end_to_end(upstream.headers)
+    kept = end_to_end(upstream.headers, frozenset())
     names = {name.lower() for name, _ in kept}
     for name in RELAYED_OWN_HEADERS:
-        value = upstream.response.headers.get(name)
+        value = upstream.message.get(name)
         if value is not None and name.lower() not in names:
             kept.append((name, value))
     return kept
--- a/berylhaven/proxy/_kept_body.py
+++ b/berylhaven/proxy/_kept_body.py
@@ -1,6 +1,6 @@
 """Keeping a small answer while it is relayed."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable
 
 
 class KeptBody:
@@ -8,8 +8,8 @@
 
     Parameters
     ----------
-    pieces : iterator of bytes
-        The body; it has a ``close`` method.
+    pieces : iterable of bytes
+        The body.
     limit_bytes : int
         A longer body is not kept.
     on_known : callable
@@ -17,15 +17,16 @@
         is not kept.
     """
 
-    __slots__ = ("_pieces", "_limit_bytes", "_on_known", "_kept")
+    __slots__ = ("_source", "_pieces", "_limit_bytes", "_on_known", "_kept")
 
     def __init__(
         self,
-        pieces: Iterator[bytes],
+        pieces: Iterable[bytes],
         limit_bytes: int,
         on_known: Callable[[bytes | None], None],
     ) -> None:
-        self._pieces = pieces
+        self._source = pieces
+        self._pieces = iter(pieces)
         self._limit_bytes = limit_bytes
         self._on_known = on_known
         self._kept: bytearray | None = bytearray()
@@ -52,7 +53,8 @@
 
     def close(self) -> None:
         """End early, if the body has not ended."""
-        self._pieces.close()
+        if hasattr(self._source, "close"):
+            self._source.close()
         self._tell(None)
 
     def _tell(self, body: bytes | None) -> None:
--- a/berylhaven/proxy/_once_runner.py
+++ b/berylhaven/proxy/_once_runner.py
@@ -117,15 +117,15 @@
             body = _read_whole(answer, request.deadline_s)
             self._registry.answered(record, _kept(answer, body))
             return CallAnswer(answer.status, answer.headers, [body])
-        if length is not None:
-            self._registry.answered(record, None)
-            return answer
 
         def end_record(body: bytes | None) -> None:
             """Keep the whole body, if there is one."""
             kept = None if body is None else _kept(answer, body)
             self._registry.answered(record, kept)
 
+        if length is not None:
+            end_record(None)
+            return answer
         kept_body = KeptBody(answer.body, limit_bytes, end_record)
         return CallAnswer(answer.status, answer.headers, kept_body)
 
@@ -154,7 +154,7 @@
         request.service.name,
         request.method,
         request.target,
-        str(request.content_length),
+        str(request.body.content_length),
     )
     text = "\n".join(parts).encode("utf-8", "surrogateescape")
     return blake2b(text, digest_size=FINGERPRINT_BYTES).digest()
@@ -168,6 +168,8 @@
 
 
 def _read_whole(answer: CallAnswer, deadline_s: float) -> bytes:
+    if isinstance(answer.body, list):
+        return b"".join(answer.body)
     late = DeadlineExceeded("the answer was not whole in time", RETRY_AFTER_S)
     try:
         with eventlet.Timeout(max(0.0, deadline_s - monotonic_s()), late):
--- a/berylhaven/settings/_fields.py
+++ b/berylhaven/settings/_fields.py
@@ -46,10 +46,10 @@
     ),
     Field("sender_timeout_s", "number", default=15.0, minimum=0.1, maximum=600),
     Field("locate_time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),
+    Field("call_id_lifetime_s", "number", default=60.0, minimum=1, maximum=3_600),
 )
 
 CALLS_FIELDS = (
-    Field("call_id_lifetime_s", "number", default=60.0, minimum=1, maximum=3_600),
     Field(
         "remembered_calls_limit",
         "integer",
@@ -71,13 +71,6 @@
         minimum=0,
         maximum=1_000 * MEGABYTE_BYTES,
     ),
-    Field(
-        "held_body_limit_bytes",
-        "integer",
-        default=65_536,
-        minimum=0,
-        maximum=16 * MEGABYTE_BYTES,
-    ),
 )
 
 SECTION_FIELDS = {
