--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -63,6 +63,15 @@
     NoSuchCode,
     UnexpectedAnswer,
 )
+from berylhaven.results._fleet_results import (
+    AddressContested,
+    CatalogueRevisionRefused,
+    ConfigurationServiceUnavailable,
+    FleetEvent,
+    InstanceListSuspicious,
+    InstanceListUnavailable,
+    RevisionConflict,
+)
 from berylhaven.results._outcome import Outcome
 from berylhaven.results._registry import (
     ResultCode,
@@ -72,6 +81,7 @@
 )
 
 __all__ = [
+    "AddressContested",
     "AnswerGone",
     "AnswerWithoutLength",
     "Answered",
@@ -90,8 +100,10 @@
     "CallRefused",
     "CallerGone",
     "CannotListen",
+    "CatalogueRevisionRefused",
     "CheckProblem",
     "CommandFailed",
+    "ConfigurationServiceUnavailable",
     "DeadlineExceeded",
     "DigestsDiffer",
     "DocumentRefused",
@@ -101,9 +113,12 @@
     "EXIT_FAILED",
     "EXIT_USAGE",
     "EntryUnreachable",
+    "FleetEvent",
     "HeadTooLarge",
     "HomeUnknown",
     "HomeUnreachable",
+    "InstanceListSuspicious",
+    "InstanceListUnavailable",
     "InstanceOverloaded",
     "InternalError",
     "Located",
@@ -118,6 +133,7 @@
     "Outcome",
     "OverLimit",
     "ResultCode",
+    "RevisionConflict",
     "SenderTooSlow",
     "ShareExceeded",
     "SharesTooLarge",
