--- /dev/null
+++ b/berylhaven/client/__init__.py
@@ -0,0 +1,14 @@
+"""The library for callers: locate, call, repeat safely, and tell the outcome."""
+
+from berylhaven.client._call_result import CallResult
+from berylhaven.client._client import Client, ClientSettings
+from berylhaven.client._located import EntryAddress, LocatedEntries, NoEntryInstance
+
+__all__ = [
+    "CallResult",
+    "Client",
+    "ClientSettings",
+    "EntryAddress",
+    "LocatedEntries",
+    "NoEntryInstance",
+]
--- /dev/null
+++ b/berylhaven/client/tests/test_client.py
@@ -0,0 +1,107 @@
+"""Tests of the callers' library against entry instances over real sockets."""
+
+import subprocess
+import sys
+import unittest
+
+import eventlet
+import orjson
+
+from berylhaven.client import Client, ClientSettings, NoEntryInstance
+from berylhaven.entry.tests._whole_path import WholePath
+from berylhaven.results import (
+    AnswerGone,
+    BackendServerShed,
+    Outcome,
+    UpstreamBroken,
+)
+
+PLAIN_THREADS = """\
+import sys, threading
+from berylhaven.client import Client, ClientSettings
+client = Client(ClientSettings((sys.argv[1],), timeout_s=5.0))
+results = []
+def call():
+    results.append(client.call("bookings", "POST", "/vans", body=b"van"))
+threads = [threading.Thread(target=call) for _ in range(8)]
+[thread.start() for thread in threads]
+[thread.join() for thread in threads]
+assert "eventlet" not in sys.modules
+print(sum(result.is_answered for result in results))
+"""
+
+
+class ClientTest(unittest.TestCase):
+    """The client tells the truth, whatever became of the entry instances."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.path = WholePath()
+        cls.addClassCleanup(cls.path.stop)
+        cls.path.wait_until_ready()
+        cls.addresses = tuple(f"127.0.0.1:{ports[0]}" for ports in cls.path.ports)
+
+    def setUp(self):
+        self.client = Client(ClientSettings(self.addresses, "a", timeout_s=3.0))
+        self.bookings = [s for s in self.path.backends.values() if s.name == "bookings"]
+        self.addCleanup(self.set_faults, sheds=False, cuts_answer=False)
+
+    def set_faults(self, **changes):
+        for server in self.path.backends.values():
+            server.faults.set(changes)
+
+    def book(self):
+        return self.client.call("bookings", "POST", "/vans", body=b"van")
+
+    def run_count(self, call_id):
+        return sum(server.runs[call_id] for server in self.path.backends.values())
+
+    def test_a_call_is_answered(self):
+        result = self.book()
+        self.assertTrue(result.is_answered)
+        self.assertEqual(orjson.loads(result.body)["call_id"], result.call_id)
+        self.assertEqual(self.run_count(result.call_id), 1)
+
+    def test_a_shed_call_is_told_not_run_and_did_not_run(self):
+        self.set_faults(sheds=True)
+        result = self.book()
+        self.assertIs(result.outcome, Outcome.NOT_RUN)
+        self.assertEqual(result.result, BackendServerShed.code.number)
+        self.assertEqual(self.run_count(result.call_id), 0)
+
+    def test_a_call_that_is_shed_for_a_while_is_answered_under_another_id(self):
+        self.set_faults(sheds=True)
+        eventlet.spawn_after(0.5, self.set_faults, sheds=False)
+        result = self.book()
+        self.assertTrue(result.is_answered)
+        self.assertGreater(result.try_count, 1)
+
+    def test_a_cut_answer_of_what_may_run_once_is_never_run_again(self):
+        self.set_faults(cuts_answer=True)
+        result = self.book()
+        numbers = (AnswerGone.code.number, UpstreamBroken.code.number)
+        self.assertIn(result.result, numbers)
+        self.assertIsNone(result.body)
+        self.assertEqual(self.run_count(result.call_id), 1)
+
+    def test_no_entry_instance_at_all_is_told_not_run(self):
+        client = Client(ClientSettings(("127.0.0.1:1",), timeout_s=0.5))
+        with self.assertRaises(NoEntryInstance):
+            client.entries("bookings")
+        result = client.call("bookings", "POST", "/vans")
+        self.assertIs(result.outcome, Outcome.NOT_RUN)
+
+    def test_the_locate_answer_is_kept_and_calls_are_spread(self):
+        first = self.client.entries("positions")
+        self.assertIs(self.client.entries("positions"), first)
+        homes = set()
+        for _ in range(30):
+            result = self.client.call("positions", "GET", "/x", is_idempotent=True)
+            homes.add(result.call_id.partition("-")[0])
+        near = {e.call_id_prefix[:8] for e in first if e.data_centre == "a"}
+        self.assertEqual(homes, near)
+
+    def test_plain_threads_need_no_eventlet(self):
+        command = [sys.executable, "-c", PLAIN_THREADS, self.addresses[0]]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        self.assertEqual((done.stdout.strip(), done.stderr), ("8", ""))
