Start nothing that lay unread while the process was stopped

Cause: a home that was stopped for a second and woken found a passed-on request in its socket, counted the caller's 500 ms from then, and ran it after its deadline; found by test_the_home_is_stopped_and_woken_after_the_deadline, which was red. Change: a watch ticks, and a request that is read when ticks have stayed out is as old as the pause; what may run once is not started for a caller whose connection has ended.

--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -9,7 +9,7 @@
 from berylhaven.blackboard import Blackboard
 from berylhaven.calls import CallId, read_call_id
 from berylhaven.catalogue import CATALOGUE_SECTION, CatalogueInForce, ServiceEntry
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import PauseWatch, monotonic_s
 from berylhaven.membership import MEMBERSHIP_SECTION, Announcement, PeerState
 from berylhaven.operations import PartLog
 from berylhaven.proxy._call_answer import (
@@ -66,7 +66,13 @@
         Returns what this instance says of itself now.
     """
 
-    __slots__ = ("_settings", "_blackboard", "_handler", "_announce")
+    __slots__ = (
+        "_settings",
+        "_blackboard",
+        "_handler",
+        "_announce",
+        "_pause_watch",
+    )
 
     def __init__(
         self,
@@ -79,6 +85,8 @@
         self._blackboard = blackboard
         self._handler = handler
         self._announce = announce
+        self._pause_watch = PauseWatch()
+        self._pause_watch.start()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request; a fault of ours gets a numbered answer too."""
@@ -168,8 +176,11 @@
     ) -> CallRequest:
         query = environ.get("QUERY_STRING")
         body = environ["wsgi.input"]
-        received_at_s = read_received_at_s(environ, monotonic_s())
-        deadline_s = read_deadline_s(environ, service, monotonic_s())
+        now_s = monotonic_s()
+        # Before the process read it, the request may have lain there for this long.
+        waited_s = self._pause_watch.possible_wait_s(now_s)
+        received_at_s = read_received_at_s(environ, now_s) - waited_s
+        deadline_s = read_deadline_s(environ, service, now_s - waited_s)
         if (body.content_length or 0) > service.body_limit_bytes:
             raise BodyTooLarge(f"allowed is {service.body_limit_bytes} bytes")
         body.limit_bytes = service.body_limit_bytes
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -15,6 +15,7 @@
 from berylhaven.proxy._attempt_sender import AttemptSender
 from berylhaven.proxy._call_answer import CallAnswer, outcome_headers
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._caller_watch import is_gone
 from berylhaven.proxy._home_forwarder import HomeForwarder
 from berylhaven.proxy._hop_headers import end_to_end
 from berylhaven.proxy._once_runner import OnceRunner
@@ -22,7 +23,7 @@
 from berylhaven.proxy._retrying_sender import RetryingSender
 from berylhaven.proxy._server_chooser import ServerChooser
 from berylhaven.proxy._upstream_answer import UpstreamAnswer
-from berylhaven.results import Answered, CallRefused, Outcome
+from berylhaven.results import Answered, CallerGone, CallRefused, Outcome
 from berylhaven.settings import Settings
 
 # The load header concerns this program; callers get the rest.
@@ -142,9 +143,16 @@
             return self._run(catalogue, request)
         if request.home_nonce != self._local_instance.identity.nonce:
             return self._forwarder.forward(request)
-        # The call goes on if its caller leaves, since a repeat is answered from it.
-        started = dataclasses.replace(request, caller_socket=None)
-        return self._once_runner.run(request, lambda: self._run(catalogue, started))
+        return self._once_runner.run(
+            request, lambda: self._start_once(catalogue, request)
+        )
+
+    def _start_once(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
+        """Run a call that may run once; if its caller leaves later, it goes on."""
+        if request.caller_socket is not None and is_gone(request.caller_socket):
+            # The request lay unread for too long; its caller may have gone elsewhere.
+            raise CallerGone("the caller left before the call", outcome=Outcome.NOT_RUN)
+        return self._run(catalogue, dataclasses.replace(request, caller_socket=None))
 
     def _run(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
         ticket = self._gate.admit(
