Reserve the most a probe can cost, and test the measuring budget

Cause: a state machine over restarts found that a debt for a probe that took longer than its price was forgotten by a restart, so that a restart storm at a slow server spent beyond the budget; and 20 instances that started together came to their first probe together. Change: a probe is given up after four times its cost, is paid at that most, and what it did not take is given back; ledgers start with a random debt. A probe of a slow server costs its slowness. A late probe weighs against no one. Bound, for each server and any window of T s: budget * T and, for each of max_entry_instances, one probe at its most. The instances of the test hear nothing of one another, which is the worst split. Conclusion: the bound holds under pauses, peaks, restarts and replacements.

--- a/bench/routing/_fleet.py
+++ b/bench/routing/_fleet.py
@@ -49,7 +49,7 @@
         self.side = 0
         self.table = LoadTable()
         self.topic = LoadTopic(types.SimpleNamespace(load_table=self.table))
-        self.planner = ProbePlanner(monotonic_s())
+        self.planner = ProbePlanner(monotonic_s(), Random(index))
 
 
 class Fleet:
@@ -175,7 +175,8 @@
             """Take in the probe's answer."""
             duration_s = monotonic_s() - started_at_s
             instance.planner.probe_ended(probe, duration_s)
-            probe.server.take_report(server.report())
+            if duration_s * 1000 <= probe.longest_ms:
+                probe.server.take_report(server.report())
 
         server.probe(self.firm.probe_cost_s, ended)
 
--- a/berylhaven/backend/__init__.py
+++ b/berylhaven/backend/__init__.py
@@ -10,7 +10,7 @@
     request_headers,
 )
 from berylhaven.backend._load_header import read_load_header
-from berylhaven.backend._probe import ProbeClient, ProbeFailed
+from berylhaven.backend._probe import ProbeClient, ProbeFailed, ProbeLate
 
 __all__ = [
     "CALL_ID_HEADER",
@@ -18,6 +18,7 @@
     "LOAD_HEADER",
     "ProbeClient",
     "ProbeFailed",
+    "ProbeLate",
     "SHED_HEADER",
     "is_failure",
     "is_shed",
--- a/berylhaven/backend/_probe.py
+++ b/berylhaven/backend/_probe.py
@@ -1,8 +1,9 @@
 """Asking a backend server for its load, outside of calls."""
 
+import eventlet
 import urllib3
 
-from berylhaven.backend._headers import LOAD_HEADER
+from berylhaven.backend._headers import DEADLINE_HEADER, LOAD_HEADER
 from berylhaven.backend._load_header import read_load_header
 from berylhaven.clock import monotonic_s
 from berylhaven.load import LoadReport
@@ -12,7 +13,11 @@
 
 
 class ProbeFailed(Exception):
-    """A backend server did not tell its load in time."""
+    """A backend server did not tell its load."""
+
+
+class ProbeLate(ProbeFailed):
+    """A probe was given up, which tells nothing but that the server is busy."""
 
 
 class ProbeClient:
@@ -20,26 +25,22 @@
 
     The health endpoint is not asked: its good news can't be believed, and its bad
     news comes by calls and by the load endpoint, so it is not worth its price.
-
-    Parameters
-    ----------
-    timeout_s : float
-        After this time a probe is given up.
     """
 
-    __slots__ = ("_pools", "_timeout_s")
+    __slots__ = ("_pools",)
 
-    def __init__(self, timeout_s: float = 0.25) -> None:
+    def __init__(self) -> None:
         self._pools = urllib3.PoolManager(num_pools=POOLS, maxsize=1, retries=False)
-        self._timeout_s = timeout_s
 
-    def probe(self, address: str) -> LoadReport:
+    def probe(self, address: str, timeout_s: float) -> LoadReport:
         """Ask one backend server for its load.
 
         Parameters
         ----------
         address : str
             HOST:PORT of the backend server.
+        timeout_s : float
+            The server is told to drop the probe after this time.
 
         Returns
         -------
@@ -48,12 +49,16 @@
 
         Raises
         ------
+        ProbeLate
+            If there is no answer in time.
         ProbeFailed
-            If there is no answer with a load report in time.
+            If there is no answer with a load report.
         """
+        headers = {DEADLINE_HEADER: str(int(timeout_s * 1000))}
         url = f"http://{address}{LOAD_PATH}"
         try:
-            answer = self._pools.request("GET", url, timeout=self._timeout_s)
+            with eventlet.Timeout(timeout_s, ProbeLate(f"{address}: no answer")):
+                answer = self._pools.request("GET", url, headers=headers)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise ProbeFailed(f"{address}: {error}") from error
         report = read_load_header(answer.headers.get(LOAD_HEADER), monotonic_s())
--- a/berylhaven/controllers/_probe_controller.py
+++ b/berylhaven/controllers/_probe_controller.py
@@ -3,7 +3,7 @@
 import eventlet
 from aioprometheus.collectors import Counter
 
-from berylhaven.backend import ProbeClient, ProbeFailed
+from berylhaven.backend import ProbeClient, ProbeFailed, ProbeLate
 from berylhaven.catalogue import CATALOGUE_SECTION
 from berylhaven.clock import monotonic_s
 from berylhaven.controllers._context import ControllerContext
@@ -30,7 +30,7 @@
         self._blackboard = context.blackboard
         self._table = context.load_table
         self._client = ProbeClient()
-        self._planner = ProbePlanner(monotonic_s())
+        self._planner = ProbePlanner(monotonic_s(), context.random)
         self._probes = Counter(
             "berylhaven_probes_total",
             "Probes of backend servers, by service and result.",
@@ -55,8 +55,12 @@
         started_at_s = monotonic_s()
         result = "failed"
         try:
-            probe.server.take_report(self._client.probe(probe.server.address))
+            timeout_s = probe.longest_ms / 1000
+            report = self._client.probe(probe.server.address, timeout_s)
+            probe.server.take_report(report)
             result = "answered"
+        except ProbeLate:
+            result = "late"
         except ProbeFailed as failure:
             probe.server.probe_failed()
             LOG.debug("No load: %s.", failure)
@@ -64,5 +68,5 @@
             duration_s = monotonic_s() - started_at_s
             self._planner.probe_ended(probe, duration_s)
             self._probes.inc({"service": probe.service, "result": result})
-            cost_ms = max(probe.cost_ms, duration_s * 1000)
+            cost_ms = probe.charged_ms(duration_s)
             self._cost.add({"service": probe.service}, round(cost_ms, 3))
--- a/berylhaven/load/_measuring_ledger.py
+++ b/berylhaven/load/_measuring_ledger.py
@@ -34,26 +34,29 @@
 class MeasuringLedger:
     """Milliseconds that may be spent, earned by time and spent by probes.
 
-    It starts empty, so that restarts earn nothing, and holds no more than one
-    probe, so that a pause earns nothing either. Over any window of T seconds it
-    pays for at most ``share * T`` and one probe, and for what the last probe of
-    the window takes beyond its price.
+    It starts empty or in debt, so that restarts earn nothing, and it keeps no more
+    than the most that one probe can cost, so that a pause earns nothing either. A
+    probe is paid at that most, and what it did not take is given back; nothing
+    ever has to be earned back, which a restart would forget. Over any window of T
+    seconds it pays for at most ``share * T`` and one probe at its most.
 
     Parameters
     ----------
     now_s : float
         The time on the hub's clock.
+    debt_ms : float
+        What is to be earned before anything can be kept.
     """
 
     __slots__ = ("_balance_ms", "_earned_until_s", "spent_ms")
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(self, now_s: float, debt_ms: float = 0.0) -> None:
         # All that was spent since the start, in milliseconds of a slot.
         self.spent_ms = 0.0
-        self._balance_ms = 0.0
+        self._balance_ms = -debt_ms
         self._earned_until_s = now_s
 
-    def earn(self, now_s: float, share_ms_per_s: float, probe_cost_ms: float) -> None:
+    def earn(self, now_s: float, share_ms_per_s: float, limit_ms: float) -> None:
         """Add what the time since the last call earned.
 
         Parameters
@@ -62,27 +65,25 @@
             The time on the hub's clock.
         share_ms_per_s : float
             What is earned in a second.
-        probe_cost_ms : float
-            The price of one probe, which is the most that is kept.
+        limit_ms : float
+            The most that is kept.
         """
         elapsed_s = max(0.0, now_s - self._earned_until_s)
         self._earned_until_s = now_s
         earned_ms = self._balance_ms + elapsed_s * share_ms_per_s
-        self._balance_ms = min(earned_ms, probe_cost_ms)
+        self._balance_ms = min(earned_ms, limit_ms)
 
-    def can_pay(self, probe_cost_ms: float) -> bool:
-        """Tell whether one probe can be paid."""
+    def can_pay(self, cost_ms: float) -> bool:
+        """Tell whether so much can be paid."""
         # Many small earnings may add up to a little less than their sum.
-        return self._balance_ms >= probe_cost_ms or math.isclose(
-            self._balance_ms, probe_cost_ms
-        )
+        return self._balance_ms >= cost_ms or math.isclose(self._balance_ms, cost_ms)
 
     def pay(self, cost_ms: float) -> None:
-        """Spend; what goes beyond the balance is a debt, to be earned first."""
+        """Spend milliseconds that can be paid."""
         self._balance_ms -= cost_ms
         self.spent_ms += cost_ms
 
-    @property
-    def is_in_debt(self) -> bool:
-        """Whether more was spent than earned."""
-        return self._balance_ms < 0
+    def give_back(self, cost_ms: float) -> None:
+        """Take back what was paid and not used."""
+        self._balance_ms += cost_ms
+        self.spent_ms -= cost_ms
--- a/berylhaven/load/_probe_planner.py
+++ b/berylhaven/load/_probe_planner.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from random import Random
 
 from berylhaven.catalogue import Catalogue, ServiceEntry
 from berylhaven.load._load_table import LoadTable
@@ -17,6 +18,9 @@
 # A service that gets no calls needs no news, but for now and then.
 IDLE_NEWS_S = 10.0
 PROBES_AT_ONCE = 4
+# A probe is given up after this many times its expected cost.
+GIVE_UP_RATIO = 4.0
+GIVE_UP_MINIMUM_MS = 20.0
 # Doubt about a server makes its news worth more.
 DOUBT_WEIGHT = 4.0
 
@@ -29,8 +33,15 @@
     service: str
     # The server to probe.
     server: ServerLoad
-    # Its price in milliseconds of a slot.
+    # What it is expected to cost, in milliseconds of a slot.
     cost_ms: float
+    # It is given up after this time, and was paid in full, in milliseconds.
+    longest_ms: float
+
+    def charged_ms(self, duration_s: float) -> float:
+        """Return the cost of a probe that lasted so long, in milliseconds."""
+        lasted_ms = duration_s * MILLISECONDS_PER_SECOND
+        return min(max(self.cost_ms, lasted_ms), self.longest_ms)
 
 
 class ProbePlanner:
@@ -40,11 +51,21 @@
     ----------
     now_s : float
         The time on the hub's clock at which the instance started.
+    random : Random
+        Keeps instances that start together from probing together.
     """
 
-    __slots__ = ("_ledgers", "_outstanding", "_started_at_s", "_calls", "_idle")
-
-    def __init__(self, now_s: float) -> None:
+    __slots__ = (
+        "_random",
+        "_ledgers",
+        "_outstanding",
+        "_started_at_s",
+        "_calls",
+        "_idle",
+    )
+
+    def __init__(self, now_s: float, random: Random) -> None:
+        self._random = random
         self._started_at_s = now_s
         self._ledgers: dict[str, MeasuringLedger] = {}
         self._outstanding: set[str] = set()
@@ -87,12 +108,12 @@
         room = max(0, PROBES_AT_ONCE - len(self._outstanding))
         probes = [probe for _, probe in due[:room]]
         for probe in probes:
-            self._ledgers[probe.server.address].pay(probe.cost_ms)
+            self._ledgers[probe.server.address].pay(probe.longest_ms)
             self._outstanding.add(probe.server.address)
         return probes
 
     def probe_ended(self, probe: Probe, duration_s: float) -> None:
-        """Charge what a probe took beyond its price, and allow the next.
+        """Give back what a probe did not take, and allow the next.
 
         Parameters
         ----------
@@ -103,9 +124,9 @@
         """
         address = probe.server.address
         self._outstanding.discard(address)
-        extra_ms = duration_s * MILLISECONDS_PER_SECOND - probe.cost_ms
-        if extra_ms > 0 and address in self._ledgers:
-            self._ledgers[address].pay(extra_ms)
+        ledger = self._ledgers.get(address)
+        if ledger is not None:
+            ledger.give_back(probe.longest_ms - probe.charged_ms(duration_s))
 
     def _note_calls(self, name: str, call_count: int) -> None:
         if call_count == self._calls.get(name):
@@ -124,41 +145,39 @@
         due = []
         needed_after_s = IDLE_NEWS_S if service.name in self._idle else FRESH_NEWS_S
         for server in servers:
-            ledger = self._ledger(server, service, catalogue, now_s)
+            cost_ms = service.probe_cost_ms * server.slow_ratio
+            longest_ms = max(GIVE_UP_MINIMUM_MS, GIVE_UP_RATIO * cost_ms)
+            ledger = self._ledger(server, longest_ms, now_s)
+            share_ms_per_s = budget_share_ms_per_s(
+                service.measuring_budget_ratio,
+                server.slot_count,
+                catalogue.fleet.max_entry_instances,
+            )
+            ledger.earn(now_s, share_ms_per_s, longest_ms)
             age_s = min(now_s - server.news_at_s, now_s - self._started_at_s)
             is_due = age_s > needed_after_s and not server.is_leaving
             if not is_due or server.address in self._outstanding:
                 continue
-            if ledger.can_pay(service.probe_cost_ms):
+            if ledger.can_pay(longest_ms):
                 usefulness = age_s / needed_after_s
-                if server.is_marked or server.news_at_s == -math.inf:
+                if server.consecutive_failures or server.news_at_s == -math.inf:
                     usefulness *= DOUBT_WEIGHT
-                probe = Probe(service.name, server, service.probe_cost_ms)
+                probe = Probe(service.name, server, cost_ms, longest_ms)
                 due.append((usefulness, probe))
         return due
 
     def _ledger(
-        self,
-        server: ServerLoad,
-        service: ServiceEntry,
-        catalogue: Catalogue,
-        now_s: float,
+        self, server: ServerLoad, longest_ms: float, now_s: float
     ) -> MeasuringLedger:
         ledger = self._ledgers.get(server.address)
         if ledger is None:
-            ledger = self._ledgers[server.address] = MeasuringLedger(now_s)
-        share_ms_per_s = budget_share_ms_per_s(
-            service.measuring_budget_ratio,
-            server.slot_count,
-            catalogue.fleet.max_entry_instances,
-        )
-        ledger.earn(now_s, share_ms_per_s, service.probe_cost_ms)
+            # Instances that start together must not come to their first probe
+            # together.
+            debt_ms = self._random.random() * longest_ms
+            ledger = self._ledgers[server.address] = MeasuringLedger(now_s, debt_ms)
         return ledger
 
     def _forget(self, seen: set[str]) -> None:
-        # A debt is kept, though the server left the list: it may come back.
-        self._ledgers = {
-            address: ledger
-            for address, ledger in self._ledgers.items()
-            if address in seen or ledger.is_in_debt
-        }
+        # A server that comes back begins with an empty ledger.
+        for address in self._ledgers.keys() - seen - self._outstanding:
+            del self._ledgers[address]
--- /dev/null
+++ b/berylhaven/load/tests/test_measuring_budget.py
@@ -0,0 +1,249 @@
+"""Tests of the measuring budget: the ledger and the planner."""
+
+import unittest
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from berylhaven.catalogue import read_catalogue
+from berylhaven.load import MeasuringLedger, ProbePlanner
+from berylhaven.load.tests._records import SERVICE, answer, report, table_of
+
+MAX_INSTANCES = 5
+SERVERS = 2
+PRICE_MS = 6.0
+BUDGET_RATIO = 0.01
+SLOTS = 4
+BUDGET_MS_PER_S = BUDGET_RATIO * SLOTS * 1000
+TICK_S = 0.5
+RESTART_EVERY_S = 0.2
+LONGEST_MS = 24.0
+CATALOGUE = read_catalogue(
+    f"""
+[fleet]
+max_entry_instances = {MAX_INSTANCES}
+[firm carpatic]
+guaranteed_share_ratio = 0.5
+[service {SERVICE}]
+owner = carpatic
+class = interactive
+concurrency_limit = 10
+rate_limit_per_s = 10
+deadline_ms = 100
+measuring_budget_ratio = {BUDGET_RATIO}
+probe_cost_ms = {PRICE_MS}
+""".encode()
+)
+
+
+class Instance:
+    """One incarnation, which shares nothing with the others."""
+
+    def __init__(self, now_s, seed):
+        self.table = table_of(SERVERS)
+        self.planner = ProbePlanner(now_s, Random(seed))
+        self.outstanding = []
+
+
+class FleetBudget(RuleBasedStateMachine):
+    """No split, pause, restart or peak makes the fleet spend beyond the budget.
+
+    The instances hear nothing of one another, which is the worst partition. Over
+    any window of T seconds one server's probes cost at most BUDGET * T, and for
+    each instance one probe at its most.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.seed = 0
+        self.spent = {}
+        self.instances = []
+
+    @initialize(count=st.integers(1, MAX_INSTANCES), lasts=st.sampled_from([0, 12, 99]))
+    def start(self, count, lasts):
+        self.lasts_ms = lasts
+        for _ in range(count):
+            self.instances.append(self.new_instance())
+
+    def new_instance(self):
+        self.seed += 1
+        return Instance(self.now_s, self.seed)
+
+    def charge(self, address, cost_ms):
+        self.spent.setdefault(address, []).append((self.now_s, cost_ms))
+
+    def end_probes(self, instance):
+        for probe in instance.outstanding:
+            instance.planner.probe_ended(probe, self.lasts_ms / 1000)
+            extra_ms = min(self.lasts_ms, LONGEST_MS) - PRICE_MS
+            self.charge(probe.server.address, max(0.0, extra_ms))
+        instance.outstanding = []
+
+    def step(self, instance):
+        busy = {probe.server.address for probe in instance.outstanding}
+        for probe in instance.planner.plan(CATALOGUE, instance.table, self.now_s):
+            assert probe.server.address not in busy, "two probes at one server"
+            self.charge(probe.server.address, probe.cost_ms)
+            instance.outstanding.append(probe)
+
+    @rule(duration_s=st.floats(0, 60), steps=st.booleans())
+    def pause(self, duration_s, steps):
+        self.now_s += duration_s
+        if steps:
+            for instance in self.instances:
+                self.step(instance)
+
+    @rule(duration_s=st.floats(1, 30))
+    def peak(self, duration_s):
+        """Run all instances at full speed, with calls that bring no reports."""
+        for _ in range(int(duration_s / TICK_S)):
+            self.now_s += TICK_S
+            for instance in self.instances:
+                self.end_probes(instance)
+                for server in instance.table.candidates(SERVICE):
+                    answer(server, 0.005, self.now_s)
+                self.step(instance)
+
+    @rule(duration_s=st.floats(1, 20))
+    def restart_storm(self, duration_s):
+        for _ in range(int(duration_s / RESTART_EVERY_S)):
+            self.now_s += RESTART_EVERY_S
+            for index, instance in enumerate(self.instances):
+                self.step(instance)
+                self.instances[index] = self.new_instance()
+
+    @rule(index=st.integers(0, MAX_INSTANCES - 1), keeps=st.booleans())
+    def replace(self, index, keeps):
+        if len(self.instances) < MAX_INSTANCES:
+            self.instances.append(self.new_instance())
+        elif not keeps:
+            self.instances[index] = self.new_instance()
+
+    @rule(index=st.integers(0, MAX_INSTANCES - 1), running=st.integers(0, 8))
+    def answers_bring_news(self, index, running):
+        instance = self.instances[index % len(self.instances)]
+        for server in instance.table.candidates(SERVICE):
+            answer(server, 0.005, self.now_s, running)
+
+    @invariant()
+    def every_window_is_within_the_budget(self):
+        slack_ms = MAX_INSTANCES * LONGEST_MS
+        for spent in self.spent.values():
+            total_ms = 0.0
+            for at_s, cost_ms in reversed(spent):
+                total_ms += cost_ms
+                window_s = spent[-1][0] - at_s
+                assert total_ms <= BUDGET_MS_PER_S * window_s + slack_ms + 1e-6
+
+
+FleetBudget.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=20
+)
+
+
+class FleetBudgetTest(FleetBudget.TestCase):
+    """Runs the state machine."""
+
+
+class LedgerTest(unittest.TestCase):
+    """A ledger earns by time alone and keeps no more than one probe."""
+
+    def test_a_new_ledger_is_empty(self):
+        ledger = MeasuringLedger(10.0)
+        ledger.earn(10.0, 2.0, PRICE_MS)
+        self.assertFalse(ledger.can_pay(PRICE_MS))
+
+    def test_a_pause_banks_one_probe(self):
+        ledger = MeasuringLedger(0.0)
+        ledger.earn(3_600.0, 2.0, PRICE_MS)
+        self.assertTrue(ledger.can_pay(PRICE_MS))
+        ledger.pay(PRICE_MS)
+        self.assertFalse(ledger.can_pay(PRICE_MS))
+
+    def test_what_was_not_used_is_given_back(self):
+        ledger = MeasuringLedger(0.0)
+        ledger.earn(12.0, 2.0, LONGEST_MS)
+        ledger.pay(LONGEST_MS)
+        ledger.give_back(LONGEST_MS - PRICE_MS)
+        self.assertEqual(ledger.spent_ms, PRICE_MS)
+        self.assertFalse(ledger.can_pay(LONGEST_MS))
+        ledger.earn(15.0, 2.0, LONGEST_MS)
+        self.assertTrue(ledger.can_pay(LONGEST_MS))
+
+
+class PlannerTest(unittest.TestCase):
+    """The budget goes where it tells most, and is left alone otherwise."""
+
+    def setUp(self):
+        self.table = table_of(SERVERS)
+        self.planner = ProbePlanner(0.0, Random(1))
+
+    def run_for(self, duration_s, hears_answers, first_s=0.0):
+        """Step the planner and return the probes by address."""
+        probes = []
+        for tick in range(int(duration_s / TICK_S)):
+            now_s = first_s + tick * TICK_S
+            for server in self.table.candidates(SERVICE):
+                if hears_answers:
+                    answer(server, 0.005, now_s, 1)
+                else:
+                    server.call_started()
+                    server.call_cancelled()
+            for probe in self.planner.plan(CATALOGUE, self.table, now_s):
+                probes.append(probe.server.address)
+                self.planner.probe_ended(probe, PRICE_MS / 1000)
+        return probes
+
+    def test_servers_of_which_nothing_is_heard_are_probed(self):
+        probes = self.run_for(60.0, hears_answers=False)
+        share_ms = 60.0 * BUDGET_MS_PER_S / MAX_INSTANCES
+        for server in self.table.candidates(SERVICE):
+            spent_ms = probes.count(server.address) * PRICE_MS
+            self.assertGreater(spent_ms, share_ms / 2)
+            self.assertLessEqual(spent_ms, share_ms)
+
+    def test_nothing_is_spent_where_answers_bring_news(self):
+        self.assertEqual(self.run_for(30.0, hears_answers=True), [])
+
+    def test_a_probe_that_is_out_is_not_followed_by_another(self):
+        probes = []
+        for tick in range(1_000):
+            probes += self.planner.plan(CATALOGUE, self.table, tick * TICK_S)
+        self.assertEqual(len(probes), SERVERS)
+
+    def test_a_slow_server_costs_its_slowness(self):
+        for server in self.table.candidates(SERVICE):
+            server.take_slow_ratio(10.0, 0.0)
+        ordinary = ProbePlanner(0.0, Random(1))
+        ordinary_table = table_of(SERVERS)
+        slow_count = len(self.run_for(60.0, hears_answers=False))
+        self.planner, self.table = ordinary, ordinary_table
+        ordinary_count = len(self.run_for(60.0, hears_answers=False))
+        self.assertLess(5 * slow_count, ordinary_count)
+
+    def test_without_a_budget_nothing_is_probed(self):
+        text = CATALOGUE.text.replace(f"ratio = {BUDGET_RATIO}", "ratio = 0")
+        catalogue = read_catalogue(text.encode())
+        for tick in range(400):
+            now_s = tick * TICK_S
+            self.assertEqual(self.planner.plan(catalogue, self.table, now_s), [])
+
+    def test_a_server_that_comes_back_begins_with_nothing(self):
+        self.run_for(60.0, hears_answers=False)
+        self.planner.plan(CATALOGUE, table_of(0), 60.0)
+        self.assertEqual(self.planner.plan(CATALOGUE, self.table, 61.0), [])
+
+    def test_news_of_a_peer_saves_a_probe(self):
+        for tick in range(120):
+            now_s = tick * TICK_S
+            for server in self.table.candidates(SERVICE):
+                server.take_peer_report(report(1, 0, now_s))
+            self.assertEqual(self.planner.plan(CATALOGUE, self.table, now_s), [])
