Check settings and catalogues to the last slip

Cause: [firm kivu] beside [firm kivu] passed, indented keys had no line and hid duplicates, one unreadable line hid all other faults, 1_000 and Arabic digits were numbers, port 0 and equal ports passed, [\0] gave defaults to other sections, and a megabyte of unreadable lines took quadratic time (over 10 minutes, stopped). Change: the library's parser is told its lines one by one and notes where each head and key stands; unreadable lines are reported and passed over; strict numbers, IPv4 host, port conflicts (112), names checked, near keys and units in the messages. A whole megabyte of good text still holds the hub for a second.

--- a/berylhaven/catalogue/_check.py
+++ b/berylhaven/catalogue/_check.py
@@ -2,7 +2,13 @@
 
 from berylhaven.catalogue._fields import FIRM_FIELDS, FLEET_FIELDS, SERVICE_FIELDS
 from berylhaven.catalogue._model import Catalogue, FirmEntry, FleetEntry, ServiceEntry
-from berylhaven.ini import IniDocument, IniSection, read_document, read_fields
+from berylhaven.ini import (
+    IniDocument,
+    IniSection,
+    read_document,
+    read_fields,
+    value_kind,
+)
 from berylhaven.results import (
     BadValue,
     CheckProblem,
@@ -18,6 +24,7 @@
 CATALOGUE_LIMIT_BYTES = 1_000_000
 # Shares are decimal fractions, whose binary sum may be a little off.
 SHARE_TOLERANCE = 1e-9
+SHARE_KEY = "guaranteed_share_ratio"
 
 
 class CatalogueRefused(ExceptionGroup):
@@ -67,13 +74,14 @@
     try:
         text = raw.decode("utf-8")
     except UnicodeDecodeError as error:
-        return None, [NotReadable(f"not UTF-8 at byte {error.start}")]
+        line = raw[: error.start].count(b"\n") + 1
+        return None, [NotReadable(f"not UTF-8 at byte {error.start}", line)]
     document, problems = read_document(text)
     fleet = _read_fleet(document, problems)
     firms = _read_firms(document, problems)
     services = _read_services(document, firms, problems)
     _check_sections(document, problems)
-    _check_shares(firms, problems)
+    _check_shares(document, firms, problems)
     if problems:
         return None, sorted(problems, key=lambda problem: problem.line or 0)
     return Catalogue(fleet, firms, services, text), []
@@ -82,7 +90,7 @@
 def _named(document: IniDocument, kind: str) -> list[tuple[str, IniSection]]:
     prefix = kind + " "
     return [
-        (section.name.removeprefix(prefix).strip(), section)
+        (section.name.removeprefix(prefix), section)
         for section in document.sections
         if section.name.startswith(prefix)
     ]
@@ -96,7 +104,7 @@
             values, faults = read_fields(section, FLEET_FIELDS)
             problems.extend(faults)
             return FleetEntry(**values)
-    problems.append(MissingSection("add [fleet] with max_entry_instances"))
+    problems.append(MissingSection("add [fleet]", section="fleet"))
     return None
 
 
@@ -150,12 +158,25 @@
         if kind not in ("firm", "service"):
             message = "the sections here are fleet, firm NAME, service NAME"
             problems.append(UnknownSection(message, section.line, section.name))
-        elif not name.strip():
-            message = f"write [{kind} NAME]"
+            continue
+        try:
+            value_kind("name")(name)
+        except ValueError as error:
+            message = f"write [{kind} NAME]: {error}"
             problems.append(UnknownSection(message, section.line, section.name))
 
 
-def _check_shares(firms: dict[str, FirmEntry], problems: list[CheckProblem]) -> None:
+def _check_shares(
+    document: IniDocument, firms: dict[str, FirmEntry], problems: list[CheckProblem]
+) -> None:
     total = sum(firm.guaranteed_share_ratio or 0 for firm in firms.values())
-    if total > 1 + SHARE_TOLERANCE:
-        problems.append(SharesTooLarge(f"the shares add up to {total:g}"))
+    if total <= 1 + SHARE_TOLERANCE:
+        return
+    listed = ", ".join(
+        f"{firm.name} {firm.guaranteed_share_ratio or 0:g}" for firm in firms.values()
+    )
+    _, section = _named(document, "firm")[-1]
+    entry = section.entries.get(SHARE_KEY)
+    line = entry.line if entry else section.line
+    message = f"{listed} add up to {total:g}: allowed is 1"
+    problems.append(SharesTooLarge(message, line, section.name, SHARE_KEY))
--- a/berylhaven/ini/_document.py
+++ b/berylhaven/ini/_document.py
@@ -1,8 +1,8 @@
 """Reading INI text with the line of each section and key."""
 
-import configparser
 from dataclasses import dataclass, field
 
+from berylhaven.ini._located_parser import LocatedParser
 from berylhaven.results import (
     CheckProblem,
     DuplicateKey,
@@ -10,8 +10,7 @@
     NotReadable,
 )
 
-# A name that no document can write, so that no section gives defaults to others.
-NO_DEFAULT_SECTION = "\0"
+NUL = "\0"
 
 
 @dataclass(slots=True)
@@ -28,7 +27,7 @@
 class IniSection:
     """One section with its keys."""
 
-    # The text between the brackets.
+    # The text between the brackets, its words parted by one blank each.
     name: str
     # The line of the section's head, counted from 1.
     line: int
@@ -55,75 +54,42 @@
     Returns
     -------
     tuple of IniDocument and list of CheckProblem
-        The document, empty if it cannot be parsed, and what is wrong with its form.
+        What could be read, and what is wrong with the document's form.
     """
-    parser = configparser.RawConfigParser(
-        strict=False, default_section=NO_DEFAULT_SECTION
-    )
-    parser.optionxform = str
-    try:
-        parser.read_string(text)
-    except configparser.MissingSectionHeaderError as error:
-        return IniDocument(), [
-            NotReadable("a key stands before the first [section]", line=error.lineno)
-        ]
-    except configparser.ParsingError as error:
-        return IniDocument(), [
-            NotReadable("the line is neither [section] nor key = value", line=line)
-            for line, _ in error.errors
-        ]
-    lines, problems = _locate(text)
-    return _join(parser, lines), problems
-
-
-def _locate(
-    text: str,
-) -> tuple[dict[tuple[str, str | None], int], list[CheckProblem]]:
-    """Find the line of each section and key, and what stands twice."""
-    lines: dict[tuple[str, str | None], int] = {}
-    problems: list[CheckProblem] = []
-    section = ""
-    for number, line in enumerate(text.splitlines(), start=1):
-        if not line.strip() or line[0] in "#; \t":
-            continue
-        head = configparser.RawConfigParser.SECTCRE.match(line)
-        if head:
-            section = head.group("header")
-            if (section, None) in lines:
-                problems.append(_duplicate_section(section, number, lines))
-            lines.setdefault((section, None), number)
-            continue
-        option = configparser.RawConfigParser.OPTCRE.match(line)
-        if option is None:
-            continue
-        key = option.group("option").strip()
-        if (section, key) in lines:
-            problems.append(_duplicate_key(section, key, number, lines))
-        lines.setdefault((section, key), number)
-    return lines, problems
-
-
-def _duplicate_section(section: str, number: int, lines: dict) -> DuplicateSection:
-    first = lines[section, None]
-    return DuplicateSection(
-        f"the section stands first on line {first}", line=number, section=section
-    )
-
-
-def _duplicate_key(section: str, key: str, number: int, lines: dict) -> DuplicateKey:
-    first = lines[section, key]
-    return DuplicateKey(
-        f"the key stands first on line {first}", line=number, section=section, key=key
-    )
-
-
-def _join(
-    parser: configparser.RawConfigParser, lines: dict[tuple[str, str | None], int]
-) -> IniDocument:
+    parser = LocatedParser()
+    unreadable = parser.read_located(text.replace(NUL, "?"))
+    if NUL in text:
+        line = text[: text.index(NUL)].count("\n") + 1
+        unreadable.append((line, "the line holds a NUL byte"))
+    problems: list[CheckProblem] = [
+        NotReadable(message, line=line) for line, message in unreadable
+    ]
+    document = _sections(parser, problems)
+    _read_keys(parser, document, problems)
+    return document, problems
+
+
+def _sections(parser: LocatedParser, problems: list[CheckProblem]) -> IniDocument:
     document = IniDocument()
-    for name in parser.sections():
-        section = IniSection(name, lines.get((name, None), 0))
-        for key, value in parser.items(name):
-            section.entries[key] = IniEntry(value.strip(), lines.get((name, key), 0))
-        document.sections.append(section)
+    first_lines: dict[str, int] = {}
+    for name, line in parser.heads:
+        if name in first_lines:
+            message = f"the section stands first on line {first_lines[name]}"
+            problems.append(DuplicateSection(message, line, name))
+        else:
+            first_lines[name] = line
+            document.sections.append(IniSection(name, line))
     return document
+
+
+def _read_keys(
+    parser: LocatedParser, document: IniDocument, problems: list[CheckProblem]
+) -> None:
+    sections = {section.name: section for section in document.sections}
+    for name, key, line in parser.keys:
+        entries = sections[name].entries
+        if key in entries:
+            message = f"the key stands first on line {entries[key].line}"
+            problems.append(DuplicateKey(message, line, name, key))
+        elif parser.has_option(name, key):
+            entries[key] = IniEntry(parser.get(name, key).strip(), line)
--- a/berylhaven/ini/_field.py
+++ b/berylhaven/ini/_field.py
@@ -1,5 +1,6 @@
 """Fields of a section: what each key may hold."""
 
+import difflib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,18 @@
     UnknownKey,
 )
 
+NUMERIC_KINDS = ("integer", "number")
+# The longer suffixes come first, as they end in shorter ones.
+UNIT_BY_SUFFIX = {
+    "_per_s": "a second",
+    "_ms": "milliseconds",
+    "_s": "seconds",
+    "_bytes": "bytes",
+    "_ratio": "parts of 1",
+}
+SHOWN_LENGTH = 60
+HINTS_MAXIMUM = 20
+
 
 class _Required:
     """The type of the mark for keys without a default."""
@@ -62,7 +75,7 @@
     known = {field.key for field in fields}
     for key, entry in section.entries.items():
         if key not in known:
-            message = f"the keys here are {', '.join(sorted(known))}"
+            message = _unknown_key_message(key, known, len(problems))
             problems.append(UnknownKey(message, entry.line, section.name, key))
     for field in fields:
         values[field.key] = None if field.default is REQUIRED else field.default
@@ -89,11 +102,13 @@
     try:
         value = value_kind(field.kind)(entry.value)
     except ValueError as error:
-        problems.append(BadValue(f"{entry.value!r}: {error}", *place))
+        message = f"{_shown(entry.value)}: {error}{_unit_note(field)}"
+        problems.append(BadValue(message, *place))
         return
     if field.choices and value not in field.choices:
         choices = ", ".join(field.choices)
-        problems.append(BadValue(f"{entry.value!r}: write one of {choices}", *place))
+        message = f"{_shown(entry.value)}: write one of {choices}"
+        problems.append(BadValue(message, *place))
         return
     below = field.minimum is not None and value < field.minimum
     above = field.maximum is not None and value > field.maximum
@@ -102,3 +117,29 @@
         problems.append(OutOfRange(f"{value}: allowed is {bounds}", *place))
         return
     values[field.key] = value
+
+
+def _unknown_key_message(key: str, known: set[str], fault_count: int) -> str:
+    # Looking for a near key is slow; a document full of faults must not hold up
+    # the entry instance that checks it.
+    near: list[str] = []
+    if fault_count < HINTS_MAXIMUM and len(key) <= SHOWN_LENGTH:
+        near = difflib.get_close_matches(key, sorted(known), n=1)
+    hint = f"did you mean {near[0]}? " if near else ""
+    return f"{hint}the keys here are {', '.join(sorted(known))}"
+
+
+def _unit_note(field: Field) -> str:
+    if field.kind not in NUMERIC_KINDS:
+        return ""
+    for suffix, unit in UNIT_BY_SUFFIX.items():
+        if field.key.endswith(suffix):
+            return f"; {field.key} counts {unit}"
+    return ""
+
+
+def _shown(value: str) -> str:
+    """Return a value for a message, cut if it is long."""
+    if len(value) > SHOWN_LENGTH:
+        value = value[:SHOWN_LENGTH] + "..."
+    return repr(value)
--- a/berylhaven/ini/_value_kinds.py
+++ b/berylhaven/ini/_value_kinds.py
@@ -1,5 +1,6 @@
 """Kinds of values, each a function from text to a typed value."""
 
+import ipaddress
 import math
 import re
 from collections.abc import Callable
@@ -10,6 +11,9 @@
 _KINDS: dict[str, ValueReader] = {}
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+NUMBER_PATTERN = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
+HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]{0,252}")
+INTEGER_DIGITS_MAXIMUM = 18
 PORT_MAXIMUM = 65_535
 
 
@@ -43,18 +47,19 @@
 @register_value_kind("integer")
 def read_integer(text: str) -> int:
     """Read a whole number written with digits only."""
-    if not re.fullmatch(r"[+-]?[0-9]{1,18}", text):
+    if not re.fullmatch(r"[+-]?[0-9]+", text):
         raise ValueError("write a whole number without a unit")
+    if len(text) > INTEGER_DIGITS_MAXIMUM:
+        raise ValueError(f"write at most {INTEGER_DIGITS_MAXIMUM} digits")
     return int(text)
 
 
 @register_value_kind("number")
 def read_number(text: str) -> float:
     """Read a finite decimal number."""
-    try:
-        number = float(text)
-    except ValueError:
-        raise ValueError("write a number without a unit") from None
+    if not NUMBER_PATTERN.fullmatch(text):
+        raise ValueError("write a number without a unit")
+    number = float(text)
     if not math.isfinite(number):
         raise ValueError("write a finite number")
     return number
@@ -87,16 +92,28 @@
 @register_value_kind("port")
 def read_port(text: str) -> int:
     """Read a TCP port."""
-    if not re.fullmatch(r"[0-9]{1,5}", text) or int(text) > PORT_MAXIMUM:
-        raise ValueError(f"write a port from 0 to {PORT_MAXIMUM}")
+    if not re.fullmatch(r"[0-9]{1,5}", text) or not 1 <= int(text) <= PORT_MAXIMUM:
+        raise ValueError(f"write a port from 1 to {PORT_MAXIMUM}")
     return int(text)
 
 
+@register_value_kind("ip_number")
+def read_ip_number(text: str) -> str:
+    """Read the IPv4 number of one machine."""
+    try:
+        number = ipaddress.IPv4Address(text)
+    except ValueError:
+        raise ValueError("write an IPv4 number such as 10.0.0.1") from None
+    if number.is_unspecified or number.is_multicast:
+        raise ValueError("write the IPv4 number that others can connect to")
+    return str(number)
+
+
 @register_value_kind("address")
 def read_address(text: str) -> str:
     """Read HOST:PORT."""
     host, separator, port = text.rpartition(":")
-    if not separator or not host or " " in host:
+    if not separator or not HOST_PATTERN.fullmatch(host):
         raise ValueError("write HOST:PORT")
     read_port(port)
     return text
--- a/berylhaven/results/_check_results.py
+++ b/berylhaven/results/_check_results.py
@@ -116,3 +116,8 @@
 @register_result(111, "shares-too-large", "Lower the guaranteed shares to 1 in all.")
 class SharesTooLarge(CheckProblem):
     """The firms' guaranteed shares add up to more than 1."""
+
+
+@register_result(112, "port-conflict", "Give each port of the machine one use.")
+class PortConflict(CheckProblem):
+    """One address of the settings is used twice."""
--- a/berylhaven/settings/_fields.py
+++ b/berylhaven/settings/_fields.py
@@ -5,7 +5,7 @@
 MEGABYTE_BYTES = 1_000_000
 
 INSTANCE_FIELDS = (
-    Field("host", "text"),
+    Field("host", "ip_number"),
     Field("callers_port", "port"),
     Field("peers_port", "port"),
     Field("operators_port", "port"),
--- a/berylhaven/settings/_read.py
+++ b/berylhaven/settings/_read.py
@@ -7,6 +7,7 @@
     CheckProblem,
     MissingSection,
     NotReadable,
+    PortConflict,
     UnknownSection,
 )
 from berylhaven.settings._fields import OPTIONAL_SECTIONS, SECTION_FIELDS
@@ -18,6 +19,9 @@
     Settings,
 )
 
+OWN_PORTS = ("callers_port", "peers_port", "operators_port")
+PLATFORM_ADDRESSES = ("configuration_service", "instance_list")
+
 
 class SettingsRefused(ExceptionGroup):
     """Every fault of a settings file."""
@@ -78,6 +82,7 @@
     values = {}
     for name in SECTION_FIELDS:
         values[name] = _read_section(name, sections.get(name), problems)
+    _check_ports(sections, values, problems)
     if problems:
         raise _refused(*problems)
     return Settings(
@@ -88,6 +93,26 @@
     )
 
 
+def _check_ports(
+    sections: dict[str, IniSection], values: dict, problems: list[CheckProblem]
+) -> None:
+    own = values["instance"]
+    used: dict[str, str] = {}
+    for key in OWN_PORTS:
+        address = f"{own.get('host')}:{own.get(key)}"
+        if own.get(key) is not None and address in used:
+            message = f"{address} is the {used[address]} already"
+            line = sections["instance"].entries[key].line
+            problems.append(PortConflict(message, line, "instance", key))
+        used.setdefault(address, key)
+    for key in PLATFORM_ADDRESSES:
+        address = values["platform"].get(key)
+        if address in used:
+            message = f"{address} is the {used[address]} of this instance"
+            line = sections["platform"].entries[key].line
+            problems.append(PortConflict(message, line, "platform", key))
+
+
 def _refused(*problems: CheckProblem) -> SettingsRefused:
     ordered = sorted(problems, key=lambda problem: problem.line or 0)
     return SettingsRefused("settings refused", ordered)
--- a/berylhaven/settings/tests/test_read.py
+++ b/berylhaven/settings/tests/test_read.py
@@ -50,3 +50,30 @@
 
     def test_empty_settings_are_refused(self):
         self.assertEqual({fault[0] for fault in self.refused("")}, {102})
+
+    def test_each_bad_value_names_its_place_and_what_would_be_right(self):
+        cases = {
+            ("callers_port = 8080", "callers_port = 0"): (107, 3, "1 to 65535"),
+            ("callers_port = 8080", "callers_port = 8081"): (112, 4, "callers_port"),
+            ("peers_port = 8081", "peers_port = 7001"): (112, 12, "peers_port"),
+            ("host = 127.0.0.1", "host = 0.0.0.0"): (107, 2, "can connect to"),
+            ("host = 127.0.0.1", "host = web one"): (107, 2, "IPv4 number"),
+            ("127.0.0.1:7000", "7000"): (107, 11, "HOST:PORT"),
+            ("127.0.0.1:9081,", "127.0.0.1;"): (107, 8, "HOST:PORT"),
+            ("instance_list", "timeout_ms = 5\ninstance_list"): (104, 12, "timeout_s?"),
+            ("instance_list", "timeout_s = 1e400\ninstance_list"): (107, 12, "finite"),
+            ("instance_list", "timeout_s = 5s\ninstance_list"): (107, 12, "seconds"),
+            ("instance_list", "timeout_s = -1\ninstance_list"): (108, 12, "0.05 to"),
+        }
+        for (old, new), (number, line, text) in cases.items():
+            with self.subTest(new):
+                with self.assertRaises(SettingsRefused) as caught:
+                    read_settings(GOOD.replace(old, new))
+                (problem,) = caught.exception.exceptions
+                self.assertEqual((problem.code.number, problem.line), (number, line))
+                self.assertIn(text, str(problem))
+
+    def test_two_equal_ports_and_a_collision_are_both_told(self):
+        text = GOOD.replace("8082", "8080").replace(":7001", ":8081")
+        keys = {fault[2] for fault in self.refused(text)}
+        self.assertEqual(keys, {"operators_port", "instance_list"})
