--- a/berylhaven/catalogue/_check.py
+++ b/berylhaven/catalogue/_check.py
@@ -14,6 +14,7 @@
     CheckProblem,
     MissingSection,
     NotReadable,
+    OutOfRange,
     SharesTooLarge,
     TooLarge,
     UnknownOwner,
@@ -22,6 +23,8 @@
 from berylhaven.routing import routing_policies
 
 CATALOGUE_LIMIT_BYTES = 1_000_000
+# Each entry instance owns an equal part of these, which must be one at least.
+DIVIDED_LIMITS = ("concurrency_limit", "connection_limit_per_backend_server")
 # Shares are decimal fractions, whose binary sum may be a little off.
 SHARE_TOLERANCE = 1e-9
 SHARE_KEY = "guaranteed_share_ratio"
@@ -80,6 +83,7 @@
     fleet = _read_fleet(document, problems)
     firms = _read_firms(document, problems)
     services = _read_services(document, firms, problems)
+    _check_parts(document, fleet, services, problems)
     _check_sections(document, problems)
     _check_shares(document, firms, problems)
     if problems:
@@ -180,3 +184,23 @@
     line = entry.line if entry else section.line
     message = f"{listed} add up to {total:g}: allowed is 1"
     problems.append(SharesTooLarge(message, line, section.name, SHARE_KEY))
+
+
+def _check_parts(
+    document: IniDocument,
+    fleet: FleetEntry | None,
+    services: dict[str, ServiceEntry],
+    problems: list[CheckProblem],
+) -> None:
+    """Find limits of which some entry instance would own no whole unit."""
+    if fleet is None or fleet.max_entry_instances is None:
+        return
+    smallest = fleet.max_entry_instances
+    for name, section in _named(document, "service"):
+        for key in DIVIDED_LIMITS:
+            entry = section.entries.get(key)
+            value = getattr(services[name], key)
+            if entry is not None and value is not None and value < smallest:
+                message = f"{value}: at least max_entry_instances, {smallest}"
+                problem = OutOfRange(message, entry.line, section.name, key)
+                problems.append(problem)
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,6 +6,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import monotonic_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
@@ -13,7 +14,12 @@
 )
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
-from berylhaven.exchange import PeerClient, PeersApplication
+from berylhaven.exchange import (
+    PeerClient,
+    PeersApplication,
+    PeerTraffic,
+    UrgentSignal,
+)
 from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable, new_identity
 from berylhaven.operations import (
@@ -24,7 +30,7 @@
     PartLog,
 )
 from berylhaven.platform import ConfigurationService, InstanceListService
-from berylhaven.proxy import CallersApplication, CallHandler, serve
+from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
 LOG = PartLog("entry")
@@ -56,6 +62,8 @@
             self._context.load_table,
             DecisionLog(settings.log),
             CallMetrics(self._context.metrics),
+            self._context.local_instance,
+            self._context.blackboard,
         )
         self._threads: list[eventlet.greenthread.GreenThread] = []
 
@@ -99,20 +107,12 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        proxy = self._settings.proxy
-        # Callers keep idle connections, so more are open than calls in flight.
-        connection_limit = 4 * proxy.concurrency_limit
-        return serve(
-            self._settings.instance.host,
-            self._settings.instance.callers_port,
-            application,
-            connection_limit,
-            proxy.sender_timeout_s,
-        )
+        return serve_callers(self._settings, application)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
-            peer_endpoints(self._context, self._controllers["exchange"].receive)
+            peer_endpoints(self._context, self._controllers["exchange"].receive),
+            self._context.peer_traffic,
         )
         return serve(
             self._settings.instance.host,
@@ -140,7 +140,9 @@
 def _build_context(settings: Settings) -> ControllerContext:
     blackboard = Blackboard()
     load_table = LoadTable()
-    gate = AdmissionGate(settings.proxy)
+    random = Random()
+    gate = AdmissionGate(settings.proxy, random, monotonic_s())
+    peer_traffic = PeerTraffic()
     identity = new_identity(settings.instance.peers_address)
     local_instance = LocalInstance(
         settings.instance, identity, blackboard, lambda: gate.load_ratio
@@ -150,11 +152,13 @@
         blackboard=blackboard,
         local_instance=local_instance,
         peer_table=PeerTable(settings.instance.peers_address),
-        peer_client=PeerClient(),
+        peer_client=PeerClient(peer_traffic),
+        peer_traffic=peer_traffic,
+        urgent_signal=UrgentSignal(),
         load_table=load_table,
         gate=gate,
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
         metrics=MetricsRegistry(),
-        random=Random(),
+        random=random,
     )
