--- a/berylhaven/settings/_fields.py
+++ b/berylhaven/settings/_fields.py
@@ -5,7 +5,7 @@
 MEGABYTE_BYTES = 1_000_000
 
 INSTANCE_FIELDS = (
-    Field("host", "text"),
+    Field("host", "ip_number"),
     Field("callers_port", "port"),
     Field("peers_port", "port"),
     Field("operators_port", "port"),
@@ -49,12 +49,37 @@
     Field("call_id_lifetime_s", "number", default=60.0, minimum=1, maximum=3_600),
 )
 
+CALLS_FIELDS = (
+    Field(
+        "remembered_calls_limit",
+        "integer",
+        default=150_000,
+        minimum=1,
+        maximum=100_000_000,
+    ),
+    Field(
+        "kept_answer_limit_bytes",
+        "integer",
+        default=4_096,
+        minimum=0,
+        maximum=MEGABYTE_BYTES,
+    ),
+    Field(
+        "kept_answers_limit_bytes",
+        "integer",
+        default=16 * MEGABYTE_BYTES,
+        minimum=0,
+        maximum=1_000 * MEGABYTE_BYTES,
+    ),
+)
+
 SECTION_FIELDS = {
     "instance": INSTANCE_FIELDS,
     "platform": PLATFORM_FIELDS,
     "log": LOG_FIELDS,
     "proxy": PROXY_FIELDS,
+    "calls": CALLS_FIELDS,
 }
 
 # Every key of these sections has a default, so the section may be left out.
-OPTIONAL_SECTIONS = ("log", "proxy")
+OPTIONAL_SECTIONS = ("log", "proxy", "calls")
