Leave a cut upload to the end that tells of it

Cause: an upload whose caller had closed was refused as caller-gone before its cut was seen; test_a_long_upload_that_is_cut_is_cut_at_the_backend_server_too was red. Change: only a request whose body is here whole is refused for a caller that left.

--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -149,8 +149,10 @@
 
     def _start_once(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
         """Run a call that may run once; if its caller leaves later, it goes on."""
-        if request.caller_socket is not None and is_gone(request.caller_socket):
+        caller_socket = request.caller_socket
+        if request.is_replayable and caller_socket and is_gone(caller_socket):
             # The request lay unread for too long; its caller may have gone elsewhere.
+            # A body that was cut is told of by its own end.
             raise CallerGone("the caller left before the call", outcome=Outcome.NOT_RUN)
         return self._run(catalogue, dataclasses.replace(request, caller_socket=None))
 
