--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -61,6 +61,9 @@
     patience_s: float | None = None
     # Told once if the answer is later than that.
     on_late: Callable[[], None] | None = None
+    # Asked then whether a call that is safe to send again may be given up; None if it
+    # always may.
+    may_give_up: Callable[[], bool] | None = None
 
 
 def send_attempt(
@@ -210,7 +213,7 @@
                 return
             if bounds.on_late is not None:
                 bounds.on_late()
-            if self._request.is_idempotent and self._request.is_replayable:
+            if self._may_give_up():
                 message = "the answer is late beyond its estimate"
                 raise AttemptFailed(AttemptEnd.SILENT, message)
             # What must not run twice is waited for, since it may be running.
@@ -219,6 +222,12 @@
             end = AttemptEnd.BROKEN_BEFORE_HEAD
             raise AttemptFailed(end, f"the connection broke: {error}") from error
 
+    def _may_give_up(self) -> bool:
+        if not self._request.is_idempotent or not self._request.is_replayable:
+            return False
+        may_give_up = self._bounds.may_give_up
+        return may_give_up is None or may_give_up()
+
     def read(self) -> UpstreamAnswer:
         """Read the head and the first piece of the body."""
         method = self._request.method
--- a/berylhaven/settings/_model.py
+++ b/berylhaven/settings/_model.py
@@ -77,6 +77,18 @@
     call_id_lifetime_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class CallsSettings:
+    """Bounds of what is remembered of calls."""
+
+    # The most call ids remembered; new ones are refused beyond it.
+    remembered_calls_limit: int
+    # The largest answer that is kept for repeats of its call.
+    kept_answer_limit_bytes: int
+    # The most memory for kept answers; the oldest are dropped beyond it.
+    kept_answers_limit_bytes: int
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All settings of one process."""
@@ -89,3 +101,5 @@
     log: LogSettings
     # Bounds of the callers' interface.
     proxy: ProxySettings
+    # Bounds of what is remembered of calls.
+    calls: CallsSettings
