--- a/berylhaven/admission/_escrow.py
+++ b/berylhaven/admission/_escrow.py
@@ -105,6 +105,11 @@
         """Stop using a borrowed piece, and return it if it was there."""
         return self._borrowed.pop(lease_id, None)
 
+    @property
+    def has_borrowed(self) -> bool:
+        """Whether there are borrowed pieces, ended ones perhaps among them."""
+        return bool(self._borrowed)
+
     def borrowed(self, now_s: float) -> list[BorrowedLease]:
         """Return the borrowed pieces that may be used now."""
         if not self._borrowed:
--- a/berylhaven/admission/_service_limits.py
+++ b/berylhaven/admission/_service_limits.py
@@ -55,6 +55,16 @@
         self.concurrency.escrow.set_part(_part(service.concurrency_limit, fleet))
         self.rate.escrow.set_part(_part(service.rate_limit_per_s, fleet))
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing was wanted lately and nothing is borrowed."""
+        return (
+            self.concurrency_demand.amount == 0
+            and self.rate_demand_per_s.amount == 0
+            and not self.concurrency.escrow.has_borrowed
+            and not self.rate.escrow.has_borrowed
+        )
+
     def observe_demand(self, now_s: float) -> None:
         """Take in what was wanted since the last observation."""
         self.concurrency_demand.observe(self.concurrency.take_demand())
--- a/berylhaven/controllers/_lending_controller.py
+++ b/berylhaven/controllers/_lending_controller.py
@@ -52,6 +52,8 @@
         questions_left = QUESTIONS_PER_STEP
         for service, limits in list(self._context.gate.limits().items()):
             limits.observe_demand(now_s)
+            if limits.is_idle:
+                continue
             for kind in LimitKind:
                 self._give_back_idle(service, limits, kind, now_s)
                 if questions_left and self._wants(service, limits, kind, now_s):
--- a/berylhaven/controllers/_load_controller.py
+++ b/berylhaven/controllers/_load_controller.py
@@ -46,21 +46,16 @@
             registry=registry,
         )
         self._states: dict[str, str] = {}
+        context.metrics.update_when_read(self._update_metrics)
 
     def step(self) -> None:
-        """Update the metrics and write a line for each server that changed."""
+        """Write a line for each server that changed."""
         now_s = monotonic_s()
         for service in self._table.services():
             for server in self._table.candidates(service):
                 self._tell(service, server, now_s)
 
     def _tell(self, service: str, server: ServerLoad, now_s: float) -> None:
-        labels = {"service": service, "backend_server": server.address}
-        self._slow.set(labels, round(server.slow_ratio, 3))
-        self._ejected.set(labels, int(server.is_ejected(now_s)))
-        age_s = server.news_age_s(now_s)
-        if age_s is not None:
-            self._news_age.set(labels, round(age_s, 3))
         state = _state(server, now_s)
         if state != self._states.get(server.address, "ordinary"):
             LOG.warning(
@@ -68,6 +63,17 @@
             )
         self._states[server.address] = state
 
+    def _update_metrics(self) -> None:
+        now_s = monotonic_s()
+        for service in self._table.services():
+            for server in self._table.candidates(service):
+                labels = {"service": service, "backend_server": server.address}
+                self._slow.set(labels, round(server.slow_ratio, 3))
+                self._ejected.set(labels, int(server.is_ejected(now_s)))
+                age_s = server.news_age_s(now_s)
+                if age_s is not None:
+                    self._news_age.set(labels, round(age_s, 3))
+
 
 def _state(server: ServerLoad, now_s: float) -> str:
     if server.is_leaving:
--- a/berylhaven/operations/_metrics.py
+++ b/berylhaven/operations/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics in aioprometheus's types."""
 
+from collections.abc import Callable
+
 from aioprometheus.collectors import Counter, Histogram, Registry
 from aioprometheus.renderer import render
 
@@ -13,14 +15,27 @@
 class MetricsRegistry:
     """All metrics of the process."""
 
-    __slots__ = ("registry",)
+    __slots__ = ("registry", "_updates")
 
     def __init__(self) -> None:
         # The library's registry, to which each part adds its metrics.
         self.registry = Registry()
+        self._updates: list[Callable[[], None]] = []
+
+    def update_when_read(self, update: Callable[[], None]) -> None:
+        """Have gauges set when someone reads them, and not at other times.
+
+        Parameters
+        ----------
+        update : callable
+            Sets gauges to what holds now.
+        """
+        self._updates.append(update)
 
     def render(self, accept: str) -> tuple[bytes, dict]:
         """Return the metrics in the text form that a scraper accepts."""
+        for update in self._updates:
+            update()
         return render(self.registry, [accept or TEXT_FORM])
 
 
--- a/berylhaven/proxy/_server.py
+++ b/berylhaven/proxy/_server.py
@@ -59,7 +59,7 @@
     GreenThread
         Ends when the listening socket is closed or the thread is killed.
     """
-    listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG)
+    listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
     return eventlet.spawn(
         eventlet.wsgi.server,
         listener,
--- a/standins/backend_group.py
+++ b/standins/backend_group.py
@@ -31,7 +31,7 @@
     for row in rows:
         host, _, port = row["address"].rpartition(":")
         server = BackendServerStandIn(row["address"], row["slot_count"], service_time_s)
-        listener = eventlet.listen((host, int(port)), backlog=512)
+        listener = eventlet.listen((host, int(port)), backlog=512, reuse_port=False)
         threads.append(eventlet.spawn(serve_socket, listener, server))
     return threads
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,6 +22,7 @@
 FIRST_PORT = 26_000
 LAST_PORT = 32_000
 START_PATIENCE_S = 60.0
+HTTP_OK = 200
 STOP_PATIENCE_S = 10.0
 POLL_S = 0.1
 DATA_CENTRES_PER_FIRM = 3
@@ -131,8 +132,13 @@
         """Start the stand-ins and the entry instances, and wait until all are ready."""
         self._directory = Path(tempfile.mkdtemp(prefix="berylhaven-fleet-"))
         try:
-            self._start_standins()
-            self._prepare_entries()
+            server_count = sum(s.server_count for s in self.shape.services)
+            entry_port_count = 3 * self.shape.entry_count
+            # Asked for at once, so that none is found free twice.
+            ports = free_ports(2 + server_count + entry_port_count)
+            self.configuration_port, self.list_port = ports.pop(), ports.pop()
+            self._start_standins(ports[entry_port_count:])
+            self._prepare_entries(ports[:entry_port_count])
             for entry in self.entries:
                 self.start_entry(entry)
             for entry in self.entries:
@@ -169,7 +175,10 @@
     def status(self, entry: EntryProcess) -> dict:
         """Return an entry instance's status document."""
         answer = self.http.request("GET", entry.url("/v1/status", 2), timeout=10.0)
-        return orjson.loads(answer.data)
+        document = orjson.loads(answer.data)
+        if answer.status != HTTP_OK or "process" not in document:
+            raise RuntimeError(f"not a status: {answer.status} {answer.data[:300]!r}")
+        return document
 
     def publish_catalogue(self, text: str) -> int:
         """Store a catalogue at the configuration service and return its version."""
@@ -199,10 +208,7 @@
         if self._directory is not None:
             shutil.rmtree(self._directory, ignore_errors=True)
 
-    def _start_standins(self) -> None:
-        server_count = sum(service.server_count for service in self.shape.services)
-        ports = free_ports(server_count + 2)
-        self.configuration_port, self.list_port = ports.pop(), ports.pop()
+    def _start_standins(self, ports: list[int]) -> None:
         self.document = {
             "backend_servers": _server_rows(self.shape, ports),
             "entry_instances": [],
@@ -232,8 +238,7 @@
         environment = {**os.environ, "PYTHONPATH": os.getcwd()}
         self._standins.append(subprocess.Popen(command, env=environment))
 
-    def _prepare_entries(self) -> None:
-        ports = free_ports(3 * self.shape.entry_count)
+    def _prepare_entries(self, ports: list[int]) -> None:
         triples = list(zip(ports[::3], ports[1::3], ports[2::3], strict=True))
         seeds = ", ".join(f"{HOST}:{triple[1]}" for triple in triples[:3])
         for index, triple in enumerate(triples):
