--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DURATION_S ?= 0
+# Further options of the demonstration, such as --kill_one.
+DEMO_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
 .PHONY: run test bench install format lint unit binary smoke clean
 
 run: binary
-	$(BIN)/python -m standins.demo --duration-s $(DURATION_S) --program dist/berylhaven
+	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
+		--program=dist/berylhaven $(DEMO_OPTIONS)
 
 test: clean-venv install lint unit binary smoke
 
--- a/berylhaven/cli/__init__.py
+++ b/berylhaven/cli/__init__.py
@@ -1,5 +1,6 @@
 """The operators' command line."""
 
+from berylhaven.cli._output import table
 from berylhaven.cli._run import run_command_line
 
-__all__ = ["run_command_line"]
+__all__ = ["run_command_line", "table"]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,166 +1,155 @@
 """The demonstration behind ``make run``: stand-ins, a fleet, callers, a table."""
 
-import contextlib
-import pathlib
+import os
 import signal
-import subprocess
 import sys
-import tempfile
+import threading
 import time
 
 import fire
-import orjson
 import urllib3
 
-HOST = "127.0.0.1"
-CONFIGURATION_PORT = 17000
-LIST_PORT = 17001
-FIRST_BACKEND_PORT = 17100
-FIRST_ENTRY_PORT = 17500
-ENTRIES_PER_FIRM = 3
+from standins.demo_callers import DemoCallers
+from standins.demo_promises import broken_promises, runs_by_call_id
+from standins.demo_table import examples, table_text
+from standins.fleet import EntryProcess, FleetShape, ProcessFleet, ServiceShape
+
 TABLE_EVERY_S = 5.0
-START_PATIENCE_S = 30.0
+WATCH_EVERY_S = 0.1
+KILL_AFTER_S = 5.0
+REPLACEMENT_LIMIT_S = 5.0
 
-# Firm, service, class, servers, slots: the brief's sizes.
+# The sizes of the two firms' services and of their backend servers.
 SERVICES = (
-    ("carpatic", "positions", "interactive", 16, 4),
-    ("carpatic", "nominations", "transaction", 8, 4),
-    ("carpatic", "metering", "bulk", 6, 4),
-    ("kivu", "availability", "interactive", 17, 6),
-    ("kivu", "bookings", "transaction", 9, 6),
-    ("kivu", "archive", "bulk", 6, 6),
+    ServiceShape("carpatic", "positions", "interactive", 16, 4),
+    ServiceShape("carpatic", "nominations", "transaction", 8, 4),
+    ServiceShape("carpatic", "metering", "bulk", 6, 4),
+    ServiceShape("kivu", "availability", "interactive", 17, 6),
+    ServiceShape("kivu", "bookings", "transaction", 9, 6),
+    ServiceShape("kivu", "archive", "bulk", 6, 6),
 )
 
 
-def catalogue_text() -> str:
-    """Return the catalogue of the demonstration."""
-    parts = [f"[fleet]\nmax_entry_instances = {2 * ENTRIES_PER_FIRM}\n"]
-    for firm in ("carpatic", "kivu"):
-        parts.append(f"[firm {firm}]\nguaranteed_share_ratio = 0.4\n")
-    for firm, service, call_class, _, _ in SERVICES:
-        parts.append(
-            f"[service {service}]\nowner = {firm}\nclass = {call_class}\n"
-            "concurrency_limit = 600\nrate_limit_per_s = 6000\ndeadline_ms = 2000\n"
-            "idempotent = GET /*\n"
-        )
-    return "\n".join(parts)
-
-
-def settings_text(index: int) -> str:
-    """Return the settings of one entry instance."""
-    firm = "carpatic" if index < ENTRIES_PER_FIRM else "kivu"
-    port = FIRST_ENTRY_PORT + 3 * index
-    seeds = ", ".join(
-        f"{HOST}:{FIRST_ENTRY_PORT + 3 * i + 1}" for i in range(2 * ENTRIES_PER_FIRM)
-    )
-    return (
-        f"[instance]\nhost = {HOST}\ncallers_port = {port}\npeers_port = {port + 1}\n"
-        f"operators_port = {port + 2}\ndata_centre = {firm}-{index % 3 + 1}\n"
-        f"firm = {firm}\nseed_peers = {seeds}\n"
-        f"[platform]\nconfiguration_service = {HOST}:{CONFIGURATION_PORT}\n"
-        f"instance_list = {HOST}:{LIST_PORT}\n"
-    )
-
-
-def main(program: str = "dist/berylhaven", duration_s: float = 0.0) -> None:
-    """Run the demonstration until Ctrl-C, or for some seconds."""
-    with contextlib.ExitStack() as stack:
-        directory = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        processes: list[subprocess.Popen] = []
-        stack.callback(lambda: [process.wait() for process in processes])
-        stack.callback(lambda: [process.terminate() for process in processes])
-        _start_standins(directory, processes)
-        _start_entries(directory, program, processes)
-        _wait_until_ready()
-        broken = _call_for(duration_s)
-    sys.exit(1 if broken else 0)
-
-
-def _start_standins(directory: pathlib.Path, processes: list) -> None:
-    (directory / "catalogue.ini").write_text(catalogue_text())
-    rows = []
-    port = FIRST_BACKEND_PORT
-    for firm, service, _, count, slot_count in SERVICES:
-        for index in range(count):
-            processes.append(
-                _standin(f"backend_server --port={port} --slot_count={slot_count}")
-            )
-            rows.append(
-                {
-                    "address": f"{HOST}:{port}",
-                    "service": service,
-                    "data_centre": f"{firm}-{index % 3 + 1}",
-                    "slot_count": slot_count,
-                    "incarnation": 1,
-                    "state": "live",
-                }
-            )
-            port += 1
-    document = {"backend_servers": rows, "entry_instances": []}
-    (directory / "instances.json").write_bytes(orjson.dumps(document))
-    processes.append(
-        _standin(
-            f"configuration_service --port={CONFIGURATION_PORT} "
-            f"--catalogue={directory / 'catalogue.ini'}"
-        )
-    )
-    processes.append(
-        _standin(
-            f"instance_list --port={LIST_PORT} "
-            f"--document={directory / 'instances.json'}"
-        )
+class Demo:
+    """One run of the demonstration.
+
+    Parameters
+    ----------
+    fleet : ProcessFleet
+        The running fleet.
+    duration_s : float
+        How long calls are sent; 0 means until Ctrl-C.
+    kill_one : bool
+        Whether one entry instance is killed after some seconds.
+    """
+
+    def __init__(self, fleet: ProcessFleet, duration_s: float, kill_one: bool) -> None:
+        self._fleet = fleet
+        self._duration_s = duration_s
+        self._kills_at_s = KILL_AFTER_S if kill_one else None
+        self._started_s = time.monotonic()
+        self._stopping = threading.Event()
+        self._callers = DemoCallers(fleet.shape, fleet.entries, self._stopping)
+        self._slow_replacements = 0
+
+    def run(self) -> int:
+        """Send calls until the end and return the number of broken promises."""
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, lambda *_: self._stopping.set())
+        self._callers.start()
+        next_table_s = TABLE_EVERY_S
+        while not self._stopping.is_set():
+            self._stopping.wait(WATCH_EVERY_S)
+            self._kill_if_due()
+            self._replace_the_dead()
+            if self._elapsed_s() > next_table_s:
+                next_table_s = self._elapsed_s() + TABLE_EVERY_S
+                say(table_text(self._fleet, self._callers.records, self._elapsed_s()))
+            if self._duration_s and self._elapsed_s() > self._duration_s:
+                self._stopping.set()
+        self._callers.join()
+        return self._judge()
+
+    def _elapsed_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def _kill_if_due(self) -> None:
+        if self._kills_at_s is not None and self._elapsed_s() > self._kills_at_s:
+            self._kills_at_s = None
+            entry = self._fleet.entries[-1]
+            say(f"killing the entry instance on port {entry.ports[0]} (SIGKILL)")
+            entry.process.kill()
+            entry.process.wait()
+
+    def _replace_the_dead(self) -> None:
+        for entry in self._fleet.entries:
+            if entry.process.poll() is not None and not self._stopping.is_set():
+                self._replace(entry)
+
+    def _replace(self, entry: EntryProcess) -> None:
+        started_s = time.monotonic()
+        self._fleet.start_entry(entry)
+        self._fleet.wait_until_ready(entry)
+        service = next(s for s in self._fleet.shape.services if s.firm in _firm(entry))
+        url = entry.url(f"/v1/services/{service.name}/first")
+        status = urllib3.request("GET", url, retries=False).status
+        taken_s = time.monotonic() - started_s
+        say(f"the replacement on port {entry.ports[0]} serves after {taken_s:.1f} s")
+        self._slow_replacements += status != 200 or taken_s > REPLACEMENT_LIMIT_S
+
+    def _judge(self) -> int:
+        records = self._callers.records
+        say(table_text(self._fleet, records, self._elapsed_s()))
+        broken = broken_promises(records, runs_by_call_id(self._fleet))
+        for name, count in broken.items():
+            say(f"promise {name}: broken {count} times")
+        if not any(record.is_answered for record in records):
+            say("no call was answered")
+            return 1
+        return sum(broken.values()) + self._slow_replacements
+
+
+def _firm(entry: EntryProcess) -> str:
+    return entry.settings_path.read_text()
+
+
+def say(text: str) -> None:
+    """Print lines at once."""
+    print(text, flush=True)
+
+
+def main(
+    program: str = "dist/berylhaven",
+    duration_s: float = 0.0,
+    entries_per_firm: int = 3,
+    kill_one: bool = False,
+) -> None:
+    """Run the demonstration until Ctrl-C, or for some seconds.
+
+    Parameters
+    ----------
+    program : str
+        The path of the program.
+    duration_s : float
+        How long calls are sent; 0 means until Ctrl-C.
+    entries_per_firm : int
+        How many entry instances each firm has.
+    kill_one : bool
+        Kill one entry instance after some seconds and replace it.
+    """
+    shape = FleetShape(
+        services=SERVICES,
+        entry_count=2 * entries_per_firm,
+        program=(os.path.abspath(program),),
     )
-
-
-def _standin(words: str) -> subprocess.Popen:
-    module, *rest = words.split()
-    return subprocess.Popen([sys.executable, "-m", f"standins.{module}", *rest])
-
-
-def _start_entries(directory: pathlib.Path, program: str, processes: list) -> None:
-    for index in range(2 * ENTRIES_PER_FIRM):
-        path = directory / f"entry-{index}.ini"
-        path.write_text(settings_text(index))
-        log = (directory / f"entry-{index}.log").open("wb")
-        command = [program, "entry", "run", "--settings", str(path)]
-        processes.append(subprocess.Popen(command, stderr=log))
-
-
-def _wait_until_ready() -> None:
-    http = urllib3.PoolManager(retries=False)
-    until = time.monotonic() + START_PATIENCE_S
-    for index in range(2 * ENTRIES_PER_FIRM):
-        port = FIRST_ENTRY_PORT + 3 * index + 2
-        while True:
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                if http.request("GET", f"http://{HOST}:{port}/v1/health").status == 200:
-                    break
-            if time.monotonic() > until:
-                sys.exit("the entry instances did not become ready")
-            time.sleep(0.1)
-
-
-def _call_for(duration_s: float) -> int:
-    http = urllib3.PoolManager(retries=False, maxsize=1)
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
-    started = time.monotonic()
-    calls = broken = 0
-    next_table = started + TABLE_EVERY_S
-    with contextlib.suppress(KeyboardInterrupt):
-        while not duration_s or time.monotonic() - started < duration_s:
-            firm, service, *_ = SERVICES[calls % len(SERVICES)]
-            index = calls % ENTRIES_PER_FIRM + (
-                ENTRIES_PER_FIRM if firm == "kivu" else 0
-            )
-            port = FIRST_ENTRY_PORT + 3 * index
-            url = f"http://{HOST}:{port}/v1/services/{service}/item/{calls}"
-            calls += 1
-            broken += http.request("GET", url).status != 200
-            if time.monotonic() > next_table:
-                next_table += TABLE_EVERY_S
-                print(f"{calls} calls, {broken} broken", flush=True)
-    print(f"{calls} calls, {broken} broken", flush=True)
-    return broken
+    say(f"starting {2 * entries_per_firm} entry instances of {program} ...")
+    try:
+        with ProcessFleet(shape) as fleet:
+            say(examples(fleet, program))
+            broken_count = Demo(fleet, duration_s, kill_one).run()
+    except KeyboardInterrupt:
+        sys.exit(0)
+    sys.exit(1 if broken_count else 0)
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,8 @@
 START_PATIENCE_S = 60.0
 STOP_PATIENCE_S = 10.0
 POLL_S = 0.1
+# Ctrl-C reaches only whoever started the fleet, which then stops it in order.
+OWN_GROUP = 0
 DATA_CENTRES_PER_FIRM = 3
 
 
@@ -149,7 +151,11 @@
         command += ["--settings", str(entry.settings_path)]
         with entry.log_path.open("ab") as log:
             entry.process = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                process_group=OWN_GROUP,
             )
 
     def wait_until_ready(self, entry: EntryProcess) -> float:
@@ -227,7 +233,8 @@
     def _start_standin(self, module: str, *arguments: str) -> None:
         command = [sys.executable, "-m", f"standins.{module}", *arguments]
         environment = {**os.environ, "PYTHONPATH": os.getcwd()}
-        self._standins.append(subprocess.Popen(command, env=environment))
+        standin = subprocess.Popen(command, env=environment, process_group=OWN_GROUP)
+        self._standins.append(standin)
 
     def _prepare_entries(self) -> None:
         ports = free_ports(3 * self.shape.entry_count)
