--- a/bench/latency.py
+++ b/bench/latency.py
@@ -157,7 +157,7 @@
         self._sorted_us = sorted(document["latencies_us"])
         self.count = len(self._sorted_us)
         self.rate_per_s = self.count / document["duration_s"]
-        self.refused_count = document["refused_count"]
+        self.refused_count = sum(document["statuses"].values()) - self.count
 
     def latency_ms(self, quantile_ratio: float) -> float:
         """Return a quantile of the latencies in milliseconds."""
@@ -205,6 +205,7 @@
             f"--duration_s={duration_s}",
             f"--rate_per_s={rate_per_s}",
             f"--is_random={is_random}",
+            "--any_status",
         ],
         check=True,
         stdout=subprocess.PIPE,
--- a/bench/latency_callers.py
+++ b/bench/latency_callers.py
@@ -9,6 +9,7 @@
 
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 import eventlet
@@ -16,6 +17,7 @@
 import orjson
 
 WARM_UP_S = 0.5
+HTTP_OK = 200
 PAUSE_AFTER_REFUSAL_S = 0.01
 CONTENT_LENGTH = b"content-length:"
 
@@ -32,8 +34,8 @@
             "User-Agent: bench\r\nAccept-Encoding: identity\r\n\r\n"
         ).encode()
 
-    def call(self) -> bool:
-        """Send a request, read its whole answer, and tell whether it is a 200."""
+    def call(self) -> int:
+        """Send a request, read its whole answer and return its status."""
         self._sock.sendall(self._request)
         data = b""
         while (end := data.find(b"\r\n\r\n")) < 0:
@@ -43,7 +45,7 @@
         length = int(head[at:].split(b"\r\n", 1)[0])
         while len(data) < end + 4 + length:
             data += self._read()
-        return data.startswith(b"HTTP/1.1 200")
+        return int(data[9:12])
 
     def _read(self) -> bytes:
         piece = self._sock.recv(65_536)
@@ -77,8 +79,8 @@
 
     # The latency of each answered call.
     latencies_s: list[float] = field(default_factory=list)
-    # Calls that got another answer than 200.
-    refused_count: int = 0
+    # How many answers bore each status.
+    statuses: Counter[int] = field(default_factory=Counter)
 
 
 def _run(caller: _Caller, pace: _Pace, until_s: float, seen: _Seen) -> None:
@@ -88,10 +90,11 @@
         if planned_s > until_s:
             return
         eventlet.sleep(max(0.0, planned_s - time.perf_counter()))
-        if caller.call():
+        status = caller.call()
+        seen.statuses[status] += 1
+        if status == HTTP_OK:
             seen.latencies_s.append(time.perf_counter() - planned_s)
-        else:
-            seen.refused_count += 1
+        elif not pace.rate_per_s:
             eventlet.sleep(PAUSE_AFTER_REFUSAL_S)
 
 
@@ -101,10 +104,15 @@
     callers_count: int,
     duration_s: float,
     rate_per_s: float = 0.0,
-    is_random: bool = False,
     seed: int = 1,
+    any_status: bool = False,
+    is_random: bool = True,
 ) -> None:
-    """Call for some seconds and print what was seen."""
+    """Call for some seconds and print counts, statuses and latencies of 200 answers.
+
+    Without ``any_status`` every other answer ends the process with a failure; without
+    ``is_random`` a rate is kept by waiting between calls.
+    """
     random.seed(seed)
     targets = str(addresses).split(",")
     callers = [
@@ -126,9 +134,12 @@
     run_all(WARM_UP_S)
     began_s = time.perf_counter()
     seen = run_all(duration_s)
+    if not any_status and set(seen.statuses) != {HTTP_OK}:
+        raise SystemExit(f"unexpected answers: {dict(seen.statuses)}")
     document = {
+        "statuses": {str(status): n for status, n in seen.statuses.items()},
+        "count": len(seen.latencies_s),
         "duration_s": time.perf_counter() - began_s,
-        "refused_count": seen.refused_count,
         "latencies_us": [round(1e6 * latency_s) for latency_s in seen.latencies_s],
     }
     print(orjson.dumps(document).decode())
--- a/berylhaven/proxy/_upstream_caller.py
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -77,6 +77,7 @@
         request: CallRequest,
         patience_s: float | None = None,
         needs_new: bool = False,
+        may_give_up: Callable[[], bool] | None = None,
     ) -> UpstreamExchange:
         """Send a call to a backend server and wait for the head of its answer.
 
@@ -91,6 +92,9 @@
             None to wait until the deadline.
         needs_new : bool
             Whether only a new connection will do, as after a silent one.
+        may_give_up : callable or None
+            Asked once if the answer is late and the call is safe to send again; the
+            attempt goes on if it says no. None stands for yes.
 
         Returns
         -------
@@ -108,6 +112,7 @@
             self._settings.chunk_bytes,
             patience_s,
             lambda: self.pool.condemn(connection),
+            may_give_up,
         )
         answer = None
         try:
