--- a/berylhaven/catalogue/_check.py
+++ b/berylhaven/catalogue/_check.py
@@ -2,7 +2,13 @@
 
 from berylhaven.catalogue._fields import FIRM_FIELDS, FLEET_FIELDS, SERVICE_FIELDS
 from berylhaven.catalogue._model import Catalogue, FirmEntry, FleetEntry, ServiceEntry
-from berylhaven.ini import IniDocument, IniSection, read_document, read_fields
+from berylhaven.ini import (
+    IniDocument,
+    IniSection,
+    read_document,
+    read_fields,
+    value_kind,
+)
 from berylhaven.results import (
     BadValue,
     CheckProblem,
@@ -21,6 +27,7 @@
 DIVIDED_LIMITS = ("concurrency_limit", "connection_limit_per_backend_server")
 # Shares are decimal fractions, whose binary sum may be a little off.
 SHARE_TOLERANCE = 1e-9
+SHARE_KEY = "guaranteed_share_ratio"
 
 
 class CatalogueRefused(ExceptionGroup):
@@ -70,14 +77,15 @@
     try:
         text = raw.decode("utf-8")
     except UnicodeDecodeError as error:
-        return None, [NotReadable(f"not UTF-8 at byte {error.start}")]
+        line = raw[: error.start].count(b"\n") + 1
+        return None, [NotReadable(f"not UTF-8 at byte {error.start}", line)]
     document, problems = read_document(text)
     fleet = _read_fleet(document, problems)
     firms = _read_firms(document, problems)
     services = _read_services(document, firms, problems)
-    _check_parts(document, fleet, problems)
+    _check_parts(document, fleet, services, problems)
     _check_sections(document, problems)
-    _check_shares(firms, problems)
+    _check_shares(document, firms, problems)
     if problems:
         return None, sorted(problems, key=lambda problem: problem.line or 0)
     return Catalogue(fleet, firms, services, text), []
@@ -86,7 +94,7 @@
 def _named(document: IniDocument, kind: str) -> list[tuple[str, IniSection]]:
     prefix = kind + " "
     return [
-        (section.name.removeprefix(prefix).strip(), section)
+        (section.name.removeprefix(prefix), section)
         for section in document.sections
         if section.name.startswith(prefix)
     ]
@@ -100,7 +108,7 @@
             values, faults = read_fields(section, FLEET_FIELDS)
             problems.extend(faults)
             return FleetEntry(**values)
-    problems.append(MissingSection("add [fleet] with max_entry_instances"))
+    problems.append(MissingSection("add [fleet]", section="fleet"))
     return None
 
 
@@ -154,30 +162,45 @@
         if kind not in ("firm", "service"):
             message = "the sections here are fleet, firm NAME, service NAME"
             problems.append(UnknownSection(message, section.line, section.name))
-        elif not name.strip():
-            message = f"write [{kind} NAME]"
+            continue
+        try:
+            value_kind("name")(name)
+        except ValueError as error:
+            message = f"write [{kind} NAME]: {error}"
             problems.append(UnknownSection(message, section.line, section.name))
 
 
-def _check_shares(firms: dict[str, FirmEntry], problems: list[CheckProblem]) -> None:
+def _check_shares(
+    document: IniDocument, firms: dict[str, FirmEntry], problems: list[CheckProblem]
+) -> None:
     total = sum(firm.guaranteed_share_ratio or 0 for firm in firms.values())
-    if total > 1 + SHARE_TOLERANCE:
-        problems.append(SharesTooLarge(f"the shares add up to {total:g}"))
+    if total <= 1 + SHARE_TOLERANCE:
+        return
+    listed = ", ".join(
+        f"{firm.name} {firm.guaranteed_share_ratio or 0:g}" for firm in firms.values()
+    )
+    _, section = _named(document, "firm")[-1]
+    entry = section.entries.get(SHARE_KEY)
+    line = entry.line if entry else section.line
+    message = f"{listed} add up to {total:g}: allowed is 1"
+    problems.append(SharesTooLarge(message, line, section.name, SHARE_KEY))
 
 
 def _check_parts(
-    document: IniDocument, fleet: FleetEntry | None, problems: list[CheckProblem]
+    document: IniDocument,
+    fleet: FleetEntry | None,
+    services: dict[str, ServiceEntry],
+    problems: list[CheckProblem],
 ) -> None:
     """Find limits of which some entry instance would own no whole unit."""
     if fleet is None or fleet.max_entry_instances is None:
         return
     smallest = fleet.max_entry_instances
-    for _, section in _named(document, "service"):
+    for name, section in _named(document, "service"):
         for key in DIVIDED_LIMITS:
             entry = section.entries.get(key)
-            if entry is None or not entry.value.isdigit():
-                continue
-            if 0 < int(entry.value) < smallest:
-                message = f"{entry.value}: at least max_entry_instances, {smallest}"
+            value = getattr(services[name], key)
+            if entry is not None and value is not None and value < smallest:
+                message = f"{value}: at least max_entry_instances, {smallest}"
                 problem = OutOfRange(message, entry.line, section.name, key)
                 problems.append(problem)
