--- a/berylhaven/proxy/_kept_body.py
+++ b/berylhaven/proxy/_kept_body.py
@@ -51,6 +51,11 @@
                 self._tell(None)
         return piece
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether the caller got less than the whole body."""
+        return getattr(self._source, "is_cut", False)
+
     def close(self) -> None:
         """End early, if the body has not ended."""
         if hasattr(self._source, "close"):
