--- a/standins/_program.py
+++ b/standins/_program.py
@@ -72,7 +72,8 @@
 
 def serve_forever(host: str, port: int, application: Callable) -> None:
     """Serve a stand-in until the process ends."""
-    serve_socket(eventlet.listen((host, port), backlog=512, reuse_port=False), application)
+    listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
+    serve_socket(listener, application)
 
 
 def serve_socket(listener: object, application: Callable) -> None:
