--- a/berylhaven/load/_load_topic.py
+++ b/berylhaven/load/_load_topic.py
@@ -19,7 +19,7 @@
 ROWS_PER_MESSAGE = 8
 # A server's report is sent at most once in this time, so that only the last of
 # those that came in between is sent.
-HOLD_S = 0.0
+HOLD_S = 2.0
 ROW_LENGTH = 6
 # Brackets, colons and commas around one JSON value.
 FRAME_BYTES = 4
--- a/berylhaven/load/_service_load.py
+++ b/berylhaven/load/_service_load.py
@@ -12,7 +12,7 @@
 # parts of it: a straggler or a liar is not the service.
 SAMPLE_LIMIT_RATIO = 4.0
 # News of a server's load is half forgotten after some of the service's calls.
-TRUST_SERVICE_TIMES = 6.0
+TRUST_SERVICE_TIMES = 3.0
 TRUST_MINIMUM_S = 0.005
 FIRST_SERVICE_TIME_S = 0.005
 # The least duration forgets itself slowly, so that it follows a slower service.
--- a/berylhaven/routing/policies/_finish_time.py
+++ b/berylhaven/routing/policies/_finish_time.py
@@ -8,7 +8,7 @@
 
 # Instances that looked at all servers with the same old report would all choose
 # the same one.
-SAMPLED_SERVERS = 5
+SAMPLED_SERVERS = 8
 # Estimates that differ by less are the same: else the trace of an old report
 # would decide.
 NEARLY_SAME_RATIO = 0.98
@@ -27,8 +27,7 @@
     if count <= SAMPLED_SERVERS:
         sampled = servers
     else:
-        draw = request.random.random
-        sampled = [servers[int(draw() * count)] for _ in range(SAMPLED_SERVERS)]
+        sampled = request.random.sample(servers, SAMPLED_SERVERS)
     best, finish_s = _earliest(request, sampled)
     remaining_s = request.deadline_s - request.now_s
     is_doubtful = best is None or finish_s > remaining_s
