Test the weight of old news by a bound

Cause: Hypothesis found the old test wrong: doubt itself makes a wait longer, so that the estimate may rise while a report above the mean ages (load 2, mean 1). The record is right. Change: the test states the bound instead: a call more in a report moves the estimate by no more than its trust by age, and never the wrong way; news of 20 trust times counts for nothing. It holds for any load and mean, which the old one did not. Shown to fail: with age ignored, and with news ignored, tests are red. Figures: none measured. Conclusion: as strict, and true.

--- a/berylhaven/load/tests/test_server_load.py
+++ b/berylhaven/load/tests/test_server_load.py
@@ -1,5 +1,6 @@
 """Tests of what a record makes of answers, failures and reports."""
 
+import math
 import unittest
 
 from hypothesis import given, settings
@@ -34,20 +35,25 @@
 class NewsAgeTest(unittest.TestCase):
     """Old news is neither believed nor ignored."""
 
-    @settings(derandomize=True, deadline=None, max_examples=200)
-    @given(counts, counts, ages, ages)
-    def test_older_news_moves_the_estimate_less(self, load, mean, age_s, more_s):
-        table = table_of(2)
-        known, unknown = table.candidates(SERVICE)
-        known.service.mean_others = float(mean)
-        known.others, known.news_at_s = float(load), 0.0
-        never_heard_s = expected_finish_s(unknown, age_s, "a")
-        sooner_s = expected_finish_s(known, age_s, "a")
-        later_s = expected_finish_s(known, age_s + more_s, "a")
-        if load > mean:
-            self.assertLessEqual(later_s, sooner_s + 1e-9)
-        if age_s > 10:
-            self.assertAlmostEqual(sooner_s, never_heard_s, places=6)
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(counts, counts, counts, ages)
+    def test_older_news_moves_the_estimate_less(self, load, more, mean, age_s):
+        table = table_of(3)
+        light, heavy, unknown = table.candidates(SERVICE)
+        service = light.service
+        service.mean_others = float(mean)
+        light.others, light.news_at_s = float(load), 0.0
+        heavy.others, heavy.news_at_s = float(load + more), 0.0
+        light_s, heavy_s, unknown_s = (
+            expected_finish_s(server, age_s, "a") for server in (light, heavy, unknown)
+        )
+        # In full, each call more would add this much.
+        full_s = more * service.service_time_s / light.slot_count
+        trust = math.exp(-age_s / service.trust_time_s)
+        self.assertGreaterEqual(heavy_s, light_s)
+        self.assertLessEqual(heavy_s - light_s, full_s * trust + 1e-9)
+        if age_s > 20 * service.trust_time_s:
+            self.assertAlmostEqual(heavy_s, unknown_s, places=6)
 
     def test_fresh_news_counts_nearly_in_full(self):
         first, second = table_of(2).candidates(SERVICE)
