Bound what decision lines cost, and show the instance's metrics

Cause: a decision was put into an object before the bound was asked, also at a level that shows no line; peers, revisions, dropped lines and connections had no metric; the log began with absl's warning about flags. The status shows decision_lines_dropped and upstream_connections.

--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -12,6 +12,7 @@
     controller_classes,
     run_controllers,
 )
+from berylhaven.entry._instance_metrics import InstanceMetrics
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
 from berylhaven.exchange import (
@@ -47,7 +48,14 @@
         The process's settings.
     """
 
-    __slots__ = ("_settings", "_context", "_controllers", "_handler", "_threads")
+    __slots__ = (
+        "_settings",
+        "_context",
+        "_controllers",
+        "_handler",
+        "_threads",
+        "_decision_log",
+    )
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
@@ -56,15 +64,17 @@
             name: controller(self._context)
             for name, controller in controller_classes().items()
         }
+        self._decision_log = DecisionLog(settings.log)
         self._handler = CallHandler(
             settings,
             self._context.gate,
             self._context.load_table,
-            DecisionLog(settings.log),
+            self._decision_log,
             CallMetrics(self._context.metrics),
             self._context.local_instance,
             self._context.blackboard,
         )
+        InstanceMetrics(self._context, self._decision_log, self._handler)
         self._threads: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
@@ -98,7 +108,12 @@
 
     def status(self) -> dict:
         """Return what ``/v1/status`` shows."""
-        return status_document(self._context)
+        dropped_count = self._decision_log.dropped_count
+        return {
+            **status_document(self._context),
+            "upstream_connections": self._handler.open_connection_count,
+            "decision_lines_dropped": dropped_count,
+        }
 
     def _serve_callers(self) -> eventlet.greenthread.GreenThread:
         application = CallersApplication(
--- /dev/null
+++ b/berylhaven/entry/_instance_metrics.py
@@ -0,0 +1,105 @@
+"""Metrics that are read from the instance's parts when somebody asks."""
+
+import collections
+
+from aioprometheus.collectors import Counter, Gauge
+
+from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers import ControllerContext
+from berylhaven.membership import PeerState
+from berylhaven.operations import DecisionLog, process_usage
+from berylhaven.proxy import CallHandler
+
+NO_LABELS: dict[str, str] = {}
+
+
+class InstanceMetrics:
+    """Sets the metrics before each rendering.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        The instance's parts, with the registry of metrics.
+    decision_log : DecisionLog
+        Counts the lines that were dropped.
+    handler : CallHandler
+        Knows the connections to backend servers.
+    """
+
+    def __init__(
+        self,
+        context: ControllerContext,
+        decision_log: DecisionLog,
+        handler: CallHandler,
+    ) -> None:
+        self._context = context
+        self._decision_log = decision_log
+        self._handler = handler
+        self._in_flight = self._gauge("calls_in_flight", "Calls in flight.")
+        self._connections = self._gauge(
+            "upstream_connections", "Open connections to backend servers."
+        )
+        self._peers = self._gauge("peers", "Other entry instances, by state.")
+        self._revision = self._gauge(
+            "catalogue_revision", "The catalogue's revision in force; 0 without one."
+        )
+        self._refused = self._gauge(
+            "catalogue_refused_revision", "The last refused revision; 0 without one."
+        )
+        self._services = self._gauge(
+            "service_info", "1 for each service, by its class and owner."
+        )
+        self._resident = self._gauge("resident_bytes", "Resident memory.")
+        self._processor = self._counter("processor_seconds_total", "Processor time.")
+        self._dropped = self._counter(
+            "decision_lines_dropped_total", "Decisions that got no log line."
+        )
+        self._peer_bytes = self._counter(
+            "peer_bytes_total", "Bytes to and from other entry instances."
+        )
+        context.metrics.add_refresher(self.refresh)
+
+    def refresh(self) -> None:
+        """Set every metric to what holds now."""
+        context = self._context
+        self._in_flight.set(NO_LABELS, context.gate.in_flight_count)
+        self._connections.set(NO_LABELS, self._handler.open_connection_count)
+        self._dropped.set(NO_LABELS, self._decision_log.dropped_count)
+        traffic = context.peer_traffic
+        self._peer_bytes.set({"direction": "sent"}, traffic.sent_bytes)
+        self._peer_bytes.set({"direction": "received"}, traffic.received_bytes)
+        usage = process_usage()
+        self._resident.set(NO_LABELS, usage.resident_bytes)
+        self._processor.set(NO_LABELS, round(usage.processor_s, 3))
+        self._refresh_peers()
+        self._refresh_catalogue()
+
+    def _refresh_peers(self) -> None:
+        now_s = monotonic_s()
+        states = collections.Counter(
+            peer.state(now_s) for peer in self._context.peer_table.peers()
+        )
+        for state in PeerState:
+            self._peers.set({"state": state.value}, states[state])
+
+    def _refresh_catalogue(self) -> None:
+        in_force = self._context.blackboard.read(CATALOGUE_SECTION)
+        refused = self._context.blackboard.read(CATALOGUE_REFUSAL_SECTION)
+        self._revision.set(NO_LABELS, in_force.value.revision if in_force else 0)
+        self._refused.set(NO_LABELS, refused.value.revision if refused else 0)
+        # Services that were taken out of the catalogue must not stay.
+        self._services.values.clear()
+        if in_force is None:
+            return
+        for service in in_force.value.catalogue.services.values():
+            labels = {"service": service.name, "class": service.call_class.value}
+            self._services.set({**labels, "owner": service.owner}, 1)
+
+    def _gauge(self, name: str, help_text: str) -> Gauge:
+        registry = self._context.metrics.registry
+        return Gauge(f"berylhaven_{name}", help_text, registry=registry)
+
+    def _counter(self, name: str, help_text: str) -> Counter:
+        registry = self._context.metrics.registry
+        return Counter(f"berylhaven_{name}", help_text, registry=registry)
--- a/berylhaven/entry/tests/test_whole_path.py
+++ b/berylhaven/entry/tests/test_whole_path.py
@@ -51,7 +51,14 @@
         self.assertEqual(status["catalogue"]["revision"], 1)
         self.assertEqual(len(status["peers"]), 2)
         metrics = self.path.get(0, "/metrics", port=2).data.decode()
-        self.assertIn("berylhaven_calls_total", metrics)
+        for line in (
+            'berylhaven_calls_total{result="answered",service="positions"} 1',
+            'berylhaven_peers{state="live"} 2',
+            "berylhaven_catalogue_revision 1",
+            "berylhaven_catalogue_refused_revision 0",
+            "berylhaven_decision_lines_dropped_total 1",
+        ):
+            self.assertIn(line, metrics)
 
     def test_a_refused_catalogue_changes_nothing_and_shows(self):
         self.path.configuration.put("berylhaven%2Fcatalogue", b"[fleet]\nx = 1\n")
--- a/berylhaven/operations/_log_setup.py
+++ b/berylhaven/operations/_log_setup.py
@@ -1,6 +1,6 @@
 """Logs by absl, each part with its fixed prefix."""
 
-from absl import logging
+from absl import flags, logging
 
 from berylhaven.settings import LogSettings
 
@@ -13,6 +13,8 @@
     settings : LogSettings
         With the level.
     """
+    # The program reads no flags of absl's; unmarked, absl warns of that in the log.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(settings.level)
 
--- a/berylhaven/operations/_metrics.py
+++ b/berylhaven/operations/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics in aioprometheus's types."""
 
+from collections.abc import Callable
+
 from aioprometheus.collectors import Counter, Histogram, Registry
 from aioprometheus.renderer import render
 
@@ -13,14 +15,21 @@
 class MetricsRegistry:
     """All metrics of the process."""
 
-    __slots__ = ("registry",)
+    __slots__ = ("registry", "_refreshers")
 
     def __init__(self) -> None:
         # The library's registry, to which each part adds its metrics.
         self.registry = Registry()
+        self._refreshers: list[Callable[[], None]] = []
+
+    def add_refresher(self, refresh: Callable[[], None]) -> None:
+        """Have a function called before each rendering, to set what is only read."""
+        self._refreshers.append(refresh)
 
     def render(self, accept: str) -> tuple[bytes, dict]:
         """Return the metrics in the text form that a scraper accepts."""
+        for refresh in self._refreshers:
+            refresh()
         return render(self.registry, [accept or TEXT_FORM])
 
 
--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -46,6 +46,11 @@
             settings.proxy, self._connection_limits.__getitem__
         )
 
+    @property
+    def open_connection_count(self) -> int:
+        """Open connections to backend servers, all together."""
+        return self._upstreams.pool.open_count()
+
     def send(
         self,
         server: ServerLoad,
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -60,6 +60,7 @@
         "_once_runner",
         "_forwarder",
         "_sender",
+        "_attempt_sender",
     )
 
     def __init__(
@@ -84,15 +85,21 @@
         self._once_runner = OnceRunner(settings.calls, self._registry, local_instance)
         self._forwarder = HomeForwarder(blackboard, nonce, settings.proxy)
         source = random.Random()
+        self._attempt_sender = AttemptSender(settings)
         self._sender = RetryingSender(
             ServerChooser(
                 settings.instance.data_centre, load_table, decision_log, source
             ),
-            AttemptSender(settings),
+            self._attempt_sender,
             source,
             chunk_bytes,
         )
 
+    @property
+    def open_connection_count(self) -> int:
+        """Open connections to backend servers, all together."""
+        return self._attempt_sender.open_connection_count
+
     def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
         """Answer one call.
 
--- a/berylhaven/proxy/_server_chooser.py
+++ b/berylhaven/proxy/_server_chooser.py
@@ -81,6 +81,8 @@
         raise NoBackendServerInTime("all backend servers are too busy", RETRY_AFTER_S)
 
     def _log(self, request: CallRequest, decision: RoutingDecision) -> None:
+        if not self._decision_log.takes_line():
+            return
         self._decision_log.write(
             PlacementDecision(
                 call_id=request.call_id,
