--- /dev/null
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -0,0 +1,171 @@
+"""Each row of the table of attempts' ends, brought about over real sockets."""
+
+import io
+import pathlib
+import unittest
+import unittest.mock
+
+import eventlet
+
+from berylhaven.calls import JUDGEMENTS, AttemptEnd, AttemptFailed
+from berylhaven.catalogue import read_catalogue
+from berylhaven.clock import monotonic_s
+from berylhaven.entry.tests._whole_path import CATALOGUE
+from berylhaven.proxy._attempt_sender import _tell_answered
+from berylhaven.proxy._body_framing import BodyFraming
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._request_body import RequestBody
+from berylhaven.proxy._upstream_caller import UpstreamCaller
+from berylhaven.proxy._upstream_connection import UpstreamConnection
+from berylhaven.proxy.tests._raw_backend import RawBackend, answers_raw
+from berylhaven.settings import ProxySettings
+
+SETTINGS = ProxySettings(512, 32_768, 65_536, 15.0, 5.0, 60.0)
+PAGE = pathlib.Path("docs/design/outcomes.md")
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SHORT_S = 0.1
+
+
+class SlowReader:
+    """A caller that sends nothing more."""
+
+    def read1(self, size_bytes):
+        raise TimeoutError
+
+
+class OutcomeTableTest(unittest.TestCase):
+    """One test a row; the page and the code agree on what follows from each."""
+
+    def setUp(self):
+        self.backend = RawBackend()
+        self.addCleanup(self.backend.stop)
+        self.limit = 10
+        self.caller = UpstreamCaller(SETTINGS, lambda _: self.limit)
+        self.service = read_catalogue(CATALOGUE).services["bookings"]
+
+    def request(self, data=b"", length=None, method="POST", timeout_s=5.0, reader=None):
+        length = len(data) if length is None else length
+        reader = reader or io.BufferedReader(io.BytesIO(data))
+        return CallRequest(
+            service=self.service,
+            method=method,
+            target="/x",
+            headers=[],
+            body=RequestBody(reader, BodyFraming(length, False), SHORT_S),
+            deadline_s=monotonic_s() + timeout_s,
+            call_id="c",
+        )
+
+    def assert_ends(self, end, request=None, address=None, **options):
+        with self.assertRaises(AttemptFailed) as caught:
+            self.caller.attempt(
+                address or self.backend.address, request or self.request(), **options
+            )
+        self.assertIs(caught.exception.end, end)
+
+    def answer(self, data, keeps_open=False):
+        self.backend.answers["/x"] = answers_raw(data, keeps_open)
+
+    def test_not_connected(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        self.assert_ends(AttemptEnd.NOT_CONNECTED, address=address)
+
+    def test_deadline_before_sending(self):
+        request = self.request(timeout_s=0.0)
+        self.assert_ends(AttemptEnd.DEADLINE_BEFORE_SENDING, request)
+        self.assertEqual(self.backend.requests, [])
+
+    def test_caller_body_cut(self):
+        self.assert_ends(AttemptEnd.CALLER_BODY_CUT, self.request(b"abc", 10))
+
+    def test_broken_while_sending(self):
+        broken = unittest.mock.patch.object(
+            UpstreamConnection, "send", side_effect=BrokenPipeError
+        )
+        with broken:
+            self.assert_ends(AttemptEnd.BROKEN_WHILE_SENDING)
+
+    def test_broken_before_head(self):
+        self.answer(b"")
+        self.assert_ends(AttemptEnd.BROKEN_BEFORE_HEAD)
+
+    def test_deadline_before_head(self):
+        self.answer(b"", keeps_open=True)
+        self.assert_ends(
+            AttemptEnd.DEADLINE_BEFORE_HEAD, self.request(timeout_s=SHORT_S)
+        )
+
+    def test_shed(self):
+        self.answer(
+            b"HTTP/1.1 503 Full\r\nBerylhaven-Not-Started: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        exchange = self.caller.attempt(self.backend.address, self.request())
+        with self.assertRaises(AttemptFailed) as caught:
+            _tell_answered(unittest.mock.Mock(), exchange, monotonic_s())
+        self.assertIs(caught.exception.end, AttemptEnd.SHED)
+
+    def test_connection_limit(self):
+        self.limit = 0
+        self.assert_ends(AttemptEnd.CONNECTION_LIMIT)
+
+    def test_caller_body_too_large(self):
+        request = self.request(b"x" * 10)
+        request.body.limit_bytes = 5
+        self.assert_ends(AttemptEnd.CALLER_BODY_TOO_LARGE, request)
+
+    def test_caller_too_slow(self):
+        request = self.request(length=10, reader=SlowReader())
+        self.assert_ends(AttemptEnd.CALLER_TOO_SLOW, request)
+
+    def test_caller_gone(self):
+        self.answer(b"", keeps_open=True)
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        gone = eventlet.connect(listener.getsockname())
+        request = self.request()
+        request.caller_socket, _ = listener.accept()
+        self.addCleanup(request.caller_socket.close)
+        gone.close()
+        self.assert_ends(AttemptEnd.CALLER_GONE, request)
+
+    def test_silent(self):
+        self.answer(b"", keeps_open=True)
+        self.service = read_catalogue(CATALOGUE).services["positions"]
+        request = self.request(method="GET")
+        request.body.read_first(1)
+        self.assert_ends(AttemptEnd.SILENT, request, patience_s=SHORT_S)
+
+    def test_cut_before_body(self):
+        self.answer(HEAD + b"Content-Length: 4\r\n\r\n")
+        self.assert_ends(AttemptEnd.CUT_BEFORE_BODY)
+
+    def test_answer_without_length(self):
+        self.answer(HEAD + b"\r\nwhole?")
+        self.assert_ends(AttemptEnd.ANSWER_WITHOUT_LENGTH)
+
+    def test_foreign_answer(self):
+        self.answer(HEAD + b"Berylhaven-Call-Id: d\r\nContent-Length: 0\r\n\r\n")
+        self.assert_ends(AttemptEnd.FOREIGN_ANSWER)
+
+    def test_every_end_has_a_test_of_its_name(self):
+        for end in AttemptEnd:
+            name = "test_" + end.value.replace("-", "_")
+            self.assertTrue(hasattr(self, name), name)
+
+    def test_the_page_says_what_the_code_does(self):
+        rows = {}
+        for line in PAGE.read_text().splitlines():
+            cells = [cell.strip(" `") for cell in line.split("|")[1:-1]]
+            if len(cells) == 6:
+                rows[cells[0]] = tuple(cells[3:])
+        for end, judgement in JUDGEMENTS.items():
+            code = judgement.refusal.code
+            expected = (
+                judgement.outcome.value,
+                "yes" if judgement.may_retry else "no",
+                f"{code.number} {code.name}",
+            )
+            self.assertEqual(rows.get(end.value), expected, end)
