Add the soak

Cause: the promises were tested one by one and never under all faults together. Change: make soak runs entry instances, backend servers with twelve kinds of faults, and stops, kills and shuts down entry instances by a seeded schedule, under mixed calls of the client library; the verdict compares what callers were told with runs by call id.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 DURATION_S ?= 0
 
-.PHONY: run test bench install format lint unit binary smoke clean
+.PHONY: run test bench soak install format lint unit binary smoke clean
 
 run: binary
 	$(BIN)/python -m standins.demo --duration-s $(DURATION_S) --program dist/berylhaven
@@ -43,5 +43,8 @@
 bench: install
 	$(BIN)/python -m bench.routing
 
+soak: install
+	$(BIN)/python -m bench.soak --duration_s $(DURATION_S)
+
 clean:
 	rm -rf build dist .hypothesis .ruff_cache
--- /dev/null
+++ b/bench/soak/_faults.py
@@ -0,0 +1,150 @@
+"""The faults of a soak, switched on and off by a seeded schedule."""
+
+import collections
+import contextlib
+import random
+import signal
+import threading
+from collections.abc import Iterator
+
+import orjson
+import urllib3
+
+from standins.fleet import EntryProcess, ProcessFleet
+
+# Faults of a backend server by name, with the switches that turn each on.
+SERVER_FAULTS = {
+    "leaving": {"is_leaving": True},
+    "shed": {"sheds": True},
+    "short queue": {"queue_limit": 1},
+    "cold start": {"cold_calls": 40},
+    "straggling": {"straggle_ratio": 40.0},
+    "fail fast": {"fails_fast": True},
+    "lying about load": {"reported_running": 0},
+    "never answering": {"never_answers": True},
+    "cut answers": {"cuts_answer": True},
+    "late answers": {"late_s": 0.3},
+    "surplus bytes": {"surplus_bytes": 40},
+    "silent connections": {"silence_count": 1},
+}
+# Cheats of a backend server, which a soak must find.
+CHEATS = {
+    "double-run": {"runs_twice": True},
+    "wrong-id": {"echoes_foreign_id": True},
+    "run-after-shed": {"sheds": True, "runs_what_it_sheds": True},
+}
+ENTRY_FAULTS = ("entry stopped", "entry killed", "entry shut down")
+ENTRY_FAULT_SHARE_RATIO = 0.2
+GAP_LIMIT_S = 0.5
+LENGTH_LIMIT_S = 1.0
+STOP_LIMIT_S = 1.5
+SHUT_DOWN_PATIENCE_S = 15.0
+
+
+class FaultSchedule:
+    """One thread that brings about one fault after the other.
+
+    Parameters
+    ----------
+    fleet : ProcessFleet
+        Whose processes are disturbed.
+    seed : int
+        Decides which faults come when.
+    """
+
+    def __init__(self, fleet: ProcessFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._disturb)
+        self._silence_count = 0
+        self._kinds = list(SERVER_FAULTS)
+        # How often each fault came.
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def start(self) -> None:
+        """Begin to disturb."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Bring about no further faults, all of them being over when this returns."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _disturb(self) -> None:
+        while not self._stopping.wait(self._random.uniform(0, GAP_LIMIT_S)):
+            if self._random.random() < ENTRY_FAULT_SHARE_RATIO:
+                self._disturb_entry()
+            else:
+                self._disturb_server()
+
+    def _disturb_server(self) -> None:
+        address = self._random.choice(server_addresses(self._fleet))
+        # Each kind comes once before any comes again.
+        if not self._kinds:
+            self._kinds = list(SERVER_FAULTS)
+        kind = self._kinds.pop(self._random.randrange(len(self._kinds)))
+        changes = dict(SERVER_FAULTS[kind])
+        self.counts[kind] += 1
+        if kind == "silent connections":
+            self._silence_count += 1
+            set_faults(self._fleet, address, {"silence_count": self._silence_count})
+            return
+        with self._restored(address, changes):
+            self._stopping.wait(self._random.uniform(0.1, LENGTH_LIMIT_S))
+
+    @contextlib.contextmanager
+    def _restored(self, address: str, changes: dict) -> Iterator[None]:
+        before = set_faults(self._fleet, address, {})
+        set_faults(self._fleet, address, changes)
+        try:
+            yield
+        finally:
+            set_faults(self._fleet, address, {key: before[key] for key in changes})
+
+    def _disturb_entry(self) -> None:
+        entry = self._random.choice(self._fleet.entries)
+        kind = self._random.choice(ENTRY_FAULTS)
+        self.counts[kind] += 1
+        if kind == "entry stopped":
+            entry.process.send_signal(signal.SIGSTOP)
+            self._stopping.wait(self._random.uniform(0.2, STOP_LIMIT_S))
+            entry.process.send_signal(signal.SIGCONT)
+            return
+        if kind == "entry killed":
+            entry.process.kill()
+            entry.process.wait()
+        else:
+            self._shut_down(entry)
+        self._fleet.start_entry(entry)
+        self._fleet.wait_until_ready(entry)
+
+    def _shut_down(self, entry: EntryProcess) -> None:
+        entry.process.terminate()
+        entry.process.wait(SHUT_DOWN_PATIENCE_S)
+
+
+def server_addresses(fleet: ProcessFleet) -> list[str]:
+    """Return the addresses of a fleet's backend servers."""
+    return [row["address"] for row in fleet.document["backend_servers"]]
+
+
+def set_faults(fleet: ProcessFleet, address: str, changes: dict) -> dict:
+    """Set switches of a backend server and return all of them."""
+    method = "POST" if changes else "GET"
+    answer = fleet.http.request(
+        method,
+        f"http://{address}/faults",
+        body=orjson.dumps(changes) if changes else None,
+        retries=urllib3.Retry(3, allowed_methods=None),
+    )
+    return orjson.loads(answer.data)
+
+
+def count_runs(fleet: ProcessFleet) -> collections.Counter[str]:
+    """Return how often each call id was run, all backend servers together."""
+    runs: collections.Counter[str] = collections.Counter()
+    for address in server_addresses(fleet):
+        answer = fleet.http.request("GET", f"http://{address}/runs", retries=3)
+        runs.update(orjson.loads(answer.data))
+    return runs
--- /dev/null
+++ b/bench/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bench.soak."""
--- /dev/null
+++ b/bench/soak/tests/test_soak.py
@@ -0,0 +1,58 @@
+"""Tests of the soak: it is good on its own, and finds what cheats."""
+
+import unittest
+
+import orjson
+
+from bench.soak.__main__ import run_soak
+from bench.soak._verdict import EndedCall, judge
+from berylhaven.client import CallResult
+from berylhaven.results import Outcome
+
+
+def ended(outcome=Outcome.RUN, is_idempotent=False, shown_id="a", body_bytes=3):
+    document = orjson.dumps({"call_id": shown_id, "body_bytes": body_bytes})
+    body = document if outcome is Outcome.RUN else None
+    return EndedCall(CallResult(outcome, 200, 200, {}, body, "a", 1), is_idempotent, 3)
+
+
+class VerdictTest(unittest.TestCase):
+    """Each broken promise is counted, and nothing else is."""
+
+    def test_what_went_well_counts_nothing(self):
+        for call, run_count in (
+            (ended(), 1),
+            (ended(is_idempotent=True), 2),
+            (ended(Outcome.NOT_RUN), 0),
+            (ended(Outcome.UNKNOWN), 0),
+            (ended(Outcome.UNKNOWN), 1),
+        ):
+            self.assertTrue(judge([call], {"a": run_count}).is_good, call)
+
+    def test_each_broken_promise_is_counted(self):
+        for name, call, run_count in (
+            ("doubles", ended(), 2),
+            ("doubles", ended(Outcome.UNKNOWN), 2),
+            ("lost", ended(), 0),
+            ("cut", ended(body_bytes=2), 1),
+            ("foreign", ended(shown_id="b"), 1),
+            ("false_not_run", ended(Outcome.NOT_RUN), 1),
+            ("false_not_run", ended(Outcome.NOT_RUN, is_idempotent=True), 1),
+        ):
+            verdict = judge([call], {"a": run_count})
+            self.assertEqual(getattr(verdict, name), 1, name)
+            self.assertFalse(verdict.is_good)
+
+
+class SoakTest(unittest.TestCase):
+    """A short soak over real processes."""
+
+    def test_a_short_soak_breaks_no_promise(self):
+        report = run_soak(4.0, seed=3, thread_count=8)
+        self.assertGreater(sum(report.faults.values()), 2)
+        self.assertGreater(len(report.results), 100)
+        self.assertTrue(report.verdict.is_good, report.verdict)
+
+    def test_a_server_that_runs_what_it_says_it_did_not_start_is_found(self):
+        report = run_soak(0.5, seed=3, thread_count=8, cheat="run-after-shed")
+        self.assertGreater(report.verdict.false_not_run, 0)
