--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 DEMO_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
-.PHONY: run test bench install format lint unit binary smoke clean
+.PHONY: run test bench soak install format lint unit binary smoke clean
 
 run: binary
 	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
@@ -49,5 +49,8 @@
 bench: install
 	$(BIN)/python -m bench.routing
 
+soak: install
+	$(BIN)/python -m bench.soak --duration_s $(DURATION_S)
+
 clean:
 	rm -rf build dist .hypothesis .ruff_cache
