--- a/berylhaven/controllers/_load_controller.py
+++ b/berylhaven/controllers/_load_controller.py
@@ -46,7 +46,7 @@
             registry=registry,
         )
         self._states: dict[str, str] = {}
-        context.metrics.update_when_read(self._update_metrics)
+        context.metrics.add_refresher(self._update_metrics)
 
     def step(self) -> None:
         """Write a line for each server that changed."""
--- a/berylhaven/operations/_metrics.py
+++ b/berylhaven/operations/_metrics.py
@@ -15,27 +15,21 @@
 class MetricsRegistry:
     """All metrics of the process."""
 
-    __slots__ = ("registry", "_updates")
+    __slots__ = ("registry", "_refreshers")
 
     def __init__(self) -> None:
         # The library's registry, to which each part adds its metrics.
         self.registry = Registry()
-        self._updates: list[Callable[[], None]] = []
+        self._refreshers: list[Callable[[], None]] = []
 
-    def update_when_read(self, update: Callable[[], None]) -> None:
-        """Have gauges set when someone reads them, and not at other times.
-
-        Parameters
-        ----------
-        update : callable
-            Sets gauges to what holds now.
-        """
-        self._updates.append(update)
+    def add_refresher(self, refresh: Callable[[], None]) -> None:
+        """Have a function called before each rendering, to set what is only read."""
+        self._refreshers.append(refresh)
 
     def render(self, accept: str) -> tuple[bytes, dict]:
         """Return the metrics in the text form that a scraper accepts."""
-        for update in self._updates:
-            update()
+        for refresh in self._refreshers:
+            refresh()
         return render(self.registry, [accept or TEXT_FORM])
 
 
