--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 unit: install
 	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m tools.run_tests
 
+docs: install
+	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m tools.make_docs
+
 binary: dist/berylhaven
 
 dist/berylhaven: $(SOURCES) requirements.txt tools/build_binary.py $(VENV)/installed
