Close connections that are idle for too long while calls go elsewhere

Cause: nothing called the pool's look for aged connections, so a server that got no more calls kept its idle ones open for ever.

Change: the pool looks once a second, as calls take connections from it.

Conclusion: idle connections end within a second of their age while there are calls.

--- a/berylhaven/proxy/_connection_pool.py
+++ b/berylhaven/proxy/_connection_pool.py
@@ -16,6 +16,8 @@
 IDLE_LIMIT_S = 20.0
 # Connections that were opened within this time of one another are of one age.
 SAME_AGE_S = 0.5
+# How often the pool looks for connections that are idle for too long.
+SWEEP_EVERY_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,7 +60,13 @@
         The source of random numbers for the backoff.
     """
 
-    __slots__ = ("_limit_for", "_head_limit_bytes", "_random", "_servers")
+    __slots__ = (
+        "_limit_for",
+        "_head_limit_bytes",
+        "_random",
+        "_servers",
+        "_swept_at_s",
+    )
 
     def __init__(
         self,
@@ -70,6 +78,7 @@
         self._head_limit_bytes = head_limit_bytes
         self._random = source or random.Random()
         self._servers: dict[str, _ServerConnections] = {}
+        self._swept_at_s = monotonic_s()
 
     def acquire(
         self, address: str, is_idempotent: bool = False, needs_new: bool = False
@@ -95,8 +104,10 @@
         AttemptFailed
             If no connection is idle and none may be opened now.
         """
-        server = self._server(address)
         now_s = monotonic_s()
+        if now_s - self._swept_at_s >= SWEEP_EVERY_S:
+            self.close_aged()
+        server = self._server(address)
         if not needs_new:
             connection = self._take_idle(server, now_s, is_idempotent)
             if connection is not None:
@@ -196,7 +207,7 @@
 
     def close_aged(self) -> None:
         """Close what has been idle for too long, and forget unused servers."""
-        now_s = monotonic_s()
+        now_s = self._swept_at_s = monotonic_s()
         for address, server in list(self._servers.items()):
             while server.idle and now_s - server.idle[0].used_at_s > IDLE_LIMIT_S:
                 server.idle.pop(0).close()
--- a/berylhaven/proxy/tests/test_connection_pool.py
+++ b/berylhaven/proxy/tests/test_connection_pool.py
@@ -25,10 +25,10 @@
         self.backend = RawBackend()
         self.addCleanup(self.backend.stop)
         self.address = self.backend.address
-        self.pool = ConnectionPool(lambda _: LIMIT, 10_000, random.Random(1))
         self.clock = ManualClock()
         self.clock.__enter__()
         self.addCleanup(self.clock.__exit__, None, None, None)
+        self.pool = ConnectionPool(lambda _: LIMIT, 10_000, random.Random(1))
 
     def open(self, **options):
         connection = self.pool.acquire(self.address, **options)
@@ -74,6 +74,14 @@
         self.assertEqual(self.pool.open_count(), 0)
         self.assertFalse(connections[0].is_open)
 
+    def test_calls_to_other_servers_close_what_is_idle_for_too_long(self):
+        connections = self.open_many(2)
+        self.put_back(connections)
+        self.clock.advance_s(IDLE_LIMIT_S + 1)
+        self.pool.acquire("127.0.0.1:1")
+        self.assertFalse(connections[0].is_open)
+        self.assertFalse(connections[1].is_open)
+
     def test_an_old_idle_one_makes_room_for_a_new_one_at_the_limit(self):
         connections = self.open_many(LIMIT)
         self.put_back(connections)
