--- a/bench/latency.py
+++ b/bench/latency.py
@@ -42,7 +42,8 @@
 class = interactive
 concurrency_limit = 500
 rate_limit_per_s = 1000000
-deadline_ms = 5000
+deadline_ms = 120000
+body_limit_bytes = 1000000000
 idempotent = GET /*
 """
 
@@ -56,10 +57,18 @@
         Ends the processes.
     first_port : int
         The first of the ports to use.
+    backend_module : str
+        The program of the backend servers.
     """
 
-    def __init__(self, stack: contextlib.ExitStack, first_port: int) -> None:
+    def __init__(
+        self,
+        stack: contextlib.ExitStack,
+        first_port: int,
+        backend_module: str = "standins.backend_server",
+    ) -> None:
         self._stack = stack
+        self._backend_module = backend_module
         self._directory = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
         )
@@ -87,7 +96,7 @@
         for address in self.backends:
             port = address.rpartition(":")[2]
             self._start(
-                "standins.backend_server",
+                self._backend_module,
                 f"--port={port}",
                 f"--slot_count={SLOTS_COUNT}",
                 f"--service_time_s={SERVICE_TIME_S}",
