Watch callers and pass headers on with less work a call

Cause: the profile named the watch's context manager and the two passes over the headers of request and answer among the costs of every call.

Change: the watch is begun and ended by plain calls; headers are looked at once, and a second time only if a Connection header names some.

--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -106,8 +106,11 @@
         if watch is None or request.caller_socket is None:
             attempt.wait()
         else:
-            with watch.watching(request.caller_socket):
+            wait = watch.begin(request.caller_socket)
+            try:
                 attempt.wait()
+            finally:
+                watch.end(wait)
         return attempt.read()
     except eventlet.Timeout as timeout:
         if timeout is not timer:
--- a/berylhaven/proxy/_caller_watch.py
+++ b/berylhaven/proxy/_caller_watch.py
@@ -1,8 +1,6 @@
 """Noticing callers that close their connection while their call runs."""
 
-import contextlib
 import socket
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 import eventlet
@@ -18,7 +16,7 @@
 
 
 @dataclass(slots=True)
-class _Wait:
+class CallerWait:
     """One green thread that waits for a backend server."""
 
     # The green thread.
@@ -41,27 +39,32 @@
     __slots__ = ("_waits", "_looker")
 
     def __init__(self) -> None:
-        self._waits: dict[int, _Wait] = {}
+        self._waits: dict[int, CallerWait] = {}
         self._looker: eventlet.greenthread.GreenThread | None = None
 
-    @contextlib.contextmanager
-    def watching(self, caller_socket: socket.socket) -> Iterator[None]:
+    def begin(self, caller_socket: socket.socket) -> CallerWait:
         """Raise CallerGone in the calling green thread if the caller closes.
 
         Parameters
         ----------
         caller_socket : socket.socket
             The caller's connection.
+
+        Returns
+        -------
+        CallerWait
+            To be given to `end` when the thread waits no longer.
         """
-        wait = _Wait(greenlet.getcurrent(), caller_socket, monotonic_s())
+        wait = CallerWait(greenlet.getcurrent(), caller_socket, monotonic_s())
         self._waits[id(wait)] = wait
         if self._looker is None:
             self._looker = eventlet.spawn(self._look)
-        try:
-            yield
-        finally:
-            wait.is_waiting = False
-            del self._waits[id(wait)]
+        return wait
+
+    def end(self, wait: CallerWait) -> None:
+        """Watch no longer."""
+        wait.is_waiting = False
+        del self._waits[id(wait)]
 
     def _look(self) -> None:
         while self._waits:
@@ -83,7 +86,7 @@
         return True
 
 
-def _end_wait(wait: _Wait) -> None:
+def _end_wait(wait: CallerWait) -> None:
     # The wait may have ended between the look and this call.
     if wait.is_waiting:
         wait.thread.throw(CallerGone("the caller closed its connection"))
--- a/berylhaven/proxy/_hop_headers.py
+++ b/berylhaven/proxy/_hop_headers.py
@@ -20,7 +20,7 @@
 # Headers that this program writes itself.
 OWN_PREFIX = "berylhaven-"
 # These belong to the whole path or to the framing, whatever Connection says.
-NEVER_NAMED = frozenset({"host", "content-length"})
+NEVER_NAMED = frozenset({"host", "content-length", "close", "keep-alive"})
 
 
 def end_to_end(
@@ -42,22 +42,14 @@
     """
     kept = []
     named: set[str] = set()
-    for key, value in headers:
-        lowered = key.lower()
+    dropped = HOP_BY_HOP | also_dropped
+    for pair in headers:
+        lowered = pair[0].lower()
         if lowered == "connection":
-            named.update(name.strip().lower() for name in value.split(","))
-        elif not (
-            lowered in HOP_BY_HOP
-            or lowered in also_dropped
-            or lowered.startswith(OWN_PREFIX)
-        ):
-            kept.append((key, value))
+            named.update(name.strip().lower() for name in pair[1].split(","))
+        elif lowered not in dropped and not lowered.startswith(OWN_PREFIX):
+            kept.append(pair)
     named -= NEVER_NAMED
-    if named.isdisjoint(lowered_names(kept)):
+    if not named:
         return kept
     return [(key, value) for key, value in kept if key.lower() not in named]
-
-
-def lowered_names(pairs: Iterable[tuple[str, str]]) -> set[str]:
-    """Return the names of headers in lower case."""
-    return {key.lower() for key, _ in pairs}
