--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DURATION_S ?= 0
+# Further options of the demonstration, such as --kill_one.
+DEMO_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
-.PHONY: run test bench install format lint unit binary smoke clean
+.PHONY: run test bench soak install format lint unit binary smoke clean
 
 run: binary
-	$(BIN)/python -m standins.demo --duration-s $(DURATION_S) --program dist/berylhaven
+	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
+		--program=dist/berylhaven $(DEMO_OPTIONS)
 
 test: clean-venv install lint unit binary smoke
 
@@ -46,5 +49,8 @@
 bench: install
 	$(BIN)/python -m bench.routing
 
+soak: install
+	$(BIN)/python -m bench.soak --duration_s $(DURATION_S)
+
 clean:
 	rm -rf build dist .hypothesis .ruff_cache
