--- a/berylhaven/operations/_log_setup.py
+++ b/berylhaven/operations/_log_setup.py
@@ -22,6 +22,8 @@
 class PartLog:
     """The log of one part of the program.
 
+    Its methods are left out of absl's prefix, which names the line that logs.
+
     Parameters
     ----------
     part : str
@@ -33,18 +35,22 @@
     def __init__(self, part: str) -> None:
         self._prefix = part + ": "
 
+    @logging.skip_log_prefix
     def info(self, sentence: str, *values: object) -> None:
         """Write a line about the ordinary run."""
         logging.info(self._prefix + sentence, *values)
 
+    @logging.skip_log_prefix
     def warning(self, sentence: str, *values: object) -> None:
         """Write a line about something that an operator may look into."""
         logging.warning(self._prefix + sentence, *values)
 
+    @logging.skip_log_prefix
     def error(self, sentence: str, *values: object) -> None:
         """Write a line about something that an operator must look into."""
         logging.error(self._prefix + sentence, *values)
 
+    @logging.skip_log_prefix
     def debug(self, sentence: str, *values: object) -> None:
         """Write a line for developers."""
         logging.debug(self._prefix + sentence, *values)
