Work out the long-run size from the slopes

Cause: CAPACITY.md must follow from measured slopes, not from a hand's sums. Change: bench/slopes/_projection.py adds the contributions; make slopes; make docs was no phony target and did nothing beside the folder docs/. Figures: none yet; the slopes are run when the machine is quieter. Conclusion: the page's figures come from one command.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 DEMO_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
-.PHONY: run test bench soak install format lint unit binary smoke clean
+.PHONY: run test bench slopes soak install format lint unit docs binary smoke clean clean-venv
 
 run: binary
 	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
@@ -52,6 +52,9 @@
 bench: install
 	$(BIN)/python -m bench.routing
 
+slopes: install
+	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m bench.slopes
+
 soak: install
 	$(BIN)/python -m bench.soak --duration_s $(DURATION_S)
 
--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -8,6 +8,7 @@
 import fire
 
 from bench.slopes._experiments import experiments
+from bench.slopes._projection import projection_markdown
 from bench.slopes._report import ExperimentResult, markdown, plot
 
 
@@ -26,7 +27,7 @@
         if only in ("", name):
             print(f"measuring: {name}", flush=True)
             results.append(ExperimentResult(name, list(experiment())))
-    text = markdown(results)
+    text = markdown(results) + projection_markdown(results)
     print(text)
     target = Path(directory)
     target.mkdir(parents=True, exist_ok=True)
--- a/bench/tests/test_slopes.py
+++ b/bench/tests/test_slopes.py
@@ -7,6 +7,11 @@
 
 from bench.slopes._experiments import Point, spread_services
 from bench.slopes._fit import fit_line
+from bench.slopes._projection import (
+    dimensions,
+    instances_needed,
+    projection_markdown,
+)
 from bench.slopes._report import ExperimentResult, markdown
 from bench.slopes._sample import Sample
 
@@ -40,6 +45,22 @@
         self.assertIn("| 2 | 2.000 | 1.000 | 2.000 | 4.000 |", text)
         self.assertIn("| slope | 1.00000 ± 0.00000 |", text)
 
+    def test_contributions_add_up_at_the_long_run_size(self):
+        names = [dimension.experiment for dimension in dimensions(0)]
+        results = [
+            ExperimentResult(
+                name, [Point(x, Sample(0.01 + 0.0001 * x, 1e6, 0, 0)) for x in (0, 9)]
+            )
+            for name in [*names, "calls a second"]
+        ]
+        calls_per_s, count = instances_needed({r.name: r for r in results})
+        self.assertAlmostEqual(calls_per_s, 4_900.0)
+        self.assertAlmostEqual(count, 48_000 / 4_900 * 1.5)
+        text = projection_markdown(results)
+        control = 1.0 + 0.01 * (count + 714 + 108 + 40 + 1_600 / 1_440)
+        self.assertIn(f"| **control in all** | {control:.3f} |", text)
+        self.assertEqual(projection_markdown(results[:2]), "")
+
     def test_servers_are_spread_evenly(self):
         counts = [s.server_count for s in spread_services(6, 16)]
         self.assertEqual(sum(counts), 16)
