Let a returning server work again, and trust news of long queues longer

Change: a new server counts as empty until its first answer to the instance, three ordinary answers end its cold start, and trust in news grows with the mean queue. The bench's faults draw from random numbers of their own: bursts had differed by policy. Tried without effect: longer trust alone, no slowness, gentler smoothing. Shown to fail: each of the three mechanisms broken is red.

--- a/bench/routing/_fleet.py
+++ b/bench/routing/_fleet.py
@@ -72,6 +72,7 @@
     __slots__ = (
         "firm",
         "random",
+        "fault_random",
         "services",
         "instances",
         "figures",
@@ -87,6 +88,8 @@
         # The calls are the same for all policies: they have numbers of their own.
         self._arrivals = Random(seed)
         self.random = Random(seed + 1)
+        # So are the faults.
+        self.fault_random = Random(seed + 2)
         self.figures = figures
         self._policy = policy
         self.services = [
--- a/bench/routing/_scenarios.py
+++ b/bench/routing/_scenarios.py
@@ -101,11 +101,11 @@
 
 
 def _burst(fleet: "Fleet", server: object) -> None:
-    duration_s = BURST_MINIMUM_S + BURST_SPAN_S * fleet.random.random()
+    duration_s = BURST_MINIMUM_S + BURST_SPAN_S * fleet.fault_random.random()
     mean_s = BURST_MINIMUM_S + BURST_SPAN_S / 2
-    slots = 1 + int(fleet.random.random() * server.slot_count)
+    slots = 1 + int(fleet.fault_random.random() * server.slot_count)
     for _ in range(slots):
         server.occupy(duration_s)
     busy_s = mean_s * (1 + server.slot_count) / 2
     every_s = max(BURST_EVERY_S, busy_s / (BURST_SHARE_RATIO * server.slot_count))
-    call_later(fleet.random.expovariate(1 / every_s), _burst, fleet, server)
+    call_later(fleet.fault_random.expovariate(1 / every_s), _burst, fleet, server)
--- a/berylhaven/load/_estimate.py
+++ b/berylhaven/load/_estimate.py
@@ -10,7 +10,7 @@
 # What is heard of a server's slowness counts for 1/e after this time.
 SLOW_TRUST_S = 2.0
 # A call at a cold server takes so many times longer at first.
-COLD_RATIO = 3.0
+COLD_RATIO = 2.0
 # A certain failure counts as a call of this many service times.
 FAILURE_SERVICE_TIMES = 40.0
 # Failures count for 1/e after this time, so that a server is tried again.
@@ -61,6 +61,9 @@
     trust = math.exp((server.news_at_s - now_s) / service.trust_time_s)
     mean = service.mean_others
     others = mean + trust * (server.others - mean)
+    if not server.answered_count and server.cold_until_s > now_s:
+        # It has just come; each instance learns more with its first calls.
+        others = 0.0
     over = others + server.own_in_flight + 1 - server.slot_count
     variance = FRESH_VARIANCE + (1 - trust) * mean
     # The mean of the positive part of a load that is known within a variance.
--- a/berylhaven/load/_server_load.py
+++ b/berylhaven/load/_server_load.py
@@ -21,6 +21,8 @@
 FAILURE_RATIO_LEAST = 0.01
 SHED_REST_S = 0.05
 COLD_START_S = 5.0
+# So many answers that are not slow end the cold start.
+COLD_ANSWERS = 3
 
 
 class ServerLoad:
@@ -57,6 +59,7 @@
         "ejected_until_s",
         "shed_at_s",
         "cold_until_s",
+        "answered_count",
         "is_leaving",
         "is_marked",
     )
@@ -101,6 +104,8 @@
         self.shed_at_s = -math.inf
         # Until when it counts as cold; minus infinity if it was there at start.
         self.cold_until_s = -math.inf
+        # Calls that it answered since it came into the list.
+        self.answered_count = 0
         # Whether it said that it is leaving; it never comes back from that.
         self.is_leaving = False
         # Whether anything but load weighs against it.
@@ -134,6 +139,9 @@
         if report is not None:
             self.take_report(report)
         self._take_duration(duration_s, now_s)
+        self.answered_count += 1
+        if self.slow_ratio == 1 and self.answered_count >= COLD_ANSWERS:
+            self.cold_until_s = -math.inf
         if self.is_marked:
             self._mark(now_s)
 
@@ -220,7 +228,7 @@
         self.news_at_s = report.received_at_s
         load = report.running_count + report.queued_count
         self.others = float(max(0, load - self.own_in_flight))
-        self.service.take_others(self.others)
+        self.service.take_others(self.others, self.slot_count)
         return True
 
     def take_peer_report(self, report: LoadReport) -> None:
--- a/berylhaven/load/_service_load.py
+++ b/berylhaven/load/_service_load.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "server_count",
         "mean_others",
+        "mean_waves",
         "mean_service_time_s",
         "trust_time_s",
         "call_count",
@@ -51,6 +52,8 @@
         self.server_count = server_count
         # Calls of other entry instances at one server, on the average of reports.
         self.mean_others = 0.0
+        # Calls of others that wait, for each slot, on the average of reports.
+        self.mean_waves = 0.0
         # The time of one call in a slot; None before the first answer.
         self.mean_service_time_s: float | None = None
         # After this time news of a server's load counts for 1/e.
@@ -70,9 +73,20 @@
         """The mean time of one call in a slot, or a first guess, in seconds."""
         return self.mean_service_time_s or FIRST_SERVICE_TIME_S
 
-    def take_others(self, others: float) -> None:
-        """Take in how many calls of other instances one report told of."""
+    def take_others(self, others: float, slot_count: int) -> None:
+        """Take in how many calls of other instances one report told of.
+
+        Parameters
+        ----------
+        others : float
+            Calls of other instances.
+        slot_count : int
+            The server's slots.
+        """
         self.mean_others += MEAN_WEIGHT * (others - self.mean_others)
+        waves = max(0.0, others - slot_count) / slot_count
+        self.mean_waves += MEAN_WEIGHT * (waves - self.mean_waves)
+        self._set_trust_time()
 
     def take_service_time(self, service_time_s: float) -> None:
         """Take in the time in a slot that was worked out for one answered call."""
@@ -83,9 +97,12 @@
             sample = min(service_time_s, SAMPLE_LIMIT_RATIO * mean)
             sample = max(sample, mean / SAMPLE_LIMIT_RATIO)
             self.mean_service_time_s = mean + MEAN_WEIGHT * (sample - mean)
-        self.trust_time_s = max(
-            TRUST_MINIMUM_S, TRUST_SERVICE_TIMES * self.mean_service_time_s
-        )
+        self._set_trust_time()
+
+    def _set_trust_time(self) -> None:
+        # A long queue outlasts the calls ahead of it, and so does news of it.
+        wait_s = self.service_time_s * (1 + self.mean_waves)
+        self.trust_time_s = max(TRUST_MINIMUM_S, TRUST_SERVICE_TIMES * wait_s)
 
     def take_duration(
         self, data_centre: str, duration_s: float, expected_s: float, now_s: float
--- a/berylhaven/load/tests/test_server_load.py
+++ b/berylhaven/load/tests/test_server_load.py
@@ -227,6 +227,40 @@
             expected_finish_s(cold, 7.0, "a"), expected_finish_s(first, 7.0, "a")
         )
 
+    def test_a_cold_start_ends_with_a_few_ordinary_answers(self):
+        table = table_of(2, now_s=1.0)
+        first = table.candidates(SERVICE)[0]
+        table.update_servers(SERVICE, [backend_server(i) for i in range(4)], 1.0)
+        _, _, quick, slow = table.candidates(SERVICE)
+        for turn in range(5):
+            answer(first, 0.005, 1.0 + 0.01 * turn, 1)
+            answer(quick, 0.005, 1.0 + 0.01 * turn, 1)
+            answer(slow, 0.030, 1.0 + 0.01 * turn, 1)
+        usual_s = expected_finish_s(first, 1.1, "a")
+        self.assertAlmostEqual(expected_finish_s(quick, 1.1, "a"), usual_s, 4)
+        self.assertGreater(expected_finish_s(slow, 1.1, "a"), 3 * usual_s)
+
+    def test_a_server_that_has_just_come_is_not_starved_by_loaded_ones(self):
+        table = table_of(2, now_s=1.0)
+        for turn in range(100):
+            for server in table.candidates(SERVICE):
+                answer(server, 0.015, 1.0 + 0.01 * turn, running=4, queued=12)
+        table.update_servers(SERVICE, [backend_server(i) for i in range(3)], 2.0)
+        first, _, new = table.candidates(SERVICE)
+        self.assertLess(
+            expected_finish_s(new, 2.0, "a"), expected_finish_s(first, 2.0, "a")
+        )
+
+    def test_news_of_long_queues_lasts_longer(self):
+        quiet, busy = table_of(2), table_of(2)
+        for turn in range(100):
+            for server in quiet.candidates(SERVICE):
+                answer(server, 0.005, 0.01 * turn, running=2)
+            for server in busy.candidates(SERVICE):
+                answer(server, 0.025, 0.01 * turn, running=4, queued=16)
+        lasts = [t.service_load(SERVICE).trust_time_s for t in (quiet, busy)]
+        self.assertGreater(lasts[1], 2 * lasts[0])
+
     def test_a_new_incarnation_inherits_nothing(self):
         table = table_of(1)
         [old] = table.candidates(SERVICE)
