--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -112,5 +112,7 @@
         "queued": record.report.queued_count if record.report else None,
         "news_age_s": None if age_s is None else round(age_s, 3),
         "service_time_s": record.service_time_s,
+        "slow_ratio": round(record.slow_ratio, 2),
         "consecutive_failures": record.consecutive_failures,
+        "is_ejected": record.is_ejected(now_s),
     }
