Write twenty lines of a refused catalogue, not one for each fault

Cause: a catalogue with 100,000 faults wrote 100,000 log lines at every instance. Conclusion: a bad edit does not fill the log; catalogue check shows every fault.

--- a/berylhaven/controllers/_catalogue_controller.py
+++ b/berylhaven/controllers/_catalogue_controller.py
@@ -15,6 +15,9 @@
 
 LOG = PartLog("catalogue")
 WATCH_S = 10.0
+# A refused catalogue may have a fault on each of its lines; the command line's
+# `catalogue check` shows them all.
+REFUSAL_LINES = 20
 
 
 @register_controller("catalogue")
@@ -56,8 +59,9 @@
             self._refused_revision = value.version
             problems = tuple(refused.exceptions)
             self._refusal_writer.write(CatalogueRefusal(value.version, problems))
-            for problem in refused.exceptions:
+            for problem in problems[:REFUSAL_LINES]:
                 LOG.error("Revision %d refused: %s.", value.version, problem)
+            LOG.error("Revision %d has %d faults.", value.version, len(problems))
             return
         self._revision = value.version
         self._writer.write(CatalogueInForce(value.version, catalogue.digest, catalogue))
