Plan probes and tell of servers half as often, and judge age before budget

Cause: with 730 backend servers at rest the probe planner went through every ledger four times a second though hardly any probe was due; a profile gave it the largest part. Change: servers with news young enough are passed over before their ledger earns (it earns for all time passed when it is next looked at, up to its cap); probes are planned every 0.5 s and changed states told every 1 s.

--- a/berylhaven/controllers/_load_controller.py
+++ b/berylhaven/controllers/_load_controller.py
@@ -23,7 +23,7 @@
         With the load records and the metrics.
     """
 
-    interval_s = 0.5
+    interval_s = 1.0
 
     def __init__(self, context: ControllerContext) -> None:
         self._table = context.load_table
--- a/berylhaven/controllers/_probe_controller.py
+++ b/berylhaven/controllers/_probe_controller.py
@@ -24,7 +24,7 @@
         With the catalogue and the load records.
     """
 
-    interval_s = 0.25
+    interval_s = 0.5
 
     def __init__(self, context: ControllerContext) -> None:
         self._blackboard = context.blackboard
--- a/berylhaven/load/_probe_planner.py
+++ b/berylhaven/load/_probe_planner.py
@@ -145,6 +145,13 @@
         due = []
         needed_after_s = IDLE_NEWS_S if service.name in self._idle else FRESH_NEWS_S
         for server in servers:
+            age_s = min(now_s - server.news_at_s, now_s - self._started_at_s)
+            # Most servers are not due, and a ledger earns for all time passed when
+            # it is next looked at.
+            if age_s <= needed_after_s or server.is_leaving:
+                continue
+            if server.address in self._outstanding:
+                continue
             cost_ms = service.probe_cost_ms * server.slow_ratio
             longest_ms = max(GIVE_UP_MINIMUM_MS, GIVE_UP_RATIO * cost_ms)
             ledger = self._ledger(server, longest_ms, now_s)
@@ -154,10 +161,6 @@
                 catalogue.fleet.max_entry_instances,
             )
             ledger.earn(now_s, share_ms_per_s, longest_ms)
-            age_s = min(now_s - server.news_at_s, now_s - self._started_at_s)
-            is_due = age_s > needed_after_s and not server.is_leaving
-            if not is_due or server.address in self._outstanding:
-                continue
             if ledger.can_pay(longest_ms):
                 usefulness = age_s / needed_after_s
                 if server.consecutive_failures or server.news_at_s == -math.inf:
