Test that an upload outlives its backend server's leaving

Cause: nothing showed that an upload in flight ends whole while its backend server leaves and gets no new calls.

Change: the server turns to leaving in the instance list in the middle of an upload; new calls are refused, none reaches it, and then the rest of the upload is sent.

Conclusion: red when the pool closes busy connections too, green as it is.

--- /dev/null
+++ b/berylhaven/proxy/tests/test_upload_through_leaving.py
@@ -0,0 +1,51 @@
+"""Test of an upload whose backend server leaves while it is under way."""
+
+import copy
+import unittest
+
+from berylhaven.proxy.tests._proxy_path import BOOKINGS, ProxyPath, get, post
+
+BODY = b"x" * 90_000
+SENT_FIRST_BYTES = 70_000
+
+
+class PatientPath(ProxyPath):
+    """Calls may take so long that a busy machine does not end them."""
+
+    catalogue = ProxyPath.catalogue.replace(
+        b"deadline_ms = 2000", b"deadline_ms = 60000"
+    )
+
+
+class UploadThroughLeavingTest(unittest.TestCase):
+    """The connection of a call in flight is not touched; new calls go elsewhere."""
+
+    def setUp(self):
+        self.path = PatientPath()
+        self.addCleanup(self.path.stop)
+
+    def leave(self):
+        document = copy.deepcopy(self.path.instance_list.visible())
+        for row in document["backend_servers"]:
+            row["state"] = "leaving"
+        self.path.instance_list.put(document)
+
+    def test_the_upload_ends_whole_and_no_new_call_comes(self):
+        bookings = self.path.raw["bookings"]
+        with self.path.connect() as caller:
+            caller.send(post(BOOKINGS + "/x", f"Content-Length: {len(BODY)}"))
+            caller.send(BODY[:SENT_FIRST_BYTES])
+            self.path.wait_until(lambda: bookings.requests)
+            self.leave()
+            self.path.wait_until(lambda: self.answer_to_new_call().status == 503)
+            taken_count = len(bookings.requests)
+            self.assertEqual(self.answer_to_new_call().status, 503)
+            self.assertEqual(len(bookings.requests), taken_count)
+            caller.send(BODY[SENT_FIRST_BYTES:])
+            answer = caller.answer()
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertEqual(bookings.requests[0].body, BODY)
+        self.assertTrue(bookings.requests[0].is_whole)
+
+    def answer_to_new_call(self):
+        return self.path.exchange(get(BOOKINGS + "/new", "Berylhaven-Timeout-Ms: 500"))
