Merge list, answers and peers into one directory of backend servers

Cause: only the list told of leaving; an empty list dropped all servers; a lagging one brought a leaver back; records with calls in flight were dropped; the whole list was read each second. Faster first rounds for joiners. Conclusion: whoever tells first stops new work, and nothing older starts it again.

--- a/berylhaven/controllers/_context.py
+++ b/berylhaven/controllers/_context.py
@@ -9,7 +9,11 @@
 from berylhaven.load import LoadTable
 from berylhaven.membership import LocalInstance, PeerTable
 from berylhaven.operations import MetricsRegistry
-from berylhaven.platform import ConfigurationService, InstanceListService
+from berylhaven.platform import (
+    ConfigurationService,
+    InstanceListService,
+    ServerDirectory,
+)
 from berylhaven.settings import Settings
 
 
@@ -39,6 +43,8 @@
     configuration_service: ConfigurationService
     # The instance list.
     instance_list_service: InstanceListService
+    # The backend servers, merged from all that tells of them.
+    server_directory: ServerDirectory
     # The process's metrics.
     metrics: MetricsRegistry
     # The source of random numbers.
--- a/berylhaven/controllers/_exchange_controller.py
+++ b/berylhaven/controllers/_exchange_controller.py
@@ -31,6 +31,9 @@
 LOG = PartLog("exchange")
 EXCHANGE_PATH = "/v1/exchange"
 ROUND_S = 1.0
+# A joiner makes itself known, and learns of the others, by some faster rounds.
+START_ROUNDS = 8
+START_ROUND_S = 0.25
 # Rounds of instances that start together must not stay together.
 JITTER_RATIO = 0.2
 # Each instance that hears urgent news for the first time passes it on to as many.
@@ -62,6 +65,7 @@
         self._introduced_to: dict[str, str] = {}
         self._own_revision = 0
         self._next_round_at_s = 0.0
+        self._round_count = 0
         self._woke_at_s = float("-inf")
         blackboard = context.blackboard
         blackboard.claim(MEMBERSHIP_SECTION, "exchange").write(self._table)
@@ -76,7 +80,10 @@
             self._send_urgent_news()
             return
         jitter = self._context.random.uniform(1 - JITTER_RATIO, 1 + JITTER_RATIO)
-        self._next_round_at_s = monotonic_s() + ROUND_S * jitter
+        is_start = self._round_count < START_ROUNDS
+        self._round_count += 1
+        round_s = START_ROUND_S if is_start else ROUND_S
+        self._next_round_at_s = monotonic_s() + round_s * jitter
         self._do_round()
 
     def _send_urgent_news(self) -> None:
--- a/berylhaven/controllers/_instance_list_controller.py
+++ b/berylhaven/controllers/_instance_list_controller.py
@@ -1,52 +1,50 @@
-"""Keeps the instance list and the load records in step."""
+"""Reads the instance list again and again."""
 
-from berylhaven.clock import monotonic_s
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._registry import register_controller
 from berylhaven.operations import PartLog
-from berylhaven.platform import (
-    INSTANCE_LIST_SECTION,
-    BackendServer,
-    InstanceList,
-    PlatformUnavailable,
-)
+from berylhaven.platform import INSTANCE_LIST_SECTION, PlatformUnavailable
+from berylhaven.results import InstanceListUnavailable
 
 LOG = PartLog("instance_list")
 
 
 @register_controller("instance_list")
 class InstanceListController:
-    """Reads the instance list again and again.
+    """Puts the list on the blackboard; while it is unavailable the last one stays.
 
     Parameters
     ----------
     context : ControllerContext
-        With the instance list's adapter and the load records.
+        With the instance list's adapter.
     """
 
-    interval_s = 1.0
+    # With the jitter, and the time to apply it, below the two seconds within which
+    # a leaving server's new work has to stop.
+    interval_s = 1.25
 
     def __init__(self, context: ControllerContext) -> None:
         self._service = context.instance_list_service
-        self._load_table = context.load_table
         self._writer = context.blackboard.claim(INSTANCE_LIST_SECTION, "instance_list")
+        self._is_available = True
 
     def step(self) -> None:
-        """Read the list once and apply it."""
+        """Read the list once."""
         try:
             instances = self._service.read()
         except PlatformUnavailable as error:
-            LOG.warning("Instance list unavailable: %s.", error)
+            self._note_unavailable(error)
             return
+        if not self._is_available:
+            self._is_available = True
+            LOG.info("Instance list available again.")
         self._writer.write(instances)
-        for service, servers in _live_by_service(instances).items():
-            self._load_table.update_servers(service, servers, monotonic_s())
 
-
-def _live_by_service(instances: InstanceList) -> dict[str, list[BackendServer]]:
-    by_service: dict[str, list[BackendServer]] = {}
-    for server in instances.backend_servers:
-        live = by_service.setdefault(server.service, [])
-        if not server.is_leaving:
-            live.append(server)
-    return by_service
+    def _note_unavailable(self, error: PlatformUnavailable) -> None:
+        if not self._is_available:
+            return
+        self._is_available = False
+        code = InstanceListUnavailable.code
+        LOG.warning(
+            "%d %s: %s. The last known servers stay.", code.number, code.name, error
+        )
--- a/berylhaven/controllers/_registry.py
+++ b/berylhaven/controllers/_registry.py
@@ -9,6 +9,9 @@
 
 C = TypeVar("C", bound=type)
 
+# Modules whose import fills a registry: of controllers, topics or peer endpoints.
+REGISTERING_SUFFIXES = ("_controller", "_topic", "_endpoint")
+
 _CONTROLLERS: dict[str, type] = {}
 
 
@@ -52,6 +55,6 @@
     # Some may be registered already, because one was imported by itself.
     package = importlib.import_module("berylhaven.controllers")
     for module in pkgutil.iter_modules(package.__path__):
-        if module.name.endswith("_controller"):
+        if module.name.endswith(REGISTERING_SUFFIXES):
             importlib.import_module(f"{package.__name__}.{module.name}")
     return dict(_CONTROLLERS)
--- a/berylhaven/controllers/tests/_fake_fleet.py
+++ b/berylhaven/controllers/tests/_fake_fleet.py
@@ -16,6 +16,7 @@
     UrgentSignal,
 )
 from berylhaven.membership import Identity, LocalInstance, PeerState, PeerTable
+from berylhaven.platform import ServerDirectory
 
 TOPIC_CLASSES = "berylhaven.controllers._exchange_controller.topic_classes"
 
@@ -46,6 +47,7 @@
             peer_client=self,
             peer_traffic=PeerTraffic(),
             urgent_signal=UrgentSignal(),
+            server_directory=ServerDirectory(),
             random=Random(number),
         )
         with mock.patch(TOPIC_CLASSES, return_value=topics or {}):
@@ -76,7 +78,8 @@
 class FakeFleet:
     """Nodes by address; a cut holds from one node to another, one way."""
 
-    def __init__(self, clock, count):
+    def __init__(self, clock, count, topics=None):
+        self.topics = topics
         self.clock = clock
         self.cuts = set()
         self.stopped = set()
@@ -86,7 +89,7 @@
             self.start(number)
 
     def start(self, number, incarnation=1):
-        node = FakeNode(self, number, incarnation)
+        node = FakeNode(self, number, incarnation, self.topics)
         self.nodes[node.address] = node
         return node
 
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -29,7 +29,11 @@
     OperatorsApplication,
     PartLog,
 )
-from berylhaven.platform import ConfigurationService, InstanceListService
+from berylhaven.platform import (
+    ConfigurationService,
+    InstanceListService,
+    ServerDirectory,
+)
 from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
@@ -157,6 +161,7 @@
         gate=gate,
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
+        server_directory=ServerDirectory(),
         metrics=MetricsRegistry(),
         random=random,
     )
--- a/berylhaven/platform/__init__.py
+++ b/berylhaven/platform/__init__.py
@@ -12,6 +12,11 @@
     EntryInstance,
     InstanceList,
 )
+from berylhaven.platform._server_directory import (
+    LeavingMark,
+    ListVerdict,
+    ServerDirectory,
+)
 
 __all__ = [
     "INSTANCE_LIST_SECTION",
@@ -21,5 +26,8 @@
     "EntryInstance",
     "InstanceList",
     "InstanceListService",
+    "LeavingMark",
+    "ListVerdict",
     "PlatformUnavailable",
+    "ServerDirectory",
 ]
--- a/berylhaven/platform/_http.py
+++ b/berylhaven/platform/_http.py
@@ -29,7 +29,12 @@
             host, int(port), maxsize=CONNECTIONS_PER_SERVICE, retries=False
         )
 
-    def get(self, path: str, extra_wait_s: float = 0.0) -> urllib3.BaseHTTPResponse:
+    def get(
+        self,
+        path: str,
+        extra_wait_s: float = 0.0,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
         """Read a path whole.
 
         Parameters
@@ -38,6 +43,8 @@
             Path and query.
         extra_wait_s : float
             How long the service may hold the answer on purpose.
+        headers : dict or None
+            Further headers.
 
         Returns
         -------
@@ -51,7 +58,7 @@
         """
         timeout_s = self._settings.timeout_s + extra_wait_s
         try:
-            answer = self._pool.request("GET", path, timeout=timeout_s)
+            answer = self._pool.request("GET", path, timeout=timeout_s, headers=headers)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise PlatformUnavailable(f"{path}: {error}") from error
         if answer.status not in (200, 304):
--- a/berylhaven/platform/_instance_list.py
+++ b/berylhaven/platform/_instance_list.py
@@ -19,11 +19,13 @@
         With the firm whose instances are asked for.
     """
 
-    __slots__ = ("_http", "_path")
+    __slots__ = ("_http", "_path", "_entity_tag", "_last")
 
     def __init__(self, settings: PlatformSettings, instance: InstanceSettings) -> None:
         self._http = PlatformHttp(settings.instance_list, settings)
         self._path = f"/v1/instances?firm={instance.firm}"
+        self._entity_tag: str | None = None
+        self._last = InstanceList()
 
     def read(self) -> InstanceList:
         """Read the list.
@@ -38,9 +40,18 @@
         PlatformUnavailable
             If the service does not answer as it should.
         """
-        answer = self._http.get(self._path)
+        # The whole list every second would be most of a node's bytes for control.
+        headers = {"If-None-Match": self._entity_tag} if self._entity_tag else None
+        answer = self._http.get(self._path, headers=headers)
+        if answer.status == 304 and headers:
+            return self._last
+        self._last = self._parsed(answer.data)
+        self._entity_tag = answer.headers.get("ETag")
+        return self._last
+
+    def _parsed(self, raw: bytes) -> InstanceList:
         try:
-            document = orjson.loads(answer.data)
+            document = orjson.loads(raw)
             return InstanceList(
                 tuple(_backend_server(row) for row in document["backend_servers"]),
                 tuple(_entry_instance(row) for row in document["entry_instances"]),
--- /dev/null
+++ b/berylhaven/platform/tests/test_server_directory.py
@@ -0,0 +1,107 @@
+"""Tests of merging what tells of leaving backend servers."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from berylhaven.platform import BackendServer, ListVerdict, ServerDirectory
+from berylhaven.platform._server_directory import DISBELIEF_S
+
+ADDRESSES = st.sampled_from(["a:1", "b:1", "c:1"])
+INCARNATIONS = st.integers(1, 4)
+
+
+def server(address, incarnation=1, is_leaving=False, service="positions"):
+    return BackendServer(address, service, "x", 4, incarnation, is_leaving)
+
+
+class ServerDirectoryMachine(RuleBasedStateMachine):
+    """Lists that lag, peers and answers tell of leaving in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.directory = ServerDirectory()
+        self.now_s = 0.0
+        self.told_leaving = {}
+        self.newest = {}
+
+    def _note(self, address, incarnation):
+        known = self.told_leaving.get(address, 0)
+        self.told_leaving[address] = max(known, incarnation)
+
+    @rule(rows=st.dictionaries(ADDRESSES, st.tuples(INCARNATIONS, st.booleans())))
+    def list_is_read(self, rows):
+        shown = [server(a, inc, leaving) for a, (inc, leaving) in rows.items()]
+        for address, (incarnation, is_leaving) in rows.items():
+            if is_leaving:
+                self._note(address, incarnation)
+        before = {s.address: s for s in self.directory.servers("positions")}
+        offered = self.directory.offered("positions")
+        self.directory.take_list(shown, self.now_s)
+        for now in self.directory.servers("positions"):
+            if now.address in before:
+                earlier = before[now.address].incarnation
+                assert now.incarnation >= earlier, "an earlier run came back"
+        if not rows:
+            assert self.directory.offered("positions") == offered, "servers dropped"
+
+    @rule(address=ADDRESSES, incarnation=INCARNATIONS)
+    def peer_or_answer_tells(self, address, incarnation):
+        self.directory.mark_leaving(address, incarnation, self.now_s)
+        self._note(address, incarnation)
+
+    # All steps together stay below the time after which marks are forgotten.
+    @rule(duration_s=st.floats(0, 200))
+    def time_passes(self, duration_s):
+        self.now_s += duration_s
+
+    @invariant()
+    def no_leaving_server_is_offered(self):
+        for offered in self.directory.offered("positions"):
+            assert offered.incarnation > self.told_leaving.get(offered.address, 0)
+
+
+ServerDirectoryMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
+)
+ServerDirectoryMachineTest = ServerDirectoryMachine.TestCase
+
+
+class ServerDirectoryTest(unittest.TestCase):
+    """What a list may and may not do."""
+
+    def setUp(self):
+        self.directory = ServerDirectory()
+        self.directory.take_list([server(f"s{n}:1") for n in range(6)], 0.0)
+
+    def test_an_empty_list_never_drops_the_servers(self):
+        verdict = self.directory.take_list([], DISBELIEF_S * 100)
+        self.assertIs(verdict, ListVerdict.SUSPICIOUS)
+        self.assertEqual(len(self.directory.offered("positions")), 6)
+        self.assertEqual(self.directory.missing_services(), ["positions"])
+
+    def test_a_short_list_is_believed_after_a_while(self):
+        short = [server("s0:1"), server("s1:1")]
+        self.directory.take_list(short, 10.0)
+        self.assertEqual(len(self.directory.offered("positions")), 6)
+        self.directory.take_list(short, 10.0 + DISBELIEF_S)
+        self.assertEqual(len(self.directory.offered("positions")), 2)
+        self.assertEqual(self.directory.missing_services(), [])
+
+    def test_one_server_that_vanished_is_dropped_at_once(self):
+        self.directory.take_list([server(f"s{n}:1") for n in range(5)], 1.0)
+        self.assertEqual(len(self.directory.offered("positions")), 5)
+
+    def test_a_new_incarnation_is_live_again(self):
+        self.directory.mark_leaving("s0:1", 1, 1.0)
+        self.assertEqual(len(self.directory.offered("positions")), 5)
+        rows = [server(f"s{n}:1", 2 if n == 0 else 1) for n in range(6)]
+        self.directory.take_list(rows, 2.0)
+        self.assertEqual(len(self.directory.offered("positions")), 6)
+
+    def test_servers_that_leave_count_as_shown(self):
+        rows = [server(f"s{n}:1", 1, n < 4) for n in range(6)]
+        self.assertIs(self.directory.take_list(rows, 1.0), ListVerdict.BELIEVED)
+        self.assertEqual(len(self.directory.offered("positions")), 2)
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -1,5 +1,8 @@
 """A stand-in instance list, whose answers lag behind what it is told."""
 
+import hashlib
+
+import eventlet
 import fire
 import orjson
 from eventlet import hubs
@@ -20,7 +23,10 @@
     """Shows the document that it was given ``lag_s`` ago."""
 
     def __init__(self, document: dict | None = None) -> None:
-        self.faults = Faults(is_down=False, is_empty=False, lag_s=0.0)
+        self.faults = Faults(is_down=False, is_empty=False, lag_s=0.0, delay_s=0.0)
+        # Reads since the start, and those of them that found nothing new.
+        self.read_count = 0
+        self.unchanged_count = 0
         self._history: list[tuple[float, dict]] = [(-1e9, document or EMPTY)]
 
     def __call__(self, environ, start_response):  # noqa: ANN001, ANN204
@@ -30,9 +36,25 @@
         if environ["REQUEST_METHOD"] == "PUT":
             self.put(orjson.loads(environ["wsgi.input"].read()))
             return json_answer(start_response, {})
+        if environ["PATH_INFO"] == "/counters":
+            counts = {"reads": self.read_count, "unchanged": self.unchanged_count}
+            return json_answer(start_response, counts)
+        return self._read(environ, start_response)
+
+    def _read(self, environ, start_response):  # noqa: ANN001, ANN202
+        self.read_count += 1
+        if self.faults.delay_s:
+            eventlet.sleep(self.faults.delay_s)
         if self.faults.is_down:
             return json_answer(start_response, {}, "503 Service Unavailable")
-        return json_answer(start_response, self.visible())
+        document = self.visible()
+        digest = hashlib.blake2b(orjson.dumps(document), digest_size=8).hexdigest()
+        entity_tag = f'"{digest}"'
+        if environ.get("HTTP_IF_NONE_MATCH") == entity_tag:
+            self.unchanged_count += 1
+            start_response("304 Not Modified", [("ETag", entity_tag)])
+            return []
+        return json_answer(start_response, document, headers=(("ETag", entity_tag),))
 
     def put(self, document: dict) -> None:
         """Replace the document."""
