--- /dev/null
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -0,0 +1,130 @@
+"""One attempt with all that goes with it: its connection and its load record."""
+
+from collections.abc import Callable
+
+from berylhaven.admission import connection_part
+from berylhaven.backend import LOAD_HEADER, is_failure, is_shed, read_load_header
+from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.catalogue import FleetEntry
+from berylhaven.clock import monotonic_s
+from berylhaven.load import ServerLoad, finish_estimate
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._patience import patience_s
+from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
+from berylhaven.settings import Settings
+
+# These ends tell nothing of the backend server.
+ENDS_WITHOUT_BLAME = frozenset(
+    {
+        AttemptEnd.CALLER_BODY_CUT,
+        AttemptEnd.CALLER_BODY_TOO_LARGE,
+        AttemptEnd.CALLER_TOO_SLOW,
+        AttemptEnd.CALLER_GONE,
+        AttemptEnd.CONNECTION_LIMIT,
+        AttemptEnd.DEADLINE_BEFORE_SENDING,
+    }
+)
+# These ends came after a wait, whose length tells whether the server is to blame.
+ENDS_BY_LATENESS = frozenset({AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.SILENT})
+
+
+class AttemptSender:
+    """Sends attempts to backend servers and tells the load records of their ends.
+
+    Parameters
+    ----------
+    settings : Settings
+        The process's settings.
+    """
+
+    __slots__ = ("_data_centre", "_connection_limits", "_upstreams")
+
+    def __init__(self, settings: Settings) -> None:
+        self._data_centre = settings.instance.data_centre
+        self._connection_limits: dict[str, int] = {}
+        self._upstreams = UpstreamCaller(
+            settings.proxy, self._connection_limits.__getitem__
+        )
+
+    def send(
+        self,
+        server: ServerLoad,
+        request: CallRequest,
+        fleet: FleetEntry,
+        may_give_up: Callable[[], bool],
+        needs_new: bool = False,
+    ) -> UpstreamExchange:
+        """Send a call to a backend server and wait for the head of its answer.
+
+        Parameters
+        ----------
+        server : ServerLoad
+            The record of the chosen server.
+        request : CallRequest
+            The call.
+        fleet : FleetEntry
+            With the number of entry instances that share the connections.
+        may_give_up : callable
+            Asked once if the answer is late beyond its estimate and the call is safe
+            to send again.
+        needs_new : bool
+            Whether only a new connection will do, as after a silent one.
+
+        Returns
+        -------
+        UpstreamExchange
+            To be ended by the one who reads it.
+
+        Raises
+        ------
+        AttemptFailed
+            With the place at which it ended.
+        """
+        self._connection_limits[server.address] = connection_part(
+            request.service, fleet
+        )
+        sent_at_s = monotonic_s()
+        estimate = finish_estimate(server, sent_at_s, self._data_centre)
+        patience = patience_s(estimate.p99_s, request.deadline_s - sent_at_s)
+        server.call_started()
+        exchange = None
+        try:
+            exchange = self._upstreams.attempt(
+                server.address, request, patience, needs_new, may_give_up
+            )
+        except AttemptFailed as failure:
+            _tell_failed(server, failure, sent_at_s)
+            raise
+        except BaseException:
+            # The green thread was ended from outside, which says nothing of the server.
+            server.call_cancelled()
+            raise
+        _tell_answered(server, exchange, sent_at_s)
+        return exchange
+
+
+def _tell_answered(
+    server: ServerLoad, exchange: UpstreamExchange, sent_at_s: float
+) -> None:
+    """Tell the load record of an answer's head; raise if it says `not started`."""
+    now_s = monotonic_s()
+    answer = exchange.answer
+    report = read_load_header(answer.message.get(LOAD_HEADER), now_s)
+    if is_shed(answer.status, answer.message):
+        exchange.end(answer.is_whole and answer.keeps_connection)
+        server.call_shed(now_s, report)
+        raise AttemptFailed(AttemptEnd.SHED, "the backend server is full")
+    if is_failure(answer.status):
+        server.call_failed(now_s, report)
+    else:
+        server.call_answered(now_s - sent_at_s, report, now_s)
+
+
+def _tell_failed(server: ServerLoad, failure: AttemptFailed, sent_at_s: float) -> None:
+    now_s = monotonic_s()
+    if failure.end in ENDS_WITHOUT_BLAME:
+        server.call_cancelled()
+    elif failure.end in ENDS_BY_LATENESS:
+        server.call_timed_out(now_s - sent_at_s, now_s)
+    else:
+        server.call_failed(now_s)
--- /dev/null
+++ b/berylhaven/proxy/_retrying_sender.py
@@ -0,0 +1,161 @@
+"""Sending a call until a backend server answers or another attempt is not allowed."""
+
+from random import Random
+
+from berylhaven.calls import (
+    AttemptEnd,
+    AttemptFailed,
+    FailedAttempt,
+    RetryBudget,
+    backoff_s,
+    is_safe_to_retry,
+    joint_outcome,
+)
+from berylhaven.catalogue import FleetEntry
+from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.load import ServerLoad
+from berylhaven.proxy._attempt_sender import AttemptSender
+from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._server_chooser import ServerChooser
+from berylhaven.proxy._upstream_caller import UpstreamExchange
+from berylhaven.results import CallRefused, DeadlineExceeded
+
+RETRY_AFTER_S = 1.0
+# No backend server answers sooner, so that nothing is sent with less time left.
+LEAST_ANSWER_S = 0.001
+
+
+class _Attempts:
+    """The failed attempts of one call."""
+
+    __slots__ = ("failures", "excluded", "has_paid")
+
+    def __init__(self) -> None:
+        self.failures: list[AttemptFailed] = []
+        self.excluded: frozenset[str] = frozenset()
+        # Whether the next retry was taken from the budget already.
+        self.has_paid = False
+
+    def add(self, address: str, failure: AttemptFailed) -> None:
+        """Take in a failed attempt."""
+        self.failures.append(failure)
+        self.excluded |= {address}
+
+    @property
+    def was_silent(self) -> bool:
+        """Whether the last attempt was given up as silent."""
+        return bool(self.failures) and self.failures[-1].end is AttemptEnd.SILENT
+
+    def refusal(self) -> CallRefused:
+        """Return what the caller is told: the last end, and what all prove."""
+        last = self.failures[-1]
+        outcome = joint_outcome(f.judgement.outcome for f in self.failures)
+        return last.judgement.refusal(last.message, RETRY_AFTER_S, outcome)
+
+
+class RetryingSender:
+    """Sends calls, with retries within the budget of their service.
+
+    Parameters
+    ----------
+    chooser : ServerChooser
+        Chooses a server for each attempt.
+    sender : AttemptSender
+        Sends one attempt.
+    random : Random
+        The source of random numbers.
+    chunk_bytes : int
+        How much of a body is held at once.
+    """
+
+    __slots__ = ("_chooser", "_sender", "_random", "_chunk_bytes", "_budgets")
+
+    def __init__(
+        self,
+        chooser: ServerChooser,
+        sender: AttemptSender,
+        random: Random,
+        chunk_bytes: int,
+    ) -> None:
+        self._chooser = chooser
+        self._sender = sender
+        self._random = random
+        self._chunk_bytes = chunk_bytes
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def send(self, fleet: FleetEntry, request: CallRequest) -> UpstreamExchange:
+        """Send a call.
+
+        Parameters
+        ----------
+        fleet : FleetEntry
+            With the number of entry instances that share the connections.
+        request : CallRequest
+            The call.
+
+        Returns
+        -------
+        UpstreamExchange
+            The first answer; its `end` must be called.
+
+        Raises
+        ------
+        CallRefused
+            If no answer came; its outcome is what all attempts prove together.
+        """
+        budget = self._budgets.setdefault(request.service.name, RetryBudget())
+        ratio = request.service.retry_budget_ratio
+        budget.call_came(ratio)
+        attempts = _Attempts()
+
+        def may_give_up() -> bool:
+            """Pay for the attempt that follows a late one."""
+            attempts.has_paid = budget.take(ratio)
+            return attempts.has_paid
+
+        while True:
+            server = self._choose(request, attempts)
+            # A caller that awaits a sign to send gets it now that its call has a place.
+            request.body.read_first(self._chunk_bytes)
+            try:
+                return self._sender.send(
+                    server, request, fleet, may_give_up, attempts.was_silent
+                )
+            except AttemptFailed as failure:
+                attempts.add(server.address, failure)
+            self._wait_to_retry(request, attempts, budget)
+
+    def _choose(self, request: CallRequest, attempts: _Attempts) -> ServerLoad:
+        try:
+            return self._chooser.choose(request, attempts.excluded)
+        except CallRefused:
+            if attempts.failures:
+                raise attempts.refusal() from attempts.failures[-1]
+            raise
+
+    def _wait_to_retry(
+        self, request: CallRequest, attempts: _Attempts, budget: RetryBudget
+    ) -> None:
+        """Return when another attempt may be made; raise if none may."""
+        last = attempts.failures[-1]
+        failed = FailedAttempt(
+            judgement=last.judgement,
+            attempt_count=len(attempts.failures),
+            is_idempotent=request.is_idempotent,
+            is_body_held=request.is_replayable,
+            remaining_s=request.deadline_s - monotonic_s(),
+            expected_answer_s=LEAST_ANSWER_S,
+        )
+        if not is_safe_to_retry(failed):
+            raise attempts.refusal() from last
+        if not attempts.has_paid:
+            attempts.has_paid = budget.take(request.service.retry_budget_ratio)
+        if not attempts.has_paid:
+            raise attempts.refusal() from last
+        attempts.has_paid = False
+        sleep_s(backoff_s(failed, self._random))
+        # The process may have been stopped in between.
+        if request.deadline_s - monotonic_s() <= LEAST_ANSWER_S:
+            refusal = attempts.refusal()
+            message = f"the deadline passed before a retry; before: {last.message}"
+            raise DeadlineExceeded(message, RETRY_AFTER_S, refusal.outcome) from last
