Wait in the whole path for backend servers, not for an empty table

Cause: the condition held while no service was known yet, so calls came too early. Change: the table must have services, and each of them servers; stricter than before. Conclusion: ready means that calls can be served.

--- a/berylhaven/entry/tests/_whole_path.py
+++ b/berylhaven/entry/tests/_whole_path.py
@@ -129,7 +129,8 @@
                 live = [p for p in status["peers"] if p["is_ready"]]
                 if len(live) < len(self.instances) - 1 or not status["catalogue"]:
                     return False
-                if not all(status["backend_servers"].values()):
+                servers = status["backend_servers"]
+                if not servers or not all(servers.values()):
                     return False
             return True
 
