Spread the catalogue by few watches and by peers, within a bound on reads

Cause: every instance held a watch of its own and read as often as it liked; a fresh one took what the service gave first, which may be stale, and could not start while the service was down. An instance is ready only when it knows backend servers too.

--- a/berylhaven/catalogue/__init__.py
+++ b/berylhaven/catalogue/__init__.py
@@ -20,12 +20,15 @@
     MethodPath,
     ServiceEntry,
 )
+from berylhaven.catalogue._revision_keeper import OfferVerdict, RevisionKeeper
 from berylhaven.catalogue._section import (
     CATALOGUE_REFUSAL_SECTION,
     CATALOGUE_SECTION,
 )
 
 __all__ = [
+    "OfferVerdict",
+    "RevisionKeeper",
     "CATALOGUE_LIMIT_BYTES",
     "CATALOGUE_REFUSAL_SECTION",
     "CATALOGUE_SECTION",
--- /dev/null
+++ b/berylhaven/catalogue/tests/test_revision_keeper.py
@@ -0,0 +1,52 @@
+"""Tests that the revision in force never goes back."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from berylhaven.catalogue import OfferVerdict, RevisionKeeper
+
+OFFERS = st.lists(
+    st.tuples(st.integers(-1, 6), st.sampled_from(["a", "b"]), st.booleans())
+)
+
+
+class RevisionKeeperTest(unittest.TestCase):
+    """The highest revision wins, in whatever order they are offered."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(OFFERS)
+    def test_it_never_goes_back_and_takes_the_highest_sound_one(self, offers):
+        keeper = RevisionKeeper()
+        best = 0
+        refused = 0
+        for revision, digest, is_sound in offers:
+            before = keeper.in_force_revision
+            if keeper.judge(revision, digest) is OfferVerdict.NEW:
+                self.assertGreater(revision, max(best, refused))
+                if is_sound:
+                    keeper.put_in_force(revision, digest)
+                    best = revision
+                else:
+                    keeper.refuse(revision, digest)
+                    refused = revision
+            self.assertGreaterEqual(keeper.in_force_revision, before)
+            self.assertEqual(keeper.in_force_revision, best)
+        self.assertEqual(keeper.known_revision, max(best, refused))
+
+    def test_a_refused_revision_is_not_read_again(self):
+        keeper = RevisionKeeper()
+        keeper.put_in_force(1, "a")
+        keeper.refuse(2, "b")
+        self.assertIs(keeper.judge(2, "b"), OfferVerdict.KNOWN)
+        self.assertEqual(keeper.known_revision, 2)
+        self.assertIs(keeper.judge(3, "c"), OfferVerdict.NEW)
+
+    def test_one_revision_with_two_texts_is_a_conflict(self):
+        keeper = RevisionKeeper()
+        keeper.put_in_force(1, "a")
+        self.assertIs(keeper.judge(1, "a"), OfferVerdict.KNOWN)
+        self.assertIs(keeper.judge(1, "b"), OfferVerdict.CONFLICT)
+        with self.assertRaises(ValueError):
+            keeper.put_in_force(1, "b")
--- a/berylhaven/controllers/_backend_servers_controller.py
+++ b/berylhaven/controllers/_backend_servers_controller.py
@@ -7,7 +7,12 @@
 from berylhaven.controllers._registry import register_controller
 from berylhaven.load import ServerLoad
 from berylhaven.operations import PartLog
-from berylhaven.platform import INSTANCE_LIST_SECTION, BackendServer, ListVerdict
+from berylhaven.platform import (
+    BACKEND_SERVERS_SECTION,
+    INSTANCE_LIST_SECTION,
+    BackendServer,
+    ListVerdict,
+)
 from berylhaven.results import InstanceListSuspicious
 
 LOG = PartLog("backend_servers")
@@ -27,6 +32,9 @@
 
     def __init__(self, context: ControllerContext) -> None:
         self._blackboard = context.blackboard
+        self._writer = context.blackboard.claim(
+            BACKEND_SERVERS_SECTION, "backend_servers"
+        )
         self._directory = context.server_directory
         self._load_table = context.load_table
         self._urgent_signal = context.urgent_signal
@@ -56,6 +64,8 @@
         for service in self._directory.services():
             leaving_count += self._apply(service, now_s)
         self._leaving.set({}, leaving_count)
+        if self._directory.services():
+            self._writer.write(self._directory)
 
     def _take_list(self, now_s: float) -> None:
         reading = self._blackboard.read(INSTANCE_LIST_SECTION)
--- /dev/null
+++ b/berylhaven/controllers/_catalogue_fetch_controller.py
@@ -0,0 +1,101 @@
+"""Fetches a newer catalogue from peers that have it in force."""
+
+import eventlet
+
+from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers._catalogue_endpoint import CATALOGUE_PATH, REVISION_HEADER
+from berylhaven.controllers._catalogue_offers import (
+    FETCHED_CATALOGUE_SECTION,
+    CatalogueOffer,
+)
+from berylhaven.controllers._context import ControllerContext
+from berylhaven.controllers._registry import register_controller
+from berylhaven.exchange import PeerUnreachable
+from berylhaven.membership import Peer, PeerState
+from berylhaven.operations import PartLog
+from berylhaven.platform import INSTANCE_LIST_SECTION, ConfigurationValue
+
+LOG = PartLog("catalogue")
+# How many peers a fresh instance asks before it is ready.
+FIRST_PEERS = 3
+KNOWN_STATES = (PeerState.LIVE, PeerState.SUSPECT, PeerState.LEAVING)
+
+
+@register_controller("catalogue_fetch")
+class CatalogueFetchController:
+    """Asks a few peers at the start, and later whoever announces a higher revision.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the peers.
+    """
+
+    interval_s = 0.1
+
+    def __init__(self, context: ControllerContext) -> None:
+        self._context = context
+        blackboard = context.blackboard
+        self._writer = blackboard.claim(FETCHED_CATALOGUE_SECTION, "catalogue_fetch")
+        self._is_first = True
+
+    def step(self) -> None:
+        """Fetch once, if there is something to fetch."""
+        if self._is_first:
+            self._is_first = False
+            self._writer.write(CatalogueOffer(self._highest_of_some()))
+            return
+        known = self._known_revision()
+        now_s = monotonic_s()
+        ahead = [
+            peer
+            for peer in self._context.peer_table.in_state(now_s, *KNOWN_STATES)
+            if peer.announcement.catalogue_revision > known
+        ]
+        if not ahead:
+            return
+        address = self._choose(ahead).announcement.peers_address
+        value = self._fetch(address)
+        if value is not None:
+            self._writer.write(CatalogueOffer(value))
+
+    def _known_revision(self) -> int:
+        known = 0
+        for section in (CATALOGUE_SECTION, CATALOGUE_REFUSAL_SECTION):
+            reading = self._context.blackboard.read(section)
+            known = max(known, reading.value.revision if reading else 0)
+        reading = self._context.blackboard.read(FETCHED_CATALOGUE_SECTION)
+        # What was fetched and not judged yet is not fetched twice.
+        if reading is not None and reading.value.value is not None:
+            known = max(known, reading.value.value.version)
+        return known
+
+    def _choose(self, ahead: list[Peer]) -> Peer:
+        own = self._context.settings.instance.data_centre
+        near = [peer for peer in ahead if peer.announcement.data_centre == own]
+        return self._context.random.choice(near or ahead)
+
+    def _highest_of_some(self) -> ConfigurationValue | None:
+        settings = self._context.settings.instance
+        addresses = set(settings.seed_peers)
+        reading = self._context.blackboard.read(INSTANCE_LIST_SECTION)
+        if reading is not None:
+            listed = reading.value.entry_instances
+            addresses.update(entry.peers_address for entry in listed)
+        addresses.discard(settings.peers_address)
+        count = min(FIRST_PEERS, len(addresses))
+        asked = self._context.random.sample(sorted(addresses), count)
+        threads = [eventlet.spawn(self._fetch, address) for address in asked]
+        values = [thread.wait() for thread in threads]
+        found = [value for value in values if value is not None]
+        return max(found, key=lambda value: value.version, default=None)
+
+    def _fetch(self, address: str) -> ConfigurationValue | None:
+        try:
+            answer = self._context.peer_client.response("GET", address, CATALOGUE_PATH)
+            revision = int(answer.headers[REVISION_HEADER])
+        except (PeerUnreachable, KeyError, ValueError) as error:
+            LOG.debug("No catalogue from peer %s: %s.", address, error)
+            return None
+        return ConfigurationValue(revision, answer.data)
--- /dev/null
+++ b/berylhaven/controllers/_catalogue_offers.py
@@ -0,0 +1,21 @@
+"""Sections by which what was read reaches the controller that judges it."""
+
+from dataclasses import dataclass
+
+from berylhaven.blackboard import Section
+from berylhaven.platform import ConfigurationValue
+
+
+@dataclass(slots=True, frozen=True)
+class CatalogueOffer:
+    """What one source last gave."""
+
+    # The value; None if the source had nothing or did not answer.
+    value: ConfigurationValue | None
+
+
+# Written by the catalogue watch controller.
+WATCHED_CATALOGUE_SECTION = Section[CatalogueOffer]("watched_catalogue")
+
+# Written by the catalogue fetch controller.
+FETCHED_CATALOGUE_SECTION = Section[CatalogueOffer]("fetched_catalogue")
--- /dev/null
+++ b/berylhaven/controllers/_catalogue_watch_controller.py
@@ -0,0 +1,105 @@
+"""Watches the configuration service, within a bound on reads."""
+
+from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.controllers._catalogue_offers import (
+    WATCHED_CATALOGUE_SECTION,
+    CatalogueOffer,
+)
+from berylhaven.controllers._context import ControllerContext
+from berylhaven.controllers._registry import register_controller
+from berylhaven.membership import PeerState, watch_holders
+from berylhaven.operations import PartLog
+from berylhaven.platform import PlatformUnavailable, ReadBudget
+from berylhaven.results import ConfigurationServiceUnavailable
+
+LOG = PartLog("catalogue")
+WATCH_S = 10.0
+# The size of the fleet until a catalogue says it.
+FIRST_FLEET_SIZE = 40
+
+
+@register_controller("catalogue_watch")
+class CatalogueWatchController:
+    """Holds a watch if chosen in its data centre; else checks slowly.
+
+    Parameters
+    ----------
+    context : ControllerContext
+        With the configuration service and the peers.
+    """
+
+    interval_s = 0.25
+
+    def __init__(self, context: ControllerContext) -> None:
+        self._context = context
+        blackboard = context.blackboard
+        self._writer = blackboard.claim(WATCHED_CATALOGUE_SECTION, "catalogue_watch")
+        self._budget = ReadBudget(FIRST_FLEET_SIZE)
+        self._next_check_at_s = float("-inf")
+        self._is_first = True
+        self._is_available = True
+
+    def step(self) -> None:
+        """Read or watch once, if it is this instance's turn."""
+        if self._is_first:
+            sleep_s(self._budget.start_delay_s(self._context.random))
+        now_s = monotonic_s()
+        is_holder = not self._is_first and self._is_holder(now_s)
+        if not is_holder and now_s < self._next_check_at_s:
+            return
+        self._resize_budget()
+        if not self._budget.take(now_s):
+            return
+        random = self._context.random
+        self._next_check_at_s = now_s + self._budget.check_interval_s(random)
+        self._is_first = False
+        self._read(WATCH_S if is_holder else 0.0)
+
+    def _read(self, wait_s: float) -> None:
+        service = self._context.configuration_service
+        try:
+            value = service.watch(self._known_revision(), wait_s)
+        except PlatformUnavailable as error:
+            self._note_unavailable(error)
+            self._writer.write(CatalogueOffer(None))
+            return
+        if not self._is_available:
+            self._is_available = True
+            LOG.info("Configuration service available again.")
+        self._writer.write(CatalogueOffer(value))
+
+    def _note_unavailable(self, error: PlatformUnavailable) -> None:
+        # While the service is down each instance tries it as rarely as a check.
+        if not self._is_available:
+            return
+        self._is_available = False
+        code = ConfigurationServiceUnavailable.code
+        LOG.warning(
+            "%d %s: %s. The catalogue in force stays.", code.number, code.name, error
+        )
+
+    def _is_holder(self, now_s: float) -> bool:
+        own = self._context.settings.instance
+        live = self._context.peer_table.in_state(now_s, PeerState.LIVE)
+        addresses = [
+            peer.announcement.peers_address
+            for peer in live
+            if peer.announcement.data_centre == own.data_centre
+        ]
+        if not self._context.local_instance.is_leaving:
+            addresses.append(own.peers_address)
+        return own.peers_address in watch_holders(addresses)
+
+    def _known_revision(self) -> int:
+        known = 0
+        for section in (CATALOGUE_SECTION, CATALOGUE_REFUSAL_SECTION):
+            reading = self._context.blackboard.read(section)
+            known = max(known, reading.value.revision if reading else 0)
+        return known
+
+    def _resize_budget(self) -> None:
+        reading = self._context.blackboard.read(CATALOGUE_SECTION)
+        if reading is not None:
+            fleet = reading.value.catalogue.fleet
+            self._budget.resize(fleet.max_entry_instances)
--- a/berylhaven/entry/_peer_endpoints.py
+++ b/berylhaven/entry/_peer_endpoints.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from berylhaven.catalogue import CATALOGUE_SECTION
 from berylhaven.controllers import ControllerContext
 from berylhaven.exchange import (
     ExchangeMessage,
@@ -10,12 +9,9 @@
     PeerEndpoint,
     PeerRequest,
     peer_endpoint_classes,
-    register_peer_endpoint,
 )
 
 EXCHANGE_PATH = "/v1/exchange"
-CATALOGUE_PATH = "/v1/catalogue"
-REVISION_HEADER = "Catalogue-Revision"
 
 
 class ExchangeEndpoint:
@@ -36,32 +32,6 @@
         return PeerAnswer(self._receive(message).to_bytes())
 
 
-@register_peer_endpoint(CATALOGUE_PATH)
-class CatalogueEndpoint:
-    """Gives peers the text of the catalogue in force.
-
-    Parameters
-    ----------
-    context : ControllerContext
-        With the blackboard.
-    """
-
-    def __init__(self, context: ControllerContext) -> None:
-        self._blackboard = context.blackboard
-
-    def answer(self, request: PeerRequest) -> PeerAnswer | None:
-        """Return the text with its revision, or None before the first."""
-        reading = self._blackboard.read(CATALOGUE_SECTION)
-        if reading is None:
-            return None
-        in_force = reading.value
-        return PeerAnswer(
-            in_force.catalogue.text.encode(),
-            "text/plain; charset=utf-8",
-            {REVISION_HEADER: str(in_force.revision)},
-        )
-
-
 def peer_endpoints(
     context: ControllerContext,
     receive: Callable[[ExchangeMessage], ExchangeMessage],
--- a/berylhaven/membership/__init__.py
+++ b/berylhaven/membership/__init__.py
@@ -1,6 +1,12 @@
 """Which entry instances there are, and what each says of itself."""
 
 from berylhaven.membership._announcement import Announcement
+from berylhaven.membership._drain import (
+    DRAIN_SECTION,
+    Drain,
+    DrainProgress,
+    DrainStage,
+)
 from berylhaven.membership._identity import Identity, new_identity
 from berylhaven.membership._local_instance import LocalInstance
 from berylhaven.membership._own_address_guard import OwnAddressGuard
@@ -21,8 +27,10 @@
     Merge,
     PeerTable,
 )
+from berylhaven.membership._watch_holders import watch_holders
 
 __all__ = [
+    "DRAIN_SECTION",
     "FORGET_AFTER_S",
     "GONE_AFTER_S",
     "MEMBERSHIP_SECTION",
@@ -32,6 +40,9 @@
     "SILENCE_S",
     "SUSPECT_AFTER_S",
     "Announcement",
+    "Drain",
+    "DrainProgress",
+    "DrainStage",
     "Identity",
     "LocalInstance",
     "Merge",
@@ -42,4 +53,5 @@
     "PeerState",
     "PeerTable",
     "new_identity",
+    "watch_holders",
 ]
--- a/berylhaven/membership/_local_instance.py
+++ b/berylhaven/membership/_local_instance.py
@@ -8,6 +8,7 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.membership._announcement import Announcement
 from berylhaven.membership._identity import Identity
+from berylhaven.platform import BACKEND_SERVERS_SECTION
 from berylhaven.settings import InstanceSettings
 
 
@@ -62,7 +63,9 @@
     def is_ready(self) -> bool:
         """Whether the instance takes callers."""
         has_catalogue = self._blackboard.read(CATALOGUE_SECTION) is not None
-        return has_catalogue and not self.is_leaving
+        # Without backend servers every call would be refused.
+        has_servers = self._blackboard.read(BACKEND_SERVERS_SECTION) is not None
+        return has_catalogue and has_servers and not self.is_leaving
 
     def raise_incarnation(self, incarnation: int) -> None:
         """Take on a higher incarnation; the nonce, and so the calls' home, stays.
--- /dev/null
+++ b/berylhaven/membership/tests/test_drain.py
@@ -0,0 +1,33 @@
+"""Tests of the stages of a drain."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from berylhaven.membership import Drain, DrainStage
+
+TIMES = st.floats(0, 100)
+
+
+class DrainTest(unittest.TestCase):
+    """A drain waits for callers and calls, and no longer than its limit."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(TIMES, TIMES, TIMES, st.integers(0, 3))
+    def test_no_call_is_cut_before_the_limit(self, to_live_s, limit_s, now_s, count):
+        drain = Drain(0.0, to_live_s, limit_s)
+        stage = drain.stage(now_s, count)
+        if now_s >= limit_s:
+            self.assertIs(stage, DrainStage.DONE)
+        elif now_s < to_live_s:
+            self.assertIs(stage, DrainStage.ANNOUNCED)
+        elif count:
+            self.assertIsNot(stage, DrainStage.DONE)
+
+    def test_it_ends_when_nothing_is_left(self):
+        drain = Drain(0.0, locate_time_to_live_s=5.0, limit_s=900.0)
+        self.assertIs(drain.stage(7.9, 0), DrainStage.ANNOUNCED)
+        self.assertIs(drain.stage(8.0, 0), DrainStage.CLOSING)
+        self.assertIs(drain.stage(9.0, 1), DrainStage.CLOSING)
+        self.assertIs(drain.stage(9.0, 0), DrainStage.DONE)
--- a/berylhaven/platform/__init__.py
+++ b/berylhaven/platform/__init__.py
@@ -12,13 +12,16 @@
     EntryInstance,
     InstanceList,
 )
+from berylhaven.platform._read_budget import ReadBudget
 from berylhaven.platform._server_directory import (
+    BACKEND_SERVERS_SECTION,
     LeavingMark,
     ListVerdict,
     ServerDirectory,
 )
 
 __all__ = [
+    "BACKEND_SERVERS_SECTION",
     "INSTANCE_LIST_SECTION",
     "BackendServer",
     "ConfigurationService",
@@ -29,5 +32,6 @@
     "LeavingMark",
     "ListVerdict",
     "PlatformUnavailable",
+    "ReadBudget",
     "ServerDirectory",
 ]
--- a/berylhaven/platform/_server_directory.py
+++ b/berylhaven/platform/_server_directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from berylhaven.blackboard import Section
 from berylhaven.platform._instances import BackendServer
 
 # A list that lacks most of a service's servers is believed after as long; one that
@@ -161,3 +162,7 @@
             is_old = now_s - mark.known_at_s > FORGET_AFTER_S
             if is_old and address not in listed:
                 del self._marks[address]
+
+
+# Written by the backend servers controller once servers are known and in use.
+BACKEND_SERVERS_SECTION = Section[ServerDirectory]("backend_servers")
