Let an entry instance leave on SIGTERM without breaking a call

Cause: SIGTERM ended the process with its calls; a ready instance without backend servers refused calls with 503. Change: Drain (pure) with three stages: announced at once by urgent news and served through the locate time to live, closing with Connection: close until the last call ends, done; drain_limit_s bounds it; status shows it.

--- a/berylhaven/admission/tests/test_gate.py
+++ b/berylhaven/admission/tests/test_gate.py
@@ -56,6 +56,7 @@
         sender_timeout_s=15.0,
         locate_time_to_live_s=5.0,
         call_id_lifetime_s=60.0,
+        drain_limit_s=900.0,
     )
 
 
--- a/berylhaven/cli/commands/_entry_run.py
+++ b/berylhaven/cli/commands/_entry_run.py
@@ -1,5 +1,7 @@
 """The command ``entry run``."""
 
+import signal
+
 from berylhaven.cli._documents import load_checked_settings
 from berylhaven.cli._registry import register_command
 from berylhaven.entry import EntryInstance
@@ -29,4 +31,6 @@
         ports = f"{own.callers_port}, {own.peers_port}, {own.operators_port}"
         message = f"{own.host}, ports {ports}: {error.strerror}"
         raise CannotListen(message) from None
+    # The handler only sets a flag; what follows runs in green threads.
+    signal.signal(signal.SIGTERM, lambda number, frame: instance.leave())
     instance.wait()
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,12 +6,13 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
     run_controllers,
 )
+from berylhaven.entry._closing_application import ClosingApplication
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
 from berylhaven.exchange import (
@@ -21,7 +22,13 @@
     UrgentSignal,
 )
 from berylhaven.load import LoadTable
-from berylhaven.membership import LocalInstance, PeerTable, new_identity
+from berylhaven.membership import (
+    DRAIN_SECTION,
+    DrainStage,
+    LocalInstance,
+    PeerTable,
+    new_identity,
+)
 from berylhaven.operations import (
     CallMetrics,
     DecisionLog,
@@ -40,6 +47,7 @@
 LOG = PartLog("entry")
 PEER_CONNECTIONS = 256
 OPERATOR_CONNECTIONS = 32
+WAIT_INTERVAL_S = 0.1
 
 
 class EntryInstance:
@@ -51,7 +59,14 @@
         The process's settings.
     """
 
-    __slots__ = ("_settings", "_context", "_controllers", "_handler", "_threads")
+    __slots__ = (
+        "_settings",
+        "_context",
+        "_controllers",
+        "_handler",
+        "_threads",
+        "_is_stopped",
+    )
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
@@ -70,6 +85,7 @@
             self._context.blackboard,
         )
         self._threads: list[eventlet.greenthread.GreenThread] = []
+        self._is_stopped = False
 
     def start(self) -> None:
         """Listen on the three ports and run the controllers."""
@@ -88,15 +104,21 @@
         )
 
     def wait(self) -> None:
-        """Return when the instance has stopped."""
-        for thread in self._threads:
-            try:
-                thread.wait()
-            except eventlet.greenlet.GreenletExit:
-                continue
+        """Return when the instance has stopped, or has left after SIGTERM."""
+        while not self._is_stopped:
+            if self._has_left():
+                LOG.info("Left; nothing is in flight.")
+                self.stop()
+                return
+            sleep_s(WAIT_INTERVAL_S)
+
+    def leave(self) -> None:
+        """Begin to leave for good; safe in a signal handler, and when called twice."""
+        self._context.local_instance.is_leaving = True
 
     def stop(self) -> None:
         """Stop at once."""
+        self._is_stopped = True
         for thread in self._threads:
             thread.kill()
 
@@ -104,6 +126,10 @@
         """Return what ``/v1/status`` shows."""
         return status_document(self._context)
 
+    def _has_left(self) -> bool:
+        reading = self._context.blackboard.read(DRAIN_SECTION)
+        return reading is not None and reading.value.stage is DrainStage.DONE
+
     def _serve_callers(self) -> eventlet.greenthread.GreenThread:
         application = CallersApplication(
             self._settings,
@@ -111,7 +137,8 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        return serve_callers(self._settings, application)
+        closing = ClosingApplication(application, self._context.blackboard)
+        return serve_callers(self._settings, closing)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
--- a/berylhaven/entry/_status.py
+++ b/berylhaven/entry/_status.py
@@ -9,6 +9,7 @@
 from berylhaven.controllers import ControllerContext
 from berylhaven.entry._limits_status import firm_rows, lease_rows, limits_rows
 from berylhaven.load import ServerLoad
+from berylhaven.membership import DRAIN_SECTION
 from berylhaven.operations import process_usage
 
 # A refused catalogue may have thousands of faults; `catalogue check` shows all.
@@ -48,6 +49,7 @@
             ]
             for service in context.load_table.services()
         },
+        "drain": _drain(context, now_s),
         "peer_traffic": _peer_traffic(context),
         "calls_in_flight": context.gate.in_flight_count,
         "overload_pressure": round(context.gate.overload.pressure, 3),
@@ -91,6 +93,20 @@
     }
 
 
+def _drain(context: ControllerContext, now_s: float) -> dict | None:
+    reading = context.blackboard.read(DRAIN_SECTION)
+    if reading is None:
+        return None
+    progress = reading.value
+    return {
+        "stage": progress.stage.value,
+        "began_s_ago": round(now_s - progress.drain.began_at_s, 3),
+        "closes_in_s": round(max(0.0, progress.drain.closing_at_s - now_s), 3),
+        "ends_at_latest_in_s": round(max(0.0, progress.drain.ends_by_s - now_s), 3),
+        "calls_in_flight": progress.in_flight_count,
+    }
+
+
 def _peer_traffic(context: ControllerContext) -> dict:
     traffic = context.peer_traffic
     return {
--- a/berylhaven/proxy/__init__.py
+++ b/berylhaven/proxy/__init__.py
@@ -2,12 +2,14 @@
 
 from berylhaven.proxy._application import CallersApplication
 from berylhaven.proxy._call_handler import CallHandler
+from berylhaven.proxy._callers_protocol import END_CONNECTION_KEY
 from berylhaven.proxy._connection_pool import ConnectionCounts, ConnectionPool
 from berylhaven.proxy._patience import patience_s
 from berylhaven.proxy._server import serve, serve_callers
 from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 
 __all__ = [
+    "END_CONNECTION_KEY",
     "CallHandler",
     "CallersApplication",
     "ConnectionCounts",
--- a/berylhaven/settings/_fields.py
+++ b/berylhaven/settings/_fields.py
@@ -47,6 +47,7 @@
     Field("sender_timeout_s", "number", default=15.0, minimum=0.1, maximum=600),
     Field("locate_time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),
     Field("call_id_lifetime_s", "number", default=60.0, minimum=1, maximum=3_600),
+    Field("drain_limit_s", "number", default=900.0, minimum=1, maximum=7_200),
 )
 
 CALLS_FIELDS = (
--- a/berylhaven/settings/_model.py
+++ b/berylhaven/settings/_model.py
@@ -75,6 +75,8 @@
     locate_time_to_live_s: float
     # How long a call id may be used after its issue.
     call_id_lifetime_s: float
+    # The longest time from SIGTERM to the end, whatever is in flight.
+    drain_limit_s: float
 
 
 @dataclass(slots=True, frozen=True)
