Spread callers by owner, nearness and load in the locate answer

Cause: callers on one piece of news all got the same least loaded instance first. Change: owner's instances first, busy ones last, near before far, and within that a draw weighted by what is free; at most 8, two of them in other data centres. Shown to fail: equal weights (test_callers_on_one_piece_of_news_are_spread_by_load). Conclusion: old news no longer herds callers.

--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -1,5 +1,6 @@
 """The WSGI application on the callers' port."""
 
+import random
 import secrets
 import traceback
 from collections.abc import Callable, Iterable
@@ -72,6 +73,7 @@
         "_handler",
         "_announce",
         "_pause_watch",
+        "_random",
     )
 
     def __init__(
@@ -85,6 +87,7 @@
         self._blackboard = blackboard
         self._handler = handler
         self._announce = announce
+        self._random = random.Random()
         self._pause_watch = PauseWatch()
         self._pause_watch.start()
 
@@ -134,7 +137,7 @@
         name = query.get("service", [""])[0]
         data_centre = query.get("data_centre", [None])[0]
         in_force = self._in_force()
-        self._service(in_force, name)
+        service = self._service(in_force, name)
         table = self._blackboard.value(MEMBERSHIP_SECTION)
         live = table.in_state(monotonic_s(), PeerState.LIVE)
         announcements = [peer.announcement for peer in live]
@@ -142,10 +145,12 @@
         answer = json_answer(
             locate_document(
                 name,
+                service.owner,
                 in_force.revision,
                 self._settings.proxy.locate_time_to_live_s,
                 announcements,
                 data_centre,
+                self._random,
             )
         )
         answer.headers.extend(outcome_headers(Located.code, Outcome.RUN))
--- a/berylhaven/proxy/_locate.py
+++ b/berylhaven/proxy/_locate.py
@@ -1,15 +1,28 @@
 """The locate answer: which entry instances a caller should use."""
 
+from random import Random
+
 from berylhaven.calls import call_id_prefix
 from berylhaven.membership import Announcement
 
+# Longer answers cost bytes, and no caller tries so many.
+ENTRIES_LIMIT = 8
+# Places kept for other data centres, so that a caller survives the loss of its own.
+FAR_PLACES = 2
+# An instance with more of its bound in use is named after the others.
+BUSY_RATIO = 0.9
+# Even a full instance gets some callers, since the news of its load may be old.
+WEIGHT_FLOOR = 0.05
+
 
 def locate_document(
     service_name: str,
+    owner: str,
     revision: int,
     time_to_live_s: float,
     announcements: list[Announcement],
     data_centre: str | None,
+    random: Random,
 ) -> dict:
     """Return the locate answer.
 
@@ -17,14 +30,18 @@
     ----------
     service_name : str
         The service asked for.
+    owner : str
+        The firm that owns the service; its instances come first.
     revision : int
         The revision of the catalogue in force.
     time_to_live_s : float
         How long the caller may keep the answer.
     announcements : list of Announcement
-        The entry instances that are ready, this one too.
+        The live entry instances, this one too.
     data_centre : str or None
         Where the caller stands, if it said so.
+    random : Random
+        Spreads callers who ask on the same news.
 
     Returns
     -------
@@ -32,7 +49,7 @@
         The JSON object, near and least loaded instances first.
     """
     ready = [a for a in announcements if a.is_ready and not a.is_leaving]
-    ready.sort(key=lambda a: (a.data_centre != data_centre, a.load_ratio))
+    ordered = _ordered(ready, owner, data_centre, random)
     return {
         "service": service_name,
         "revision": revision,
@@ -43,6 +60,38 @@
                 "data_centre": a.data_centre,
                 "call_id_prefix": call_id_prefix(a.nonce, a.uptime_s),
             }
-            for a in ready
+            for a in _bounded(ordered, data_centre)
         ],
     }
+
+
+def _ordered(
+    ready: list[Announcement], owner: str, data_centre: str | None, random: Random
+) -> list[Announcement]:
+    def rank(announcement: Announcement) -> tuple[bool, bool, bool, float]:
+        # Sorting by this power of a random number draws without replacement, each
+        # instance by its weight.
+        weight = max(WEIGHT_FLOOR, 1.0 - announcement.load_ratio)
+        return (
+            announcement.firm != owner,
+            announcement.load_ratio > BUSY_RATIO,
+            announcement.data_centre != data_centre,
+            -(random.random() ** (1.0 / weight)),
+        )
+
+    return sorted(ready, key=rank)
+
+
+def _bounded(
+    ordered: list[Announcement], data_centre: str | None
+) -> list[Announcement]:
+    if len(ordered) <= ENTRIES_LIMIT:
+        return ordered
+    head = ordered[: ENTRIES_LIMIT - FAR_PLACES]
+    rest = ordered[ENTRIES_LIMIT - FAR_PLACES :]
+    far = [a for a in rest if a.data_centre != data_centre]
+    return (
+        head + (far + rest)[:FAR_PLACES]
+        if len(far) >= FAR_PLACES
+        else (ordered[:ENTRIES_LIMIT])
+    )
