--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import os
+import random
 import shutil
 import socket
 import subprocess
@@ -18,7 +19,10 @@
 import urllib3
 
 HOST = "127.0.0.1"
+FIRST_PORT = 26_000
+LAST_PORT = 32_000
 START_PATIENCE_S = 60.0
+HTTP_OK = 200
 STOP_PATIENCE_S = 10.0
 POLL_S = 0.1
 # Ctrl-C reaches only whoever started the fleet, which then stops it in order.
@@ -130,8 +134,13 @@
         """Start the stand-ins and the entry instances, and wait until all are ready."""
         self._directory = Path(tempfile.mkdtemp(prefix="berylhaven-fleet-"))
         try:
-            self._start_standins()
-            self._prepare_entries()
+            server_count = sum(s.server_count for s in self.shape.services)
+            entry_port_count = 3 * self.shape.entry_count
+            # Asked for at once, so that none is found free twice.
+            ports = free_ports(2 + server_count + entry_port_count)
+            self.configuration_port, self.list_port = ports.pop(), ports.pop()
+            self._start_standins(ports[entry_port_count:])
+            self._prepare_entries(ports[:entry_port_count])
             for entry in self.entries:
                 self.start_entry(entry)
             for entry in self.entries:
@@ -172,7 +181,10 @@
     def status(self, entry: EntryProcess) -> dict:
         """Return an entry instance's status document."""
         answer = self.http.request("GET", entry.url("/v1/status", 2), timeout=10.0)
-        return orjson.loads(answer.data)
+        document = orjson.loads(answer.data)
+        if answer.status != HTTP_OK or "process" not in document:
+            raise RuntimeError(f"not a status: {answer.status} {answer.data[:300]!r}")
+        return document
 
     def publish_catalogue(self, text: str) -> int:
         """Store a catalogue at the configuration service and return its version."""
@@ -202,10 +214,7 @@
         if self._directory is not None:
             shutil.rmtree(self._directory, ignore_errors=True)
 
-    def _start_standins(self) -> None:
-        server_count = sum(service.server_count for service in self.shape.services)
-        ports = free_ports(server_count + 2)
-        self.configuration_port, self.list_port = ports.pop(), ports.pop()
+    def _start_standins(self, ports: list[int]) -> None:
         self.document = {
             "backend_servers": _server_rows(self.shape, ports),
             "entry_instances": [],
@@ -236,8 +245,7 @@
         standin = subprocess.Popen(command, env=environment, process_group=OWN_GROUP)
         self._standins.append(standin)
 
-    def _prepare_entries(self) -> None:
-        ports = free_ports(3 * self.shape.entry_count)
+    def _prepare_entries(self, ports: list[int]) -> None:
         triples = list(zip(ports[::3], ports[1::3], ports[2::3], strict=True))
         seeds = ", ".join(f"{HOST}:{triple[1]}" for triple in triples[:3])
         for index, triple in enumerate(triples):
@@ -259,6 +267,9 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
 
+    They are below the range from which the kernel takes the ports of outgoing
+    connections, so that none of those comes in between.
+
     Parameters
     ----------
     count : int
@@ -269,13 +280,16 @@
     list of int
         Ports on the loopback address.
     """
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            ports.append(listener.getsockname()[1])
-        return ports
+    candidates = list(range(FIRST_PORT, LAST_PORT + 1))
+    random.shuffle(candidates)
+    ports = []
+    for port in candidates:
+        with contextlib.suppress(OSError), socket.socket() as listener:
+            listener.bind((HOST, port))
+            ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
 
 
 def _server_rows(shape: FleetShape, ports: list[int]) -> list[dict]:
