--- a/berylhaven/proxy/_locate.py
+++ b/berylhaven/proxy/_locate.py
@@ -69,6 +69,7 @@
     ready: list[Announcement], owner: str, data_centre: str | None, random: Random
 ) -> list[Announcement]:
     def rank(announcement: Announcement) -> tuple[bool, bool, bool, float]:
+        """Return the place of one instance, drawn anew for each answer."""
         # Sorting by this power of a random number draws without replacement, each
         # instance by its weight.
         weight = max(WEIGHT_FLOOR, 1.0 - announcement.load_ratio)
