Test the catalogue's controller by itself, and count held watches

Cause: the alarm for one revision with two digests, and the wait for both sources, were not shown by a test; the stand-in did not tell how many watches it holds. Change: tests over the blackboard with fakes; held_watches among its counters. Shown to fail: one source enough (test_nothing_is_in_force_before_both...); no alarm (test_a_peer_with_another_text...). Conclusion: each rule of the controller has a test.

--- a/berylhaven/controllers/_catalogue_controller.py
+++ b/berylhaven/controllers/_catalogue_controller.py
@@ -53,7 +53,7 @@
         self._conflicts: set[tuple[int, str]] = set()
         self._conflict = Gauge(
             "berylhaven_catalogue_conflict",
-            "1 while a peer holds another text under the revision in force here.",
+            "Whether a peer holds another text under the revision in force here.",
             registry=context.metrics.registry,
         )
 
--- /dev/null
+++ b/berylhaven/controllers/tests/test_catalogue_controller.py
@@ -0,0 +1,102 @@
+"""Tests of judging what the sources offer."""
+
+import unittest
+from types import SimpleNamespace
+
+from absl import logging
+
+from berylhaven.blackboard import Blackboard
+from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers._catalogue_controller import CatalogueController
+from berylhaven.controllers._catalogue_offers import (
+    FETCHED_CATALOGUE_SECTION,
+    WATCHED_CATALOGUE_SECTION,
+    CatalogueOffer,
+)
+from berylhaven.entry.tests._whole_path import CATALOGUE
+from berylhaven.exchange import UrgentSignal
+from berylhaven.membership import PeerTable, watch_holders
+from berylhaven.membership.tests.test_peer_table import announcement
+from berylhaven.operations import MetricsRegistry
+from berylhaven.platform import ConfigurationValue
+
+TWO = CATALOGUE + b"# two\n"
+
+
+class CatalogueControllerTest(unittest.TestCase):
+    """Nothing goes in force early, back, or in silence."""
+
+    def setUp(self):
+        logging.set_verbosity(logging.FATAL)
+        self.board = Blackboard()
+        self.watched = self.board.claim(WATCHED_CATALOGUE_SECTION, "watch")
+        self.fetched = self.board.claim(FETCHED_CATALOGUE_SECTION, "fetch")
+        self.table = PeerTable("own:1")
+        self.metrics = MetricsRegistry()
+        self.signal = UrgentSignal()
+        context = SimpleNamespace(
+            blackboard=self.board,
+            peer_table=self.table,
+            metrics=self.metrics,
+            urgent_signal=self.signal,
+        )
+        self.controller = CatalogueController(context)
+
+    def offer(self, writer, version=None, raw=CATALOGUE):
+        value = None if version is None else ConfigurationValue(version, raw)
+        writer.write(CatalogueOffer(value))
+        self.controller.step()
+
+    def conflict(self):
+        lines = self.metrics.render("")[0].splitlines()
+        last = next(line for line in lines if line.startswith(b"berylhaven_cat"))
+        return last.rsplit(b" ", 1)[1]
+
+    def revision(self):
+        reading = self.board.read(CATALOGUE_SECTION)
+        return reading.value.revision if reading else 0
+
+    def test_nothing_is_in_force_before_both_sources_were_asked(self):
+        self.offer(self.watched, 1)
+        self.assertEqual(self.revision(), 0)
+        self.offer(self.fetched, 2, TWO)
+        self.assertEqual(self.revision(), 2)
+        self.assertTrue(self.signal.wait(0))
+
+    def test_older_offers_of_either_source_change_nothing(self):
+        self.offer(self.fetched)
+        self.offer(self.watched, 2, TWO)
+        self.offer(self.fetched, 1)
+        self.offer(self.watched, 1)
+        self.assertEqual(self.revision(), 2)
+
+    def test_a_faulty_revision_leaves_the_one_in_force(self):
+        self.offer(self.fetched)
+        self.offer(self.watched, 1)
+        self.offer(self.watched, 2, b"[fleet]\n")
+        self.assertEqual(self.revision(), 1)
+        self.assertEqual(self.board.value(CATALOGUE_REFUSAL_SECTION).revision, 2)
+
+    def test_a_peer_with_another_text_under_the_revision_raises_the_alarm(self):
+        self.offer(self.fetched)
+        self.offer(self.watched, 1)
+        self.assertEqual(self.conflict(), b"0")
+        other = announcement(catalogue_revision=1, catalogue_digest="0" * 16)
+        self.table.merge(other, monotonic_s())
+        self.controller.step()
+        self.assertEqual(self.conflict(), b"1")
+
+
+class WatchHoldersTest(unittest.TestCase):
+    """Two hold the watch, and a change of one changes at most one."""
+
+    def test_the_loss_of_one_changes_one_holder_at_most(self):
+        fleet = {f"10.0.0.{n}:1" for n in range(20)}
+        holders = watch_holders(fleet)
+        self.assertEqual(len(holders), 2)
+        for lost in fleet:
+            left = watch_holders(fleet - {lost})
+            self.assertGreaterEqual(len(left & holders), 1)
+            if lost not in holders:
+                self.assertEqual(left, holders)
--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self.faults = Faults(is_down=False, stale_versions=0, delay_s=0.0)
         self.read_count = 0
+        # Watches that wait for a new version now.
+        self.held_count = 0
         self._versions: dict[str, list[bytes]] = {}
 
     def __call__(self, environ, start_response):  # noqa: ANN001, ANN204
@@ -29,7 +31,8 @@
         if path == FAULTS_PATH:
             return answer_faults(self.faults, environ, start_response)
         if path == "/counters":
-            return json_answer(start_response, {"reads": self.read_count})
+            counts = {"reads": self.read_count, "held_watches": self.held_count}
+            return json_answer(start_response, counts)
         key = path.removeprefix(VALUES_PREFIX)
         if environ["REQUEST_METHOD"] == "PUT":
             self.put(key, environ["wsgi.input"].read())
@@ -52,9 +55,11 @@
         wait = dict(part.split("=") for part in query.split("&") if part)
         after_version = int(wait.get("after_version", -1))
         left_s = int(wait.get("wait_ms", 0)) / 1000
+        self.held_count += 1
         while self.version(key) <= after_version and left_s > 0:
             eventlet.sleep(WATCH_POLL_S)
             left_s -= WATCH_POLL_S
+        self.held_count -= 1
         version = self.version(key)
         if self.faults.is_down:
             return json_answer(start_response, {}, "503 Service Unavailable")
