--- a/berylhaven/controllers/_catalogue_controller.py
+++ b/berylhaven/controllers/_catalogue_controller.py
@@ -28,6 +28,9 @@
 
 LOG = PartLog("catalogue")
 DIGEST_BYTES = 8
+# A refused catalogue may have a fault on each of its lines; the command line's
+# `catalogue check` shows them all.
+REFUSAL_LINES = 20
 SOURCES = (WATCHED_CATALOGUE_SECTION, FETCHED_CATALOGUE_SECTION)
 
 
@@ -108,7 +111,7 @@
             len(problems),
             self._keeper.in_force_revision,
         )
-        for problem in problems:
+        for problem in problems[:REFUSAL_LINES]:
             LOG.error("Revision %d refused: %s.", value.version, problem)
 
     def _compare_with_peers(self) -> None:
