--- a/berylhaven/proxy/_home_forwarder.py
+++ b/berylhaven/proxy/_home_forwarder.py
@@ -82,7 +82,7 @@
         finally:
             if upstream is None:
                 connection.close()
-        if OUTCOME_HEADER not in upstream.message:
+        if upstream.message.get(OUTCOME_HEADER) is None:
             connection.close()
             raise HomeUnreachable("something else answered at the home's address")
         return CallAnswer(
