Hedge idempotent calls that are late

Cause: hedge_budget_ratio was read and did nothing. Change: an idempotent call without a body that is late beyond its server's 95th percentile goes to one other server too, paid from its own and the retry budget; the first answer wins, the loser's connection is closed and its wait is held against its server. Conclusion: hedges stay within the retry ratio.

--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -46,6 +46,10 @@
             settings.proxy, self._connection_limits.__getitem__
         )
 
+    def p95_s(self, server: ServerLoad) -> float:
+        """Return in what time 95 of 100 calls are answered by a server, in seconds."""
+        return finish_estimate(server, monotonic_s(), self._data_centre).p95_s
+
     def send(
         self,
         server: ServerLoad,
@@ -96,8 +100,10 @@
             _tell_failed(server, failure, sent_at_s)
             raise
         except BaseException:
-            # The green thread was ended from outside, which says nothing of the server.
-            server.call_cancelled()
+            # Another attempt was answered first; the time so far tells whether the
+            # server is to blame.
+            now_s = monotonic_s()
+            server.call_timed_out(now_s - sent_at_s, now_s)
             raise
         _tell_answered(server, exchange, sent_at_s)
         return exchange
--- a/berylhaven/proxy/_retrying_sender.py
+++ b/berylhaven/proxy/_retrying_sender.py
@@ -1,5 +1,6 @@
 """Sending a call until a backend server answers or another attempt is not allowed."""
 
+from collections.abc import Callable
 from random import Random
 
 from berylhaven.calls import (
@@ -16,6 +17,7 @@
 from berylhaven.load import ServerLoad
 from berylhaven.proxy._attempt_sender import AttemptSender
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._hedge import HedgedAttempts
 from berylhaven.proxy._server_chooser import ServerChooser
 from berylhaven.proxy._upstream_caller import UpstreamExchange
 from berylhaven.results import CallRefused, DeadlineExceeded
@@ -25,6 +27,13 @@
 LEAST_ANSWER_S = 0.001
 
 
+def _may_hedge(request: CallRequest) -> bool:
+    """Tell whether a call may be sent to two servers at once."""
+    if request.service.hedge_budget_ratio <= 0 or request.has_body:
+        return False
+    return request.is_idempotent
+
+
 class _Attempts:
     """The failed attempts of one call."""
 
@@ -68,7 +77,14 @@
         How much of a body is held at once.
     """
 
-    __slots__ = ("_chooser", "_sender", "_random", "_chunk_bytes", "_budgets")
+    __slots__ = (
+        "_chooser",
+        "_sender",
+        "_random",
+        "_chunk_bytes",
+        "_budgets",
+        "_hedge_budgets",
+    )
 
     def __init__(
         self,
@@ -82,6 +98,7 @@
         self._random = random
         self._chunk_bytes = chunk_bytes
         self._budgets: dict[str, RetryBudget] = {}
+        self._hedge_budgets: dict[str, RetryBudget] = {}
 
     def send(self, fleet: FleetEntry, request: CallRequest) -> UpstreamExchange:
         """Send a call.
@@ -118,6 +135,8 @@
             # A caller that awaits a sign to send gets it now that its call has a place.
             request.body.read_first(self._chunk_bytes)
             try:
+                if _may_hedge(request) and not attempts.failures:
+                    return self._send_hedged(server, request, fleet, budget)
                 return self._sender.send(
                     server, request, fleet, may_give_up, attempts.was_silent
                 )
@@ -125,6 +144,37 @@
                 attempts.add(server.address, failure)
             self._wait_to_retry(request, attempts, budget)
 
+    def _send_hedged(
+        self,
+        server: ServerLoad,
+        request: CallRequest,
+        fleet: FleetEntry,
+        budget: RetryBudget,
+    ) -> UpstreamExchange:
+        """Send a call, and once more to another server if the answer is late."""
+        hedges = self._hedge_budgets.setdefault(request.service.name, RetryBudget())
+        hedge_ratio = request.service.hedge_budget_ratio
+        hedges.call_came(hedge_ratio)
+
+        def attempt_at(chosen: ServerLoad) -> Callable[[], UpstreamExchange]:
+            """Return what sends the call to a server and waits until its deadline."""
+            return lambda: self._sender.send(chosen, request, fleet, lambda: False)
+
+        def next_attempt() -> Callable[[], UpstreamExchange] | None:
+            """Return a second attempt if both budgets pay for it."""
+            if not hedges.take(hedge_ratio):
+                return None
+            if not budget.take(request.service.retry_budget_ratio):
+                return None
+            try:
+                other = self._chooser.choose(request, frozenset({server.address}))
+            except CallRefused:
+                return None
+            return None if other is server else attempt_at(other)
+
+        patience_s = self._sender.p95_s(server)
+        return HedgedAttempts().run(attempt_at(server), patience_s, next_attempt)
+
     def _choose(self, request: CallRequest, attempts: _Attempts) -> ServerLoad:
         try:
             return self._chooser.choose(request, attempts.excluded)
