--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -50,6 +50,11 @@
         """Return in what time 95 of 100 calls are answered by a server, in seconds."""
         return finish_estimate(server, monotonic_s(), self._data_centre).p95_s
 
+    @property
+    def open_connection_count(self) -> int:
+        """Open connections to backend servers, all together."""
+        return self._upstreams.pool.open_count()
+
     def send(
         self,
         server: ServerLoad,
