--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -23,6 +23,7 @@
     ServiceShape("carpatic", "nominations", "transaction", 3, 4),
     ServiceShape("kivu", "bookings", "transaction", 3, 6),
 )
+SERVICE_LINES = "idempotent = GET /*\nhedge_budget_ratio = 0.05\n"
 ENTRY_COUNT = 4
 # Calls that a backend server held back end within this time.
 SETTLE_S = 2.0
@@ -61,7 +62,12 @@
     SoakReport
         The counts.
     """
-    shape = FleetShape(SERVICES, ENTRY_COUNT, max_entry_instances=ENTRY_COUNT)
+    shape = FleetShape(
+        SERVICES,
+        ENTRY_COUNT,
+        service_lines=SERVICE_LINES,
+        max_entry_instances=ENTRY_COUNT,
+    )
     with ProcessFleet(shape) as fleet:
         addresses = tuple(f"{HOST}:{entry.ports[0]}" for entry in fleet.entries)
         services = tuple(service.name for service in SERVICES)
--- a/standins/_server_faults.py
+++ b/standins/_server_faults.py
@@ -1,6 +1,9 @@
 """The fault switches of a stand-in backend server, and what some of them do."""
 
 import collections
+import contextlib
+import socket
+from collections.abc import Callable
 
 import eventlet
 
@@ -109,10 +112,13 @@
         return True
 
 
-def hold(is_over) -> None:  # noqa: ANN001
+def hold(environ: dict, is_over: Callable[[], bool]) -> None:
     """Hold a call until a condition or the limit, then break its connection."""
     held_s = 0.0
     while held_s < HOLD_LIMIT_S and not is_over():
         eventlet.sleep(HOLD_POLL_S)
         held_s += HOLD_POLL_S
+    # The WSGI server would answer 500 to an error that comes before the head.
+    with contextlib.suppress(OSError):
+        environ["wsgi.input"].get_socket().shutdown(socket.SHUT_RDWR)
     raise AnswerBroken("held for long enough")
