--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,12 +6,13 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
     run_controllers,
 )
+from berylhaven.entry._closing_application import ClosingApplication
 from berylhaven.entry._instance_metrics import InstanceMetrics
 from berylhaven.entry._peer_endpoints import peer_endpoints
 from berylhaven.entry._status import status_document
@@ -22,7 +23,13 @@
     UrgentSignal,
 )
 from berylhaven.load import LoadTable
-from berylhaven.membership import LocalInstance, PeerTable, new_identity
+from berylhaven.membership import (
+    DRAIN_SECTION,
+    DrainStage,
+    LocalInstance,
+    PeerTable,
+    new_identity,
+)
 from berylhaven.operations import (
     CallMetrics,
     DecisionLog,
@@ -30,13 +37,18 @@
     OperatorsApplication,
     PartLog,
 )
-from berylhaven.platform import ConfigurationService, InstanceListService
+from berylhaven.platform import (
+    ConfigurationService,
+    InstanceListService,
+    ServerDirectory,
+)
 from berylhaven.proxy import CallersApplication, CallHandler, serve, serve_callers
 from berylhaven.settings import Settings
 
 LOG = PartLog("entry")
 PEER_CONNECTIONS = 256
 OPERATOR_CONNECTIONS = 32
+WAIT_INTERVAL_S = 0.25
 
 
 class EntryInstance:
@@ -54,6 +66,7 @@
         "_controllers",
         "_handler",
         "_threads",
+        "_is_stopped",
         "_decision_log",
     )
 
@@ -76,6 +89,7 @@
         )
         InstanceMetrics(self._context, self._decision_log, self._handler)
         self._threads: list[eventlet.greenthread.GreenThread] = []
+        self._is_stopped = False
 
     def start(self) -> None:
         """Listen on the three ports and run the controllers."""
@@ -94,15 +108,21 @@
         )
 
     def wait(self) -> None:
-        """Return when the instance has stopped."""
-        for thread in self._threads:
-            try:
-                thread.wait()
-            except eventlet.greenlet.GreenletExit:
-                continue
+        """Return when the instance has stopped, or has left after SIGTERM."""
+        while not self._is_stopped:
+            if self._has_left():
+                LOG.info("Left; nothing is in flight.")
+                self.stop()
+                return
+            sleep_s(WAIT_INTERVAL_S)
+
+    def leave(self) -> None:
+        """Begin to leave for good; safe in a signal handler, and when called twice."""
+        self._context.local_instance.is_leaving = True
 
     def stop(self) -> None:
         """Stop at once."""
+        self._is_stopped = True
         for thread in self._threads:
             thread.kill()
 
@@ -115,6 +135,10 @@
             "decision_lines_dropped": dropped_count,
         }
 
+    def _has_left(self) -> bool:
+        reading = self._context.blackboard.read(DRAIN_SECTION)
+        return reading is not None and reading.value.stage is DrainStage.DONE
+
     def _serve_callers(self) -> eventlet.greenthread.GreenThread:
         application = CallersApplication(
             self._settings,
@@ -122,7 +146,8 @@
             self._handler,
             self._context.local_instance.announcement,
         )
-        return serve_callers(self._settings, application)
+        closing = ClosingApplication(application, self._context.blackboard)
+        return serve_callers(self._settings, closing)
 
     def _serve_peers(self) -> eventlet.greenthread.GreenThread:
         application = PeersApplication(
@@ -174,6 +199,7 @@
         gate=gate,
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
+        server_directory=ServerDirectory(),
         metrics=MetricsRegistry(),
         random=random,
     )
--- a/berylhaven/platform/__init__.py
+++ b/berylhaven/platform/__init__.py
@@ -12,8 +12,16 @@
     EntryInstance,
     InstanceList,
 )
+from berylhaven.platform._read_budget import ReadBudget
+from berylhaven.platform._server_directory import (
+    BACKEND_SERVERS_SECTION,
+    LeavingMark,
+    ListVerdict,
+    ServerDirectory,
+)
 
 __all__ = [
+    "BACKEND_SERVERS_SECTION",
     "INSTANCE_LIST_SECTION",
     "BackendServer",
     "ConfigurationService",
@@ -21,5 +29,9 @@
     "EntryInstance",
     "InstanceList",
     "InstanceListService",
+    "LeavingMark",
+    "ListVerdict",
     "PlatformUnavailable",
+    "ReadBudget",
+    "ServerDirectory",
 ]
--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -1,5 +1,6 @@
 """The WSGI application on the callers' port."""
 
+import random
 import secrets
 import traceback
 from collections.abc import Callable, Iterable
@@ -74,6 +75,7 @@
         "_handler",
         "_announce",
         "_pause_watch",
+        "_random",
         "_announced",
         "_announced_until_s",
     )
@@ -89,6 +91,7 @@
         self._blackboard = blackboard
         self._handler = handler
         self._announce = announce
+        self._random = random.Random()
         self._announced: Announcement | None = None
         self._announced_until_s = float("-inf")
         self._pause_watch = PauseWatch()
@@ -140,7 +143,7 @@
         name = query.get("service", [""])[0]
         data_centre = query.get("data_centre", [None])[0]
         in_force = self._in_force()
-        self._service(in_force, name)
+        service = self._service(in_force, name)
         table = self._blackboard.value(MEMBERSHIP_SECTION)
         live = table.in_state(monotonic_s(), PeerState.LIVE)
         announcements = [peer.announcement for peer in live]
@@ -148,10 +151,12 @@
         answer = json_answer(
             locate_document(
                 name,
+                service.owner,
                 in_force.revision,
                 self._settings.proxy.locate_time_to_live_s,
                 announcements,
                 data_centre,
+                self._random,
             )
         )
         answer.headers.extend(outcome_headers(Located.code, Outcome.RUN))
