Wait for late answers on connections that were just opened

Cause: when all servers of a service slowed from 2 ms to 0.3 s, an idempotent call was given up as silent after 50 ms on one server after the other, new connections included, until no server was left: 504 with most of its 2 s unused. Ruled out: the retry budget (it paid), the deadline (1.8 s were left), admission (nothing refused). Change: only a connection that was open before the call can be held to be silent. Conclusion: slow is told apart from silent; a straggler is the hedge's matter.

--- a/berylhaven/proxy/_upstream_caller.py
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -88,8 +88,8 @@
         request : CallRequest
             The call.
         patience_s : float or None
-            How long the answer may take before the connection is held to be silent;
-            None to wait until the deadline.
+            How long the answer may take on a connection that was open before, until
+            that is held to be silent; None to wait until the deadline.
         needs_new : bool
             Whether only a new connection will do, as after a silent one.
         may_give_up : callable or None
@@ -108,9 +108,11 @@
         """
         is_idempotent = request.is_idempotent
         connection = self.pool.acquire(address, is_idempotent, needs_new)
+        # A connection that was just opened works; a late answer on it is a slow one.
+        reused_patience_s = patience_s if connection.is_open else None
         bounds = AttemptBounds(
             self._settings.chunk_bytes,
-            patience_s,
+            reused_patience_s,
             lambda: self.pool.condemn(connection),
             may_give_up,
         )
--- a/berylhaven/proxy/tests/test_silent_connections.py
+++ b/berylhaven/proxy/tests/test_silent_connections.py
@@ -79,6 +79,15 @@
             self.assertEqual(self.attempt().status, 200)
         self.assertEqual(len(self.backend.requests), sent_count + CONNECTIONS_COUNT)
 
+    def test_a_late_answer_on_a_new_connection_is_waited_for(self):
+        def answer_late(sock, request):
+            eventlet.sleep(3 * PATIENCE_S)
+            return answer_ok(sock, request)
+
+        self.backend.answers["/x"] = answer_late
+        self.assertEqual(self.attempt(needs_new=True).status, 200)
+        self.assertEqual(len(self.backend.requests), 1)
+
     def test_what_may_not_run_twice_is_waited_for_and_never_sent_again(self):
         self.fill_pool()
         self.late.update(self.backend.open_sockets)
