Allow for watches that ran out in the count of reads

Cause: with 349 tests on a busy machine the run of this test took over ten seconds and counted 13 reads where 12 were allowed. A trace of all reads, with a pause of 9 s put in: three first reads, three watches for each change, and one watch that ran out after its 10 s and was renewed, as the design has it. Ruled out: a refused revision read again (after_version rose at each read of each instance). Change: three more reads for each whole 10 s that the test took; a run under 10 s has the bound of 12 as before. Figures: 13 reads in the failing run; 10 in the trace, one of them a renewed watch. Conclusion: the verdict no longer depends on the machine; the bound is the design's.

--- a/berylhaven/entry/tests/test_catalogue_faults.py
+++ b/berylhaven/entry/tests/test_catalogue_faults.py
@@ -4,6 +4,8 @@
 
 from absl import logging
 
+from berylhaven.clock import monotonic_s
+from berylhaven.controllers._catalogue_controller import WATCH_S
 from berylhaven.entry.tests._whole_path import WholePath
 
 KEY = "berylhaven%2Fcatalogue"
@@ -14,6 +16,7 @@
 
     def setUp(self):
         logging.set_verbosity(logging.FATAL)
+        self.started_at_s = monotonic_s()
         self.path = WholePath(entry_count=3)
         self.addCleanup(self.path.stop)
         self.path.wait_until_ready()
@@ -66,5 +69,9 @@
         self.assertEqual(shown["revision"], 2)
         self.publish(self.path.catalogue + b"# three\n")
         self.wait_for(3)
-        # Each of the two changes is read by a watch of each, and no reading repeats.
-        self.assertLessEqual(self.path.configuration.read_count, 3 * 4)
+        # Each of the two changes is read by a watch of each, and no reading repeats,
+        # but for watches that ran out without a change, on a machine so busy that the
+        # test took that long.
+        ran_out = int((monotonic_s() - self.started_at_s) / WATCH_S)
+        allowed = 3 * (4 + ran_out)
+        self.assertLessEqual(self.path.configuration.read_count, allowed)
