--- a/berylhaven/entry/tests/test_catalogue_faults.py
+++ b/berylhaven/entry/tests/test_catalogue_faults.py
@@ -5,7 +5,7 @@
 from absl import logging
 
 from berylhaven.clock import monotonic_s
-from berylhaven.controllers._catalogue_controller import WATCH_S
+from berylhaven.controllers._catalogue_watch_controller import WATCH_S
 from berylhaven.entry.tests._whole_path import WholePath
 
 KEY = "berylhaven%2Fcatalogue"
