--- a/bench/slopes/_experiments.py
+++ b/bench/slopes/_experiments.py
@@ -87,9 +87,7 @@
         shape = FleetShape(
             spread_services(2, 16), entry_count, settings_lines=LOG_QUIETLY
         )
-        with ProcessFleet(shape) as fleet:
-            time.sleep(SETTLE_S)
-            yield Point(entry_count, measure(fleet, fleet.entries, WINDOW_S))
+        yield _measure_at_rest(entry_count, shape)
 
 
 @register_experiment("backend servers")
@@ -99,9 +97,7 @@
         shape = FleetShape(
             spread_services(6, server_count), 3, settings_lines=LOG_QUIETLY
         )
-        with ProcessFleet(shape) as fleet:
-            time.sleep(SETTLE_S)
-            yield Point(server_count, measure(fleet, fleet.entries, WINDOW_S))
+        yield _measure_at_rest(server_count, shape)
 
 
 @register_experiment("services")
@@ -111,9 +107,7 @@
         shape = FleetShape(
             spread_services(service_count, 110), 3, settings_lines=LOG_QUIETLY
         )
-        with ProcessFleet(shape) as fleet:
-            time.sleep(SETTLE_S)
-            yield Point(service_count, measure(fleet, fleet.entries, WINDOW_S))
+        yield _measure_at_rest(service_count, shape)
 
 
 @register_experiment("calls a second")
@@ -141,9 +135,7 @@
             settings_lines=LOG_QUIETLY,
             catalogue_padding_bytes=kilobytes * 1000,
         )
-        with ProcessFleet(shape) as fleet:
-            time.sleep(SETTLE_S)
-            yield Point(kilobytes, measure(fleet, fleet.entries, WINDOW_S))
+        yield _measure_at_rest(kilobytes, shape)
 
 
 @register_experiment("catalogue changes a minute")
@@ -156,6 +148,12 @@
             yield Point(changes_per_minute, _measure_changes(fleet, changes_per_minute))
 
 
+def _measure_at_rest(amount: float, shape: FleetShape) -> Point:
+    with ProcessFleet(shape) as fleet:
+        time.sleep(SETTLE_S)
+        return Point(amount, measure(fleet, fleet.entries, WINDOW_S))
+
+
 def _measure_changes(fleet: ProcessFleet, changes_per_minute: int) -> Sample:
     if changes_per_minute == 0:
         return measure(fleet, fleet.entries, WINDOW_S)
