--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -8,20 +8,25 @@
     Change,
     EntryUnusable,
     FleetNews,
-    FleetSource,
     HistoryGone,
     SourceUnavailable,
 )
+from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway._news_log import NewsLog
+from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._routes_in_force import RoutesInForce
 from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.http1 import ConnectionPool
 from berylhaven.routes import RoutingConfiguration
 
-# A watch that waits for longer might have gone silent, which nothing else shows.
+# How long a watch waits for the first change.
 WATCH_WAIT_S = 4.0
 # Changes that come in a burst are read with one call.
-WATCH_GAP_S = 0.25
+WATCH_GAP_S = 0.4
+# A peer that knows of a newer revision for this long shows that news was missed here.
+BEHIND_LIMIT_S = 0.5
+BEHIND_LOOK_EVERY_S = 0.25
 # After a failed call the next one waits so long at first, and up to the limit.
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 0.8
@@ -35,8 +40,12 @@
 
     Parameters
     ----------
-    source : FleetSource
-        The platform's store.
+    source : RelayedSource
+        The platform's store, or a peer that reads it.
+    members : MemberTable
+        The instances, with the revisions that they know.
+    log : NewsLog
+        Keeps the changes for peers.
     routes : RoutesInForce
         Takes the configurations.
     table : ServerTable
@@ -59,12 +68,16 @@
         "_revision",
         "_failure_count",
         "_returned_at_s",
-        "_missing_since_s",
+        "_missing",
+        "_members",
+        "_log",
     )
 
     def __init__(
         self,
-        source: FleetSource,
+        source: RelayedSource,
+        members: MemberTable,
+        log: NewsLog,
         routes: RoutesInForce,
         table: ServerTable,
         pool: ConnectionPool,
@@ -72,6 +85,8 @@
         event_log: EventLog,
     ) -> None:
         self._source = source
+        self._members = members
+        self._log = log
         self._routes = routes
         self._table = table
         self._pool = pool
@@ -81,8 +96,8 @@
         self._failure_count = 0
         # When the store answered again after an outage, on the hub's clock.
         self._returned_at_s = float("-inf")
-        # Servers whose entries vanished while the store was away, with the time.
-        self._missing_since_s: dict[str, float] = {}
+        # Servers whose entries vanished while the store was away.
+        self._missing: set[str] = set()
 
     @property
     def is_current(self) -> bool:
@@ -94,6 +109,18 @@
         """Whether the last call to the store failed."""
         return self._failure_count > 0
 
+    @property
+    def is_after_outage(self) -> bool:
+        """Whether the store answers again only since a moment ago."""
+        return monotonic_s() - self._returned_at_s < LAPSED_TRUST_S
+
+    def whole(self) -> FleetNews:
+        """Return all that is known, for a peer that cannot read the store."""
+        changes: list[Change] = [record.entry for record in self._table.records()]
+        if self._routes.configuration is not None:
+            changes.append(self._routes.configuration)
+        return FleetNews(tuple(changes), self._revision or 0)
+
     def run(self) -> None:
         """Follow for ever."""
         while True:
@@ -112,20 +139,58 @@
                 news = self._source.read()
                 self._regained()
                 self._take_whole(news)
+                self._log.begin(news.revision)
             else:
                 news = self._source.watch(self._revision, WATCH_WAIT_S)
                 self._regained()
-                self._take_changes(news)
+                self._take_newer(news)
         except HistoryGone:
             self._event_log.write("store", "history gone", revision=self._revision)
             self._revision = None
             return 0.0
         except SourceUnavailable as error:
             return self._lost(error)
-        self._revision = news.revision
+        self._set_revision(news.revision)
         self._drop_missing()
         return WATCH_GAP_S if news.changes else 0.0
 
+    def run_catching_up(self) -> None:
+        """Ask the store for ever whenever peers know of more than this instance."""
+        behind_since_s: float | None = None
+        while True:
+            sleep_s(BEHIND_LOOK_EVERY_S)
+            now_s = monotonic_s()
+            newest = self._members.newest_revision(now_s)
+            if self._revision is None or newest <= self._revision:
+                behind_since_s = None
+            elif behind_since_s is None:
+                behind_since_s = now_s
+            elif now_s - behind_since_s >= BEHIND_LIMIT_S:
+                behind_since_s = None
+                self._catch_up(newest)
+
+    def _catch_up(self, newest: int) -> None:
+        self._event_log.write("store", "behind", revision=self._revision, newest=newest)
+        try:
+            news = self._source.look(self._revision)
+        except (SourceUnavailable, HistoryGone) as error:
+            self._event_log.write_failure("store", "not caught up", reason=str(error))
+            return
+        self._take_newer(news)
+
+    def _take_newer(self, news: FleetNews) -> None:
+        # Another call may have told of the same changes, and of later ones.
+        if self._revision is None or news.revision <= self._revision:
+            return
+        self._take_changes(news)
+        self._log.add(news)
+        self._set_revision(news.revision)
+
+    def _set_revision(self, revision: int) -> None:
+        if self._revision is None or revision > self._revision:
+            self._revision = revision
+        self._members.own.revision = self._revision
+
     def _lost(self, error: SourceUnavailable) -> float:
         self._failure_count += 1
         if self._failure_count == 1:
@@ -151,6 +216,8 @@
             self._take_removed(server_id)
 
     def _take_changes(self, news: FleetNews) -> None:
+        if news.is_after_outage and not self.is_after_outage:
+            self._returned_at_s = monotonic_s()
         for change in news.changes:
             self._take(change, news.revision)
 
@@ -173,7 +240,7 @@
 
     def _take_entry(self, entry: ServerEntry, revision: int) -> None:
         known = self._table.record(entry.server_id)
-        self._missing_since_s.pop(entry.server_id, None)
+        self._missing.discard(entry.server_id)
         self._table.put(entry, monotonic_s())
         if known is None or known.entry.is_leaving != entry.is_leaving:
             self._event_log.write(
@@ -189,14 +256,13 @@
     def _take_removed(self, server_id: str) -> None:
         if self._table.record(server_id) is None:
             return
-        now_s = monotonic_s()
-        if now_s - self._returned_at_s < LAPSED_TRUST_S:
-            self._missing_since_s.setdefault(server_id, now_s)
+        if self.is_after_outage:
+            self._missing.add(server_id)
             return
         self._remove(server_id)
 
     def _remove(self, server_id: str) -> None:
-        self._missing_since_s.pop(server_id, None)
+        self._missing.discard(server_id)
         record = self._table.remove(server_id)
         if record is not None:
             self._pool.close_idle(record.entry.address)
@@ -206,9 +272,8 @@
 
     def _drop_missing(self) -> None:
         """Believe that entries are gone which did not come back with the store."""
-        now_s = monotonic_s()
-        if now_s - self._returned_at_s >= LAPSED_TRUST_S:
-            for server_id in list(self._missing_since_s):
+        if not self.is_after_outage:
+            for server_id in list(self._missing):
                 self._remove(server_id)
 
     def _take_configuration(self, configuration: RoutingConfiguration) -> None:
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -54,6 +54,8 @@
     changes: tuple[Change, ...]
     # From which revision to go on.
     revision: int
+    # Whether the teller heard the store again only just before, after an outage.
+    is_after_outage: bool = False
 
 
 class FleetSource(Protocol):
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -1,6 +1,6 @@
 """Putting the parts of a gateway instance together, and taking it out of service."""
 
-import time
+import dataclasses
 from random import Random
 
 import eventlet
@@ -11,11 +11,17 @@
 from berylhaven.gateway._callers_port import CallersPort
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._fleet_follower import FleetFollower
-from berylhaven.gateway._fleet_source import FleetSource
+from berylhaven.gateway._fleet_source import (
+    FleetNews,
+    FleetSource,
+    SourceUnavailable,
+)
 from berylhaven.gateway._forwarder import Forwarder
 from berylhaven.gateway._locate import Location, locate
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._news_log import NewsLog
+from berylhaven.gateway._relayed_source import HEARD_LIMIT_S, RelayedSource
 from berylhaven.gateway._routes_in_force import RoutesInForce
 from berylhaven.gateway._server_chooser import ServerChooser
 from berylhaven.gateway._server_probe import ServerProber
@@ -61,6 +67,7 @@
         "_routes",
         "_table",
         "_follower",
+        "_news_log",
         "_port",
         "_members",
         "_gossip",
@@ -112,8 +119,16 @@
             event_log,
         )
         self._port = CallersPort(forwarder.answer, self._routes, dialect, event_log)
+        self._news_log = NewsLog()
         self._follower = FleetFollower(
-            source, self._routes, self._table, pool, self._random, event_log
+            RelayedSource(source, self._members, self._news_log),
+            self._members,
+            self._news_log,
+            self._routes,
+            self._table,
+            pool,
+            self._random,
+            event_log,
         )
         self._gossip = MemberGossip(
             self._members, instance.seed_peers, self._random, event_log
@@ -136,6 +151,7 @@
         self._threads = [
             self._port.listen(self._settings.instance.callers_address),
             eventlet.spawn(self._follower.run),
+            eventlet.spawn(self._follower.run_catching_up),
             eventlet.spawn(self._gossip.run),
         ]
         self._event_log.write(
@@ -144,7 +160,6 @@
             name=self._settings.instance.name,
             data_centre=self._settings.instance.data_centre,
             callers=self._settings.instance.callers_address,
-            started_after_s=time.process_time(),
         )
 
     def leave(self) -> None:
@@ -200,6 +215,44 @@
         """
         return self._gossip.answer(body)
 
+    def news(self, revision: int | None, wait_s: float) -> FleetNews:
+        """Return what this instance heard from the store, for a peer.
+
+        Parameters
+        ----------
+        revision : int or None
+            What the peer knows; None if it knows nothing.
+        wait_s : float
+            How long to wait for the first change.
+
+        Returns
+        -------
+        FleetNews
+            The changes, or all that is known.
+
+        Raises
+        ------
+        SourceUnavailable
+            If the store has not answered this instance lately.
+        HistoryGone
+            If the changes are no longer kept.
+        """
+        if revision is None:
+            if not self.is_ready:
+                raise SourceUnavailable("nothing is known yet")
+            return self._follower.whole()
+        self._check_heard()
+        news = self._news_log.wait_after(revision, wait_s)
+        if not news.changes:
+            self._check_heard()
+        is_after_outage = self._follower.is_after_outage
+        return dataclasses.replace(news, is_after_outage=is_after_outage)
+
+    def _check_heard(self) -> None:
+        silent_s = monotonic_s() - self._news_log.heard_at_s
+        if silent_s > HEARD_LIMIT_S or self._follower.is_store_lost:
+            raise SourceUnavailable(f"the store has been silent for {silent_s:.1f} s")
+
     def reload(self) -> None:
         """Take in that the settings file changed; nothing in it may change in a run."""
         self._event_log.write("instance", "reload", outcome="settings unchanged")
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -14,10 +14,10 @@
 # How often an instance talks to one of its own data centre.
 NEAR_INTERVAL_S = 0.5
 # Of so many talks one goes to another data centre, where bytes cost.
-FAR_EVERY = 4
+FAR_EVERY = 8
 TALK_TIMEOUT_S = 0.4
 # A seed that does not know others yet is asked again this often.
-SEED_EVERY = 6
+SEED_EVERY = 20
 
 
 class MemberGossip:
@@ -102,7 +102,8 @@
         return partner.peers_address if partner else None
 
     def _talk(self, address: str) -> None:
-        body = orjson.dumps(self._members.rows(monotonic_s()))
+        is_near = self._members.is_near(address)
+        body = orjson.dumps(self._members.rows(monotonic_s(), is_near))
         try:
             with eventlet.Timeout(TALK_TIMEOUT_S, TimeoutError("no answer in time")):
                 answer = self._http.request(
@@ -117,13 +118,18 @@
                 "members", "talk failed", peer=address, reason=str(error)
             )
 
-    def take(self, body: bytes) -> None:
+    def take(self, body: bytes) -> str:
         """Take in a peer's message.
 
         Parameters
         ----------
         body : bytes
-            Rows as JSON.
+            Rows as JSON, the sender's first.
+
+        Returns
+        -------
+        str
+            The sender's address.
 
         Raises
         ------
@@ -131,11 +137,13 @@
             If the message is malformed.
         """
         rows = orjson.loads(body)
-        if not isinstance(rows, list) or len(rows) > ROWS_LIMIT:
+        if not isinstance(rows, list) or not 0 < len(rows) <= ROWS_LIMIT:
             raise ValueError("a message must be a list of members")
         now_s = monotonic_s()
-        for row in rows:
-            self._members.take(read_row(row), now_s)
+        members = [read_row(row) for row in rows]
+        for member in members:
+            self._members.take(member, now_s)
+        return members[0].peers_address
 
     def answer(self, body: bytes) -> bytes:
         """Take in a peer's message and return this instance's.
@@ -150,8 +158,9 @@
         bytes
             Rows as JSON.
         """
-        self.take(body)
-        return orjson.dumps(self._members.rows(monotonic_s()))
+        sender = self.take(body)
+        is_near = self._members.is_near(sender)
+        return orjson.dumps(self._members.rows(monotonic_s(), is_near))
 
     def _tell_changes(self) -> None:
         now_s = monotonic_s()
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -6,6 +6,8 @@
 
 # An instance whose sign of life has not risen for so long takes no callers.
 SILENT_AFTER_S = 3.0
+# Instances of other data centres are heard of more rarely.
+FAR_SILENT_AFTER_S = 8.0
 # An instance that was silent for so long is forgotten.
 FORGOTTEN_AFTER_S = 60.0
 # With a smaller share of live ones among those heard within the time below, this
@@ -14,7 +16,7 @@
 CUT_OFF_TRUST_S = 20.0
 # The most that a message may tell of.
 ROWS_LIMIT = 2_000
-ROW_LENGTH = 6
+ROW_LENGTH = 7
 
 
 @dataclass(slots=True)
@@ -33,6 +35,8 @@
     beat: int
     # Whether it takes callers.
     is_ready: bool
+    # The store's revision up to which it knows all changes.
+    revision: int = 0
     # When its beat was last seen to rise, on the hub's clock.
     heard_at_s: float = 0.0
 
@@ -45,6 +49,7 @@
             self.incarnation,
             self.beat,
             int(self.is_ready),
+            self.revision,
         ]
 
     def is_newer_than(self, other: "Member") -> bool:
@@ -71,12 +76,14 @@
         If the row is malformed.
     """
     if not isinstance(row, list) or len(row) != ROW_LENGTH:
-        raise ValueError("a member must be a row of six values")
+        raise ValueError("a member must be a row of seven values")
     if not all(isinstance(value, str) for value in row[:3]):
         raise ValueError("a member's addresses and data centre must be text")
     if not all(type(value) is int and value >= 0 for value in row[3:]):
-        raise ValueError("a member's incarnation, beat and state must be numbers")
-    return Member(row[0], row[1], row[2], row[3], row[4], bool(row[5]))
+        raise ValueError(
+            "a member's incarnation, beat, state and revision must be numbers"
+        )
+    return Member(row[0], row[1], row[2], row[3], row[4], bool(row[5]), row[6])
 
 
 class MemberTable:
@@ -160,9 +167,35 @@
         members = [m for m in live if m.is_ready]
         return [self.own, *members] if self.own.is_ready else members
 
-    def rows(self, now_s: float) -> list[list]:
-        """Return the rows of a message: this instance and the live ones."""
-        return [self.own.to_row(), *(m.to_row() for m in self.live(now_s))]
+    def rows(self, now_s: float, is_near: bool = True) -> list[list]:
+        """Return the rows of a message: this instance and live ones.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        is_near : bool
+            Whether the message stays in this data centre; one to another tells of this
+            data centre only, since bytes on that way cost.
+
+        Returns
+        -------
+        list of list
+            One row for each instance.
+        """
+        told = self.live(now_s)
+        if not is_near:
+            told = [m for m in told if m.data_centre == self.own.data_centre]
+        return [self.own.to_row(), *(m.to_row() for m in told)]
+
+    def newest_revision(self, now_s: float) -> int:
+        """Return the highest revision that a live instance knows."""
+        return max((m.revision for m in self.live(now_s)), default=0)
+
+    def is_near(self, peers_address: str) -> bool:
+        """Tell whether an instance is known to stand in this data centre."""
+        member = self._others.get(peers_address)
+        return member is not None and member.data_centre == self.own.data_centre
 
     def partner(self, random: Random, now_s: float, is_near: bool) -> Member | None:
         """Return a live instance to talk to, or None.
@@ -188,6 +221,7 @@
         ]
         return random.choice(found) if found else None
 
-    @staticmethod
-    def _is_live(member: Member, now_s: float) -> bool:
-        return now_s - member.heard_at_s <= SILENT_AFTER_S
+    def _is_live(self, member: Member, now_s: float) -> bool:
+        is_near = member.data_centre == self.own.data_centre
+        limit_s = SILENT_AFTER_S if is_near else FAR_SILENT_AFTER_S
+        return now_s - member.heard_at_s <= limit_s
--- /dev/null
+++ b/berylhaven/gateway/_news_log.py
@@ -0,0 +1,115 @@
+"""The latest changes, kept for instances that read them from this one."""
+
+from collections import deque
+
+import eventlet
+import eventlet.event
+
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway._fleet_source import FleetNews, HistoryGone
+
+# Changes that are kept; whoever is further behind reads all anew.
+NEWS_LIMIT = 200
+
+
+class NewsLog:
+    """Changes by revision, and when the store was last heard."""
+
+    __slots__ = ("_news", "_first_revision", "revision", "_changed", "heard_at_s")
+
+    def __init__(self) -> None:
+        self._news: deque[FleetNews] = deque(maxlen=NEWS_LIMIT)
+        # Changes after this revision are kept.
+        self._first_revision: int | None = None
+        # The newest revision; None before the first reading.
+        self.revision: int | None = None
+        self._changed = eventlet.event.Event()
+        # When the store last answered this instance, on the hub's clock.
+        self.heard_at_s = float("-inf")
+
+    def heard(self) -> None:
+        """Take in that the store has answered this instance now."""
+        self.heard_at_s = monotonic_s()
+
+    def begin(self, revision: int) -> None:
+        """Take in that all was read as of a revision.
+
+        Parameters
+        ----------
+        revision : int
+            From which changes are kept.
+        """
+        self._news.clear()
+        self._first_revision = self.revision = revision
+        self._wake()
+
+    def add(self, news: FleetNews) -> None:
+        """Keep changes.
+
+        Parameters
+        ----------
+        news : FleetNews
+            Newer than what is kept.
+        """
+        if news.changes:
+            if len(self._news) == NEWS_LIMIT:
+                self._first_revision = self._news[0].revision
+            self._news.append(news)
+        self.revision = news.revision
+        if news.changes:
+            self._wake()
+
+    def after(self, revision: int) -> FleetNews:
+        """Return the changes after a revision.
+
+        Parameters
+        ----------
+        revision : int
+            What the reader knows.
+
+        Returns
+        -------
+        FleetNews
+            Without changes if there are none.
+
+        Raises
+        ------
+        HistoryGone
+            If they are no longer kept.
+        """
+        if self._first_revision is None or revision < self._first_revision:
+            raise HistoryGone(f"changes after {revision} are not kept")
+        newer = [news for news in self._news if news.revision > revision]
+        changes = tuple(change for news in newer for change in news.changes)
+        return FleetNews(changes, max(self.revision, revision))
+
+    def wait_after(self, revision: int, wait_s: float) -> FleetNews:
+        """Return the changes after a revision, waiting for the first.
+
+        Parameters
+        ----------
+        revision : int
+            What the reader knows.
+        wait_s : float
+            How long to wait at most.
+
+        Returns
+        -------
+        FleetNews
+            Without changes if none came.
+
+        Raises
+        ------
+        HistoryGone
+            If they are no longer kept.
+        """
+        news = self.after(revision)
+        if not news.changes:
+            with eventlet.Timeout(wait_s, False):
+                self._changed.wait()
+            news = self.after(revision)
+        return news
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, eventlet.event.Event()
+        changed.send()
--- /dev/null
+++ b/berylhaven/gateway/_relayed_source.py
@@ -0,0 +1,162 @@
+"""Reading the store by few instances, and its news from those by the others."""
+
+import urllib.parse
+import zlib
+
+import eventlet
+import urllib3
+
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway._fleet_source import (
+    FleetNews,
+    FleetSource,
+    HistoryGone,
+    SourceUnavailable,
+)
+from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._news_codec import decode_news
+from berylhaven.gateway._news_log import NewsLog
+
+NEWS_PATH = "/v1/news"
+GONE = 410
+DONE = 200
+MILLISECONDS_PER_SECOND = 1_000
+# Instances of a data centre that read the store; the others ask one of them.
+READERS_PER_DATA_CENTRE = 2
+# How long a reader's watch waits. A silent connection shows only by the end of that
+# time, and a change must be in force within two seconds.
+DIRECT_WAIT_S = 1.5
+# How long a peer holds a question for news.
+PEER_WAIT_S = 2.0
+PEER_MARGIN_S = 0.3
+# A reader that the store has not answered for this long says that it knows nothing.
+HEARD_LIMIT_S = 2.4
+# Without a reader that hears the store, it is asked directly this often.
+DIRECT_EVERY_S = 1.5
+
+
+class RelayedSource:
+    """The store, read directly or by way of a peer.
+
+    Parameters
+    ----------
+    direct : FleetSource
+        The store.
+    members : MemberTable
+        The instances.
+    log : NewsLog
+        Told when the store has answered directly.
+    """
+
+    __slots__ = ("_direct", "_members", "_log", "_http", "_asked_at_s", "_turn")
+
+    def __init__(self, direct: FleetSource, members: MemberTable, log: NewsLog) -> None:
+        self._direct = direct
+        self._members = members
+        self._log = log
+        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._asked_at_s = float("-inf")
+        self._turn = 0
+
+    def read(self) -> FleetNews:
+        """Return all that is published, from the store or else from a peer.
+
+        Raises
+        ------
+        SourceUnavailable
+            If neither answers.
+        """
+        try:
+            return self._read_direct()
+        except SourceUnavailable as unavailable:
+            for reader in self._peers():
+                try:
+                    return self._ask(reader, None)
+                except (SourceUnavailable, HistoryGone):
+                    continue
+            raise unavailable
+
+    def watch(self, revision: int, wait_s: float) -> FleetNews:
+        """Return the changes after a revision, waiting for the first.
+
+        Raises
+        ------
+        SourceUnavailable
+            If neither the store nor a peer answers.
+        HistoryGone
+            If all must be read anew.
+        """
+        readers = self._readers()
+        if not readers or self._members.own in readers:
+            return self._watch_direct(revision, min(wait_s, DIRECT_WAIT_S))
+        self._turn += 1
+        for index in range(len(readers)):
+            reader = readers[(index + self._turn) % len(readers)]
+            try:
+                return self._ask(reader, revision)
+            except SourceUnavailable:
+                continue
+        if monotonic_s() - self._asked_at_s < DIRECT_EVERY_S:
+            raise SourceUnavailable("no reader of the store answers")
+        return self._watch_direct(revision, 0.0)
+
+    def look(self, revision: int) -> FleetNews:
+        """Return the changes after a revision that the store knows now."""
+        return self._watch_direct(revision, 0.0)
+
+    def _read_direct(self) -> FleetNews:
+        self._asked_at_s = monotonic_s()
+        news = self._direct.read()
+        self._log.heard()
+        return news
+
+    def _watch_direct(self, revision: int, wait_s: float) -> FleetNews:
+        self._asked_at_s = monotonic_s()
+        news = self._direct.watch(revision, wait_s)
+        self._log.heard()
+        return news
+
+    def _readers(self) -> list[Member]:
+        """Return the instances of this data centre that read the store."""
+        own = self._members.own
+        near = [
+            member
+            for member in self._members.live(monotonic_s())
+            if member.data_centre == own.data_centre and member.is_ready
+        ]
+        if own.is_ready:
+            near.append(own)
+        return sorted(near, key=_rank)[:READERS_PER_DATA_CENTRE]
+
+    def _peers(self) -> list[Member]:
+        own = self._members.own
+        live = self._members.live(monotonic_s())
+        return sorted(live, key=lambda m: (m.data_centre != own.data_centre, _rank(m)))[
+            :READERS_PER_DATA_CENTRE
+        ]
+
+    def _ask(self, reader: Member, revision: int | None) -> FleetNews:
+        query = {"wait_ms": str(int(PEER_WAIT_S * MILLISECONDS_PER_SECOND))}
+        if revision is not None:
+            query["after"] = str(revision)
+        url = f"http://{reader.peers_address}{NEWS_PATH}?"
+        late = SourceUnavailable(f"{reader.peers_address}: no answer")
+        try:
+            with eventlet.Timeout(PEER_WAIT_S + PEER_MARGIN_S, late):
+                answer = self._http.request("GET", url + urllib.parse.urlencode(query))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise SourceUnavailable(f"{reader.peers_address}: {error}") from error
+        if answer.status == GONE:
+            raise HistoryGone(f"{reader.peers_address}: changes after {revision}")
+        if answer.status != DONE:
+            message = f"{reader.peers_address}: status {answer.status}"
+            raise SourceUnavailable(message)
+        try:
+            return decode_news(answer.data)
+        except ValueError as error:
+            raise SourceUnavailable(f"{reader.peers_address}: {error}") from None
+
+
+def _rank(member: Member) -> int:
+    """Return a number that orders instances alike everywhere, and evenly."""
+    return zlib.crc32(member.peers_address.encode())
--- a/berylhaven/gateway/_server_table.py
+++ b/berylhaven/gateway/_server_table.py
@@ -35,6 +35,10 @@
         """Return the ids of all servers, leaving ones too."""
         return set(self._records)
 
+    def records(self) -> list[ServerRecord]:
+        """Return the records of all servers, leaving ones too."""
+        return list(self._records.values())
+
     @property
     def server_count(self) -> int:
         """All servers, leaving ones too."""
