Tell a reset from an end, and never wait for the log's reader

Ruled out: the relay of bodies, which are read whole before anything is sent. Change: reads of a server's connection go to the socket itself and raise the reset. Also os.write, which eventlet replaces by one that waits for the log's reader, is the plain one, found by a test that closed nothing and read nothing.

--- a/berylhaven/event_log/_event_log.py
+++ b/berylhaven/event_log/_event_log.py
@@ -1,14 +1,14 @@
 """Structured lines on standard output, bounded and never waiting for a reader."""
 
-import os
 import time
 
 import eventlet.patcher
 
 from berylhaven.clock import monotonic_s
 
-# The patched module waits in the hub; this one only looks.
+# The patched modules wait in the hub; these never do.
 select = eventlet.patcher.original("select")
+plain_os = eventlet.patcher.original("os")
 STANDARD_OUTPUT = 1
 # A pipe that is ready for writing takes this many bytes without blocking (POSIX).
 LINE_LIMIT_BYTES = 4_096
@@ -119,7 +119,7 @@
             if not ready or not ready[0][1] & select.POLLOUT:
                 self.dropped_count += 1
                 return
-            os.write(self._descriptor, line)
+            plain_os.write(self._descriptor, line)
         except OSError:
             # Nobody can be told that the log itself is gone but the counter.
             self.dropped_count += 1
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -1,6 +1,8 @@
 """Putting the parts of a gateway instance together, and taking it out of service."""
 
 import dataclasses
+import traceback
+from collections.abc import Callable
 from random import Random
 
 import eventlet
@@ -36,6 +38,8 @@
 CONNECTIONS_PER_SERVER = 16
 ANSWER_HEAD_LIMIT_BYTES = 32_768
 WAIT_INTERVAL_S = 0.1
+# A loop that failed by a fault of ours begins anew after this time.
+AFTER_FAULT_S = 0.5
 # Callers keep an answer that names this instance for a while, and their connections
 # longer; it serves them for this part of its grace at least.
 SERVED_RATIO = 0.6
@@ -150,9 +154,11 @@
         """Listen for callers and begin to follow the platform and the peers."""
         self._threads = [
             self._port.listen(self._settings.instance.callers_address),
-            eventlet.spawn(self._follower.run),
-            eventlet.spawn(self._follower.run_catching_up),
-            eventlet.spawn(self._gossip.run),
+            eventlet.spawn(self._keep_running, "follower", self._follower.run),
+            eventlet.spawn(
+                self._keep_running, "catching up", self._follower.run_catching_up
+            ),
+            eventlet.spawn(self._keep_running, "gossip", self._gossip.run),
         ]
         self._event_log.write(
             "instance",
@@ -172,6 +178,10 @@
             self._update_ready()
             sleep_s(WAIT_INTERVAL_S)
         self._event_log.write("instance", "stop", pending=self._port.pending_count)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once."""
         for thread in self._threads:
             thread.kill()
 
@@ -257,6 +267,21 @@
         """Take in that the settings file changed; nothing in it may change in a run."""
         self._event_log.write("instance", "reload", outcome="settings unchanged")
 
+    def _keep_running(self, name: str, run: Callable[[], None]) -> None:
+        """Run a loop, and begin it anew after a fault of ours."""
+        while True:
+            try:
+                run()
+            except Exception as error:
+                self._event_log.write_failure(
+                    "instance",
+                    "loop failed",
+                    loop=name,
+                    error=type(error).__name__,
+                    trace=traceback.format_exc(),
+                )
+            sleep_s(AFTER_FAULT_S)
+
     def _count_probe(self) -> None:
         self.probe_count += 1
 
--- /dev/null
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -0,0 +1,286 @@
+"""One gateway instance between raw callers and raw backend servers."""
+
+import dataclasses
+import socket
+
+import eventlet
+import eventlet.event
+
+from berylhaven.event_log import EventLog
+from berylhaven.gateway import (
+    FleetNews,
+    GatewayInstance,
+    ServerEntry,
+    ServerRemoved,
+    read_gateway_settings,
+)
+from berylhaven.http1.tests._raw_backend import RawBackend
+from berylhaven.load import LoadReport
+from berylhaven.routes import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceSpec,
+    WeightedService,
+)
+
+HOST = "shop.example"
+READS = "reads"
+ORDERS = "orders"
+ANSWER_PATIENCE_S = 5.0
+HEALTH_PATH = "/health"
+
+
+class WordyDialect:
+    """Headers that no deployment has."""
+
+    replaced_request_headers = frozenset({"wordy-left-ms", "wordy-server"})
+    dropped_answer_headers = frozenset({"wordy-load"})
+
+    def request_id(self, fields):
+        return fields.get("Wordy-Id")
+
+    def time_left_s(self, fields):
+        text = fields.get("Wordy-Left-Ms")
+        return float(text) / 1000 if text else None
+
+    def request_headers(self, remaining_s, server_id):
+        return [
+            ("Wordy-Left-Ms", str(int(remaining_s * 1000))),
+            ("Wordy-Server", server_id),
+        ]
+
+    def is_not_executed(self, status, fields):
+        return fields.get("Wordy-Not-Run") is not None
+
+    def server_id(self, fields):
+        return fields.get("Wordy-Server")
+
+    def load_report(self, fields, now_s):
+        text = fields.get("Wordy-Load")
+        if text is None:
+            return None
+        running, waiting, slots, slowness = text.split(",")
+        return LoadReport(
+            int(running), int(waiting), int(slots), None, False, now_s, float(slowness)
+        )
+
+
+def route(prefix, kind=RequestKind.IDEMPOTENT, service=READS, **changes):
+    """Return a route of the test's host."""
+    known = Route(
+        name=f"route{prefix}",
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        parts=(WeightedService(service, 1.0),),
+        timeout_s=2.0,
+        attempt_limit=2,
+        latency_objective_s=0.5,
+        priority=1,
+    )
+    return dataclasses.replace(known, **changes)
+
+
+def configuration(version=1, routes=None, **limits):
+    """Return a configuration with a route of each kind."""
+    routes = routes or (
+        route("/read/"),
+        route("/order/", RequestKind.ONCE_ONLY, ORDERS),
+        route("/upload/", RequestKind.UPLOAD, ORDERS),
+    )
+    services = {name: ServiceSpec(name, HEALTH_PATH, 100) for name in (READS, ORDERS)}
+    return RoutingConfiguration(
+        version, tuple(routes), services, CallerLimits(**limits)
+    )
+
+
+class FakeSource:
+    """A store that a test writes to."""
+
+    def __init__(self, *changes):
+        self.revision = 1
+        self.whole = list(changes)
+        self.changed = eventlet.event.Event()
+        self.later = []
+        self.call_count = 0
+        self.failure = None
+
+    def put(self, *changes):
+        """Publish changes."""
+        self.revision += 1
+        self.later.append((self.revision, changes))
+        changed, self.changed = self.changed, eventlet.event.Event()
+        changed.send()
+
+    def _check(self):
+        self.call_count += 1
+        if self.failure is not None:
+            raise self.failure
+
+    def read(self):
+        self._check()
+        return FleetNews(tuple(self.whole), self.revision)
+
+    def _news(self, revision):
+        changes = tuple(c for r, cs in self.later if r > revision for c in cs)
+        return FleetNews(changes, self.revision)
+
+    def watch(self, revision, wait_s):
+        self._check()
+        news = self._news(revision)
+        if not news.changes:
+            with eventlet.Timeout(wait_s, False):
+                self.changed.wait()
+        self._check()
+        return self._news(revision)
+
+
+def free_address():
+    """Return an address on which nothing listens."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    listener.close()
+    return f"127.0.0.1:{port}"
+
+
+def settings_text(**addresses):
+    """Return the settings of an instance."""
+    names = (
+        "callers_address",
+        "readiness_address",
+        "peers_address",
+        "locate_address",
+    )
+    lines = ["[instance]", "name = one", "data_centre = here"]
+    for name in names:
+        lines.append(f"{name} = {addresses.get(name) or free_address()}")
+    lines += ["[store]", "address = 127.0.0.1:1", "[drain]", "grace_s = 3"]
+    lines += ["[retries]", "budget_ratio = 0.2", "budget_extra_count = 1000"]
+    return "\n".join(lines) + "\n"
+
+
+class GatewayPath:
+    """An instance with two servers for reads and two for orders."""
+
+    def __init__(self, config=None):
+        self.backends = {name: [RawBackend(), RawBackend()] for name in (READS, ORDERS)}
+        entries = [
+            ServerEntry(f"{name}-{index}", name, backend.address, "here", 4, False)
+            for name, backends in self.backends.items()
+            for index, backend in enumerate(backends)
+        ]
+        self.source = FakeSource(config or configuration(), *entries)
+        self.callers_address = free_address()
+        settings = read_gateway_settings(
+            settings_text(callers_address=self.callers_address)
+        )
+        # Lines go nowhere: the tests look at sockets.
+        self.reader, self.writer = socket.socketpair()
+        self.instance = GatewayInstance(
+            settings, WordyDialect(), self.source, EventLog(self.writer.fileno())
+        )
+        self.instance.start()
+        self.waiter = eventlet.spawn(self.instance.wait)
+        with eventlet.Timeout(ANSWER_PATIENCE_S):
+            while not self.instance.is_ready:
+                eventlet.sleep(0.01)
+
+    def answer_all(self, service, answer):
+        """Let all servers of a service answer all paths alike."""
+        for backend in self.backends[service]:
+            backend.answers = _Always(answer)
+
+    def requests(self, service):
+        """Return what reached the servers of a service, probes left out."""
+        return [
+            request
+            for backend in self.backends[service]
+            for request in backend.requests
+            if request.path != HEALTH_PATH
+        ]
+
+    def remove_server(self, server_id):
+        self.source.put(ServerRemoved(server_id))
+
+    def connect(self):
+        """Return a caller's connection."""
+        return Caller(self.callers_address)
+
+    def stop(self):
+        self.waiter.kill()
+        self.instance.stop()
+        for backends in self.backends.values():
+            for backend in backends:
+                backend.stop()
+        self.reader.close()
+        self.writer.close()
+
+
+class _Always:
+    """Answers of every path but the health check's."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def get(self, path, default):
+        return default if path == HEALTH_PATH else self.answer
+
+
+def request_bytes(path, request_id="a", method="GET", body=None, **headers):
+    """Return the bytes of a request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Wordy-Id: {request_id}"]
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
+
+
+class CallerAnswer:
+    """An answer as a caller saw it."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Caller:
+    """A connection that sends raw bytes."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.sock = eventlet.connect((host, int(port)))
+        self.reader = self.sock.makefile("rb")
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def answer(self, timeout_s=ANSWER_PATIENCE_S):
+        """Return the next answer; None at the connection's end."""
+        with eventlet.Timeout(timeout_s):
+            line = self.reader.readline()
+            if not line:
+                return None
+            status = int(line.split()[1])
+            headers = {}
+            while (line := self.reader.readline().strip()) != b"":
+                name, _, value = line.partition(b":")
+                headers[name.decode().lower()] = value.strip().decode()
+            body = self.reader.read(int(headers.get("content-length", 0)))
+            return CallerAnswer(status, headers, body)
+
+    def exchange(self, *args, **kwargs):
+        self.send(request_bytes(*args, **kwargs))
+        return self.answer()
+
+    def close(self):
+        self.reader.close()
+        self.sock.close()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        self.close()
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -7,6 +7,7 @@
 import socket
 from dataclasses import dataclass
 
+from eventlet.hubs import trampoline
 from urllib3.connection import HTTPConnection
 
 from berylhaven.clock import monotonic_s
@@ -45,7 +46,11 @@
 
 
 class _SocketSource(io.RawIOBase):
-    """Raw reads of a green socket; while probing it never waits."""
+    """Raw reads of a green socket; while probing it never waits.
+
+    The green socket's own reads tell a reset as an ordinary end, by which an answer
+    that was cut would look complete.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__()
@@ -59,14 +64,21 @@
 
     def readinto(self, buffer: memoryview) -> int | None:
         """Read into a buffer; None if nothing is there while probing."""
-        if not self.is_probing:
-            return self._sock.recv_into(buffer)
-        try:
-            count = self._sock.fd.recv_into(buffer)
-        except BlockingIOError:
-            return None
-        self.is_ended = count == 0
-        return count
+        while True:
+            try:
+                count = self._sock.fd.recv_into(buffer)
+            except BlockingIOError:
+                if self.is_probing:
+                    return None
+                trampoline(
+                    self._sock,
+                    read=True,
+                    timeout=self._sock.gettimeout(),
+                    timeout_exc=TimeoutError("timed out"),
+                )
+            else:
+                self.is_ended = count == 0
+                return count
 
 
 class UpstreamConnection:
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -13,7 +13,7 @@
     ConnectionCounts,
     ConnectionPool,
 )
-from berylhaven.proxy.tests._raw_backend import RawBackend
+from berylhaven.http1.tests._raw_backend import RawBackend
 
 LIMIT = 4
 
--- a/berylhaven/proxy/tests/_proxy_path.py
+++ b/berylhaven/proxy/tests/_proxy_path.py
@@ -5,7 +5,7 @@
 from berylhaven.admission._overload import OverloadEstimator
 from berylhaven.entry import EntryInstance
 from berylhaven.entry.tests import _whole_path
-from berylhaven.proxy.tests._raw_backend import PATIENCE_S, RawBackend
+from berylhaven.http1.tests._raw_backend import PATIENCE_S, RawBackend
 from berylhaven.settings import read_settings
 
 # Services: positions is idempotent for GET; bookings is not idempotent at all.
--- a/berylhaven/proxy/tests/test_answer_edges.py
+++ b/berylhaven/proxy/tests/test_answer_edges.py
@@ -5,6 +5,7 @@
 import eventlet
 import orjson
 
+from berylhaven.http1.tests._raw_backend import answer_ok, answers_raw
 from berylhaven.proxy.tests._proxy_path import (
     BOOKINGS,
     POSITIONS,
@@ -12,7 +13,6 @@
     get,
     post,
 )
-from berylhaven.proxy.tests._raw_backend import answer_ok, answers_raw
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CALLERS_COUNT = 300
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -14,10 +14,10 @@
 from berylhaven.http1._body_framing import BodyFraming
 from berylhaven.http1._request_body import RequestBody
 from berylhaven.http1._upstream_connection import UpstreamConnection
+from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
 from berylhaven.proxy._attempt_sender import _tell_answered
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._upstream_caller import UpstreamCaller
-from berylhaven.proxy.tests._raw_backend import RawBackend, answers_raw
 from berylhaven.settings import ProxySettings
 
 SETTINGS = ProxySettings(512, 32_768, 65_536, 15.0, 5.0, 60.0)
--- a/berylhaven/proxy/tests/test_silent_connections.py
+++ b/berylhaven/proxy/tests/test_silent_connections.py
@@ -13,10 +13,10 @@
 from berylhaven.entry.tests._whole_path import CATALOGUE
 from berylhaven.http1._body_framing import NO_BODY
 from berylhaven.http1._request_body import RequestBody
+from berylhaven.http1.tests._raw_backend import RawBackend, answer_ok
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._patience import FLOOR_S, patience_s
 from berylhaven.proxy._upstream_caller import UpstreamCaller
-from berylhaven.proxy.tests._raw_backend import RawBackend, answer_ok
 from berylhaven.settings import ProxySettings
 
 SETTINGS = ProxySettings(512, 32_768, 65_536, 15.0, 5.0, 60.0)
--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,165 @@
+"""A stand-in for the platform's store: items with revisions, read and watched."""
+
+import base64
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import eventlet
+import fire
+import orjson
+
+from standins._program import (
+    FAULTS_PATH,
+    Faults,
+    answer_faults,
+    json_answer,
+    serve_forever,
+)
+
+WATCH_POLL_S = 0.02
+PAGE_ITEMS = 50
+MILLISECONDS_PER_SECOND = 1_000
+WRITE_PATH = "/items/"
+
+
+class MetadataStoreStandIn:
+    """Holds items in memory; PUT and DELETE stand for the operator and the servers."""
+
+    def __init__(self) -> None:
+        # Of the faults, refuse_status answers every reading call with that status.
+        self.faults = Faults(refuse_status=0, delay_s=0.0, cut_watches=False)
+        # Reading calls since the start.
+        self.call_count = 0
+        self._revision = 1
+        self._items: dict[str, dict] = {}
+        self._events: list[dict] = []
+        self._first_revision = 0
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write an item and return its revision."""
+        self._revision += 1
+        created = self._items.get(key, {}).get("Created", self._revision)
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Revision": self._revision,
+            "Created": created,
+            "Lease": 0,
+        }
+        self._items[key] = item
+        self._events.append(item)
+        return self._revision
+
+    def delete(self, key: str) -> int:
+        """Remove an item and return the removal's revision."""
+        self._revision += 1
+        self._items.pop(key, None)
+        removal = {"Key": key, "Revision": self._revision, "Removed": True}
+        self._events.append(removal)
+        return self._revision
+
+    def forget_history(self) -> None:
+        """Drop all events, so that watches from before are refused."""
+        self._events.clear()
+        self._first_revision = self._revision
+
+    def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path == FAULTS_PATH:
+            return answer_faults(self.faults, environ, start_response)
+        if path == "/counters":
+            return json_answer(start_response, {"calls": self.call_count})
+        if path.startswith(WRITE_PATH):
+            return self._write(environ, path.removeprefix(WRITE_PATH), start_response)
+        return self._read(environ, path, start_response)
+
+    def _write(self, environ: dict, key: str, start_response: Callable) -> list[bytes]:
+        if environ["REQUEST_METHOD"] == "DELETE":
+            revision = self.delete(key)
+        else:
+            revision = self.put(key, environ["wsgi.input"].read())
+        return json_answer(start_response, {"Revision": revision})
+
+    def _read(self, environ: dict, path: str, start_response: Callable) -> list[bytes]:
+        self.call_count += 1
+        if self.faults.delay_s:
+            eventlet.sleep(self.faults.delay_s)
+        if self.faults.refuse_status:
+            error = {"Error": "refused"}
+            status = f"{self.faults.refuse_status} Refused"
+            return json_answer(start_response, error, status)
+        query = {
+            name: values[0]
+            for name, values in parse_qs(
+                environ.get("QUERY_STRING", ""), keep_blank_values=True
+            ).items()
+        }
+        if path == "/kv-key":
+            return self._answer_item(query, start_response)
+        if path == "/kv-range":
+            return self._answer_range(query, start_response)
+        if path == "/kv-watch":
+            return self._answer_watch(query, start_response)
+        return json_answer(start_response, {"Error": "no such call"}, "404 Not Found")
+
+    def _answer_item(self, query: dict, start_response: Callable) -> list[bytes]:
+        item = self._items.get(query.get("Key", ""))
+        if item is None:
+            return json_answer(start_response, {"Error": "no item"}, "404 Not Found")
+        return json_answer(start_response, {**item, "At": self._revision})
+
+    def _answer_range(self, query: dict, start_response: Callable) -> list[bytes]:
+        prefix, after = query.get("PathPrefix", ""), query.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        page = {
+            "items": [self._items[key] for key in keys[:PAGE_ITEMS]],
+            "HasMore": len(keys) > PAGE_ITEMS,
+            "At": self._revision,
+        }
+        return json_answer(start_response, page)
+
+    def _answer_watch(self, query: dict, start_response: Callable) -> list[bytes]:
+        prefix, after = query.get("PathPrefix", ""), int(query.get("after", 0))
+        if after < self._first_revision:
+            return json_answer(start_response, {"Error": "compacted"}, "410 Gone")
+        left_s = int(query.get("WaitMs", 0)) / MILLISECONDS_PER_SECOND
+        while True:
+            events = [
+                event
+                for event in self._events
+                if event["Revision"] > after and event["Key"].startswith(prefix)
+            ]
+            if events or left_s <= 0 or self.faults.cut_watches:
+                page = {"events": events, "At": self._revision}
+                return json_answer(start_response, page)
+            eventlet.sleep(WATCH_POLL_S)
+            left_s -= WATCH_POLL_S
+
+
+def server_value(
+    service: str,
+    address: str,
+    data_centre: str,
+    slot_count: int = 4,
+    state: str = "ready",
+) -> bytes:
+    """Return what a server writes of itself."""
+    info = {"Service": service, "Version": "v1", "Zone": data_centre}
+    info["Slots"] = slot_count
+    status = {"State": state, "Sequence": 1, "WarmupLeftS": 0}
+    return orjson.dumps({"Address": address, "Info": info, "Status": status})
+
+
+def run(host: str, port: int) -> None:
+    """Serve the store."""
+    serve_forever(MetadataStoreStandIn(), host, port)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/tools/check_docstrings.py
+++ b/tools/check_docstrings.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-PACKAGES = ("berylhaven", "standins", "bench", "tools")
+PACKAGES = ("berylhaven", "standins", "bench", "tools", "platform")
 
 
 def main() -> int:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,6 +17,9 @@
 eventlet.monkey_patch()
 
 PACKAGES = ("berylhaven", "standins", "bench", "tools")
+# The adapter's folder is no package, since its name is a standard module's.
+ADAPTER_FOLDER = "platform"
+ADAPTER_PACKAGE = "berylhaven_platform"
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 # An entry begins with the test's dotted name; what was seen follows it.
 ENTRY_PATTERN = re.compile(r"test: (?P<name>[\w.]+)")
@@ -29,6 +32,13 @@
         loader.discover(package, pattern=pattern, top_level_dir=".")
         for package in PACKAGES
     )
+    suite.addTests(
+        loader.discover(
+            f"{ADAPTER_FOLDER}/{ADAPTER_PACKAGE}",
+            pattern=pattern,
+            top_level_dir=ADAPTER_FOLDER,
+        )
+    )
     listed = known_red_names(KNOWN_RED.read_text() if KNOWN_RED.exists() else "")
     run_names = {test.id() for test in each_test(suite)}
     result = unittest.TextTestRunner(verbosity=1).run(suite)
