--- /dev/null
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -0,0 +1,180 @@
+"""Tests of following the store: outages, lapsed entries, lost history, old versions."""
+
+import random
+import unittest
+
+import eventlet
+
+from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.event_log import EventLog
+from berylhaven.gateway import (
+    EntryUnusable,
+    FleetNews,
+    HistoryGone,
+    ServerEntry,
+    ServerRemoved,
+    SourceUnavailable,
+)
+from berylhaven.gateway._fleet_follower import LAPSED_TRUST_S, FleetFollower
+from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._news_codec import decode_news, encode_news
+from berylhaven.gateway._news_log import NewsLog
+from berylhaven.gateway._relayed_source import RelayedSource
+from berylhaven.gateway._routes_in_force import RoutesInForce
+from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway.tests._gateway_path import FakeSource, configuration
+from berylhaven.http1 import ConnectionPool
+
+
+def entry(name, is_leaving=False, **fields):
+    return ServerEntry(name, "reads", f"{name}:80", "here", 4, is_leaving, **fields)
+
+
+class FleetFollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
+        self.source = FakeSource(configuration(3), entry("a"), entry("b"))
+        self.table = ServerTable()
+        self.routes = RoutesInForce()
+        self.log = NewsLog()
+        self.members = MemberTable(Member("own", "own", "here", 1, 0, True))
+        self.follower = FleetFollower(
+            RelayedSource(self.source, self.members, self.log),
+            self.members,
+            self.log,
+            self.routes,
+            self.table,
+            ConnectionPool(lambda address: 1, 1_000),
+            random.Random(1),
+            EventLog(1, 0, 0),
+        )
+        self.follower.step()
+
+    def servers(self):
+        return sorted(s.entry.server_id for s in self.table.candidates("reads"))
+
+    def test_the_first_step_knows_all(self):
+        self.assertEqual(self.servers(), ["a", "b"])
+        self.assertEqual(self.routes.version, 3)
+        self.assertEqual(self.members.own.revision, self.source.revision)
+
+    def test_a_leaving_server_takes_no_new_requests(self):
+        self.source.put(entry("a", is_leaving=True))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+
+    def test_a_removed_server_is_gone_at_once(self):
+        self.source.put(ServerRemoved("a"))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+
+    def test_an_unusable_entry_names_no_server(self):
+        self.source.put(EntryUnusable("a", "no state"))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+
+    def test_a_new_start_under_an_old_id_begins_with_nothing(self):
+        known = self.table.record("a")
+        known.in_flight_count = 3
+        self.source.put(entry("a", started_at_ms=9))
+        self.follower.step()
+        self.assertEqual(self.table.record("a").in_flight_count, 0)
+
+    def outage(self):
+        self.source.failure = SourceUnavailable("down")
+        self.follower.step()
+        self.assertTrue(self.follower.is_store_lost)
+        self.source.failure = None
+
+    def test_entries_that_lapsed_in_an_outage_have_time_to_come_back(self):
+        self.outage()
+        self.source.put(ServerRemoved("a"), ServerRemoved("b"))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["a", "b"])
+        self.clock.advance_s(LAPSED_TRUST_S - 0.5)
+        self.source.put(entry("b"))
+        self.follower.step()
+        self.clock.advance_s(1.0)
+        self.source.put(configuration(4))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+
+    def test_entries_that_lapsed_are_held_also_where_a_peer_saw_the_outage(self):
+        news = FleetNews((ServerRemoved("a"),), self.source.revision + 1, True)
+        self.follower._take_newer(news)
+        self.assertEqual(self.servers(), ["a", "b"])
+
+    def test_after_lost_history_all_is_read_anew(self):
+        self.source.failure = HistoryGone("compacted")
+        self.follower.step()
+        self.source.failure = None
+        self.source.whole = [configuration(5), entry("b"), entry("c")]
+        self.source.revision += 4
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b", "c"])
+        self.assertEqual(self.routes.version, 5)
+
+    def test_an_older_configuration_never_comes_back(self):
+        self.source.put(configuration(2))
+        self.follower.step()
+        self.assertEqual(self.routes.version, 3)
+
+    def test_news_that_was_overtaken_changes_nothing(self):
+        self.source.put(entry("a", is_leaving=True))
+        self.follower.step()
+        old = FleetNews((entry("a"),), self.source.revision - 1)
+        self.follower._take_newer(old)
+        self.assertEqual(self.servers(), ["b"])
+
+    def test_a_peer_that_knows_more_makes_this_instance_look(self):
+        thread = eventlet.spawn(self.follower.run_catching_up)
+        self.addCleanup(thread.kill)
+        eventlet.sleep(0)
+        self.source.put(entry("a", is_leaving=True))
+        peer = Member("peer", "peer", "here", 1, 1, True, self.source.revision)
+        self.members.take(peer, monotonic_s())
+        for _ in range(4):
+            self.clock.advance_s(0.3)
+        self.assertEqual(self.servers(), ["b"])
+
+
+class NewsCodecTest(unittest.TestCase):
+    def test_news_comes_back_as_it_was(self):
+        changes = (configuration(7), entry("a"), ServerRemoved("b"))
+        news = FleetNews((*changes, EntryUnusable("c", "why")), 12, True)
+        self.assertEqual(decode_news(encode_news(news)), news)
+
+    def test_malformed_news_is_a_value_error(self):
+        for body in (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"revision":1,"changes":[["what",{}]],"is_after_outage":false}',
+            b'{"revision":1,"changes":[["server",{}]],"is_after_outage":false}',
+            b'{"revision":"1","changes":[],"is_after_outage":false}',
+        ):
+            with self.subTest(body), self.assertRaises(ValueError):
+                decode_news(body)
+
+
+class NewsLogTest(unittest.TestCase):
+    def test_a_reader_gets_what_came_after_its_revision(self):
+        log = NewsLog()
+        log.begin(5)
+        log.add(FleetNews((entry("a"),), 6))
+        log.add(FleetNews((entry("b"),), 9))
+        self.assertEqual(log.after(6), FleetNews((entry("b"),), 9))
+        self.assertEqual(log.after(9).changes, ())
+        with self.assertRaises(HistoryGone):
+            log.after(4)
+
+    def test_a_waiting_reader_is_woken(self):
+        log = NewsLog()
+        log.begin(5)
+        thread = eventlet.spawn(log.wait_after, 5, 5.0)
+        eventlet.sleep(0)
+        log.add(FleetNews((entry("a"),), 6))
+        with eventlet.Timeout(1.0):
+            self.assertEqual(thread.wait().revision, 6)
--- /dev/null
+++ b/berylhaven/gateway/tests/test_shared_retry_budget.py
@@ -0,0 +1,46 @@
+"""Tests that all instances together keep within the allowed retries."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylhaven.gateway._shared_retry_budget import (
+    RetryAllowance,
+    SharedRetryBudget,
+)
+
+ALLOWANCE = RetryAllowance(ratio=0.2, extra_count=75, window_s=10)
+
+
+class SharedRetryBudgetTest(unittest.TestCase):
+    @given(
+        st.integers(16, 40),
+        st.lists(st.tuples(st.integers(0, 39), st.floats(0, 30), st.booleans())),
+    )
+    def test_all_instances_together_keep_within_the_allowance(self, count, events):
+        budgets = [SharedRetryBudget(ALLOWANCE) for _ in range(count)]
+        requests, retries = [], []
+        for index, at_s, is_request in sorted(events, key=lambda event: event[1]):
+            budget = budgets[index % count]
+            if is_request:
+                budget.request_came(at_s)
+                requests.append(at_s)
+            elif budget.take(count, at_s):
+                retries.append(at_s)
+        for end_s in retries:
+            in_window = [t for t in retries if end_s - 10 <= t <= end_s]
+            came = [t for t in requests if end_s - 20 <= t <= end_s]
+            self.assertLessEqual(len(in_window), 0.2 * len(came) + 75)
+
+    def test_an_instance_that_knows_no_other_takes_a_small_part(self):
+        budget = SharedRetryBudget(ALLOWANCE)
+        taken = sum(budget.take(1, 0.0) for _ in range(100))
+        self.assertLessEqual(16 * taken, 75)
+
+    def test_what_was_spent_comes_back_with_the_window(self):
+        budget = SharedRetryBudget(ALLOWANCE)
+        while budget.take(16, 0.0):
+            pass
+        self.assertFalse(budget.take(16, 9.0))
+        self.assertTrue(budget.take(16, 10.5))
