Ask the store at once when a reader fails, and take that for no outage

Change: a failed relay is followed by a direct call at once, and by direct watches for 4 s; only a failed direct call counts as an outage. A peer holds a question for 0.8 s. Tests: test_relayed_source, of which the silent reader and the refusal failed before.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -26,13 +26,16 @@
 # How long a reader's watch waits. A silent connection shows only by the end of that
 # time, and a change must be in force within two seconds.
 DIRECT_WAIT_S = 1.5
-# How long a peer holds a question for news.
-PEER_WAIT_S = 2.0
-PEER_MARGIN_S = 0.3
+# How long a peer holds a question for news. A peer that is cut off shows only by the
+# end of that time, after which the store itself is asked at once.
+PEER_WAIT_S = 0.8
+PEER_MARGIN_S = 0.25
 # A reader that the store has not answered for this long says that it knows nothing.
-HEARD_LIMIT_S = 2.4
+HEARD_LIMIT_S = 2.0
 # Without a reader that hears the store, it is asked directly this often.
 DIRECT_EVERY_S = 1.5
+# An instance that had to ask the store itself goes on to do so for this time.
+DIRECT_FOR_S = 4.0
 
 
 class RelayedSource:
@@ -48,14 +51,24 @@
         Told when the store has answered directly.
     """
 
-    __slots__ = ("_direct", "_members", "_log", "_http", "_asked_at_s", "_turn")
+    __slots__ = (
+        "_direct",
+        "_members",
+        "_log",
+        "_http",
+        "_asked_at_s",
+        "_direct_until_s",
+        "_turn",
+    )
 
     def __init__(self, direct: FleetSource, members: MemberTable, log: NewsLog) -> None:
         self._direct = direct
         self._members = members
         self._log = log
         self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        # When the store was last asked directly without success.
         self._asked_at_s = float("-inf")
+        self._direct_until_s = float("-inf")
         self._turn = 0
 
     def read(self) -> FleetNews:
@@ -86,33 +99,41 @@
         HistoryGone
             If all must be read anew.
         """
+        now_s = monotonic_s()
         readers = self._readers()
-        if not readers or self._members.own in readers:
+        is_reader = not readers or self._members.own in readers
+        if is_reader or now_s < self._direct_until_s:
             return self._watch_direct(revision, min(wait_s, DIRECT_WAIT_S))
         self._turn += 1
-        for index in range(len(readers)):
-            reader = readers[(index + self._turn) % len(readers)]
-            try:
-                return self._ask(reader, revision)
-            except SourceUnavailable:
-                continue
-        if monotonic_s() - self._asked_at_s < DIRECT_EVERY_S:
-            raise SourceUnavailable("no reader of the store answers")
-        return self._watch_direct(revision, 0.0)
+        reader = readers[self._turn % len(readers)]
+        try:
+            return self._ask(reader, revision)
+        except SourceUnavailable as unavailable:
+            if monotonic_s() - self._asked_at_s < DIRECT_EVERY_S:
+                raise unavailable
+        news = self._watch_direct(revision, 0.0)
+        self._direct_until_s = monotonic_s() + DIRECT_FOR_S
+        return news
 
     def look(self, revision: int) -> FleetNews:
         """Return the changes after a revision that the store knows now."""
         return self._watch_direct(revision, 0.0)
 
     def _read_direct(self) -> FleetNews:
-        self._asked_at_s = monotonic_s()
-        news = self._direct.read()
+        try:
+            news = self._direct.read()
+        except SourceUnavailable:
+            self._asked_at_s = monotonic_s()
+            raise
         self._log.heard()
         return news
 
     def _watch_direct(self, revision: int, wait_s: float) -> FleetNews:
-        self._asked_at_s = monotonic_s()
-        news = self._direct.watch(revision, wait_s)
+        try:
+            news = self._direct.watch(revision, wait_s)
+        except SourceUnavailable:
+            self._asked_at_s = monotonic_s()
+            raise
         self._log.heard()
         return news
 
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -115,11 +115,11 @@
         changed.send()
 
     def _check(self):
-        self.call_count += 1
         if self.failure is not None:
             raise self.failure
 
     def read(self):
+        self.call_count += 1
         self._check()
         return FleetNews(tuple(self.whole), self.revision)
 
@@ -128,6 +128,7 @@
         return FleetNews(changes, self.revision)
 
     def watch(self, revision, wait_s):
+        self.call_count += 1
         self._check()
         news = self._news(revision)
         if not news.changes:
--- /dev/null
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -0,0 +1,91 @@
+"""Tests of reading the store by way of a peer."""
+
+import unittest
+
+import eventlet
+
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway import FleetNews, PeersApplication, SourceUnavailable
+from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._news_log import NewsLog
+from berylhaven.gateway._relayed_source import (
+    PEER_MARGIN_S,
+    PEER_WAIT_S,
+    RelayedSource,
+)
+from berylhaven.gateway.tests._gateway_path import FakeSource, free_address
+from berylhaven.http1 import serve
+
+# A server's leaving must be believed within this time of the store's answer.
+BELIEF_LIMIT_S = 2.0
+
+
+class Reader:
+    """A peer that tells news as a test says."""
+
+    def __init__(self, news):
+        self.tell = news
+
+    def news(self, revision, wait_s):
+        return self.tell()
+
+
+class RelayedSourceTest(unittest.TestCase):
+    def setUp(self):
+        self.source = FakeSource()
+        # An instance that is not ready yet is no reader itself.
+        self.members = MemberTable(Member("own", "own", "here", 1, 1, False))
+        self.relayed = RelayedSource(self.source, self.members, NewsLog())
+
+    def add_reader(self, address):
+        peer = Member(address, address, "here", 1, 1, True)
+        self.members.take(peer, monotonic_s())
+
+    def serve(self, tell):
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        application = PeersApplication(Reader(tell))
+        thread = serve(host, int(port), application, 16, 5.0)
+        self.addCleanup(thread.kill)
+        return address
+
+    def test_an_instance_alone_asks_the_store(self):
+        self.assertEqual(self.relayed.watch(1, 0.0).revision, 1)
+        self.assertEqual(self.source.call_count, 1)
+
+    def test_news_of_a_reader_costs_no_call(self):
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
+        self.assertEqual(self.source.call_count, 0)
+
+    def refuse(self):
+        raise SourceUnavailable("not heard")
+
+    def test_after_a_readers_refusal_the_store_is_asked_at_once(self):
+        self.add_reader(self.serve(self.refuse))
+        self.source.put()
+        self.assertEqual(self.relayed.watch(1, 1.0).revision, 2)
+        self.assertEqual(self.source.call_count, 1)
+
+    def test_a_silent_reader_is_given_up_in_time(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.add_reader(f"127.0.0.1:{listener.getsockname()[1]}")
+        self.source.put()
+        started_at_s = monotonic_s()
+        self.assertEqual(self.relayed.watch(1, 1.0).revision, 2)
+        self.assertLess(PEER_WAIT_S + PEER_MARGIN_S, BELIEF_LIMIT_S)
+        self.assertLess(monotonic_s() - started_at_s, BELIEF_LIMIT_S)
+
+    def test_where_neither_answers_the_store_is_asked_rarely(self):
+        self.add_reader(self.serve(self.refuse))
+        self.source.failure = SourceUnavailable("down")
+        for _ in range(5):
+            with self.assertRaises(SourceUnavailable):
+                self.relayed.watch(1, 1.0)
+        self.assertEqual(self.source.call_count, 1)
+
+    def test_a_start_without_the_store_knows_what_peers_know(self):
+        self.source.failure = SourceUnavailable("down")
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        self.assertEqual(self.relayed.read().revision, 7)
