--- /dev/null
+++ b/berylhaven/attempts/__init__.py
@@ -0,0 +1,10 @@
+"""How one attempt at a backend server may end, and what each end proves."""
+
+from berylhaven.attempts._attempt_end import (
+    JUDGEMENTS,
+    AttemptEnd,
+    AttemptFailed,
+    EndJudgement,
+)
+
+__all__ = ["JUDGEMENTS", "AttemptEnd", "AttemptFailed", "EndJudgement"]
--- a/berylhaven/calls/__init__.py
+++ b/berylhaven/calls/__init__.py
@@ -1,6 +1,6 @@
 """Calls: their ids, what is remembered of them, and how they may end."""
 
-from berylhaven.calls._attempt_end import (
+from berylhaven.attempts import (
     JUDGEMENTS,
     AttemptEnd,
     AttemptFailed,
--- a/berylhaven/calls/_retry_decision.py
+++ b/berylhaven/calls/_retry_decision.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from berylhaven.calls._attempt_end import EndJudgement
+from berylhaven.attempts import EndJudgement
 from berylhaven.results import Outcome
 
 ATTEMPTS_LIMIT = 4
--- a/berylhaven/gateway/_attempt_race.py
+++ b/berylhaven/gateway/_attempt_race.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.queue
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._attempt_runner import (
     AttemptResult,
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
--- a/berylhaven/gateway/_dialect.py
+++ b/berylhaven/gateway/_dialect.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from berylhaven.http1 import HeadFields
-from berylhaven.load import LoadReport
+from berylhaven.load_report import LoadReport
 
 
 class Dialect(Protocol):
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._attempt_race import AttemptRace
--- a/berylhaven/gateway/_server_exchange.py
+++ b/berylhaven/gateway/_server_exchange.py
@@ -7,7 +7,7 @@
 import eventlet
 import urllib3
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._request import GatewayRequest
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from berylhaven.calls import AttemptFailed
+from berylhaven.attempts import AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S, CONNECTION_ERRORS
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from berylhaven.load import LoadReport
+from berylhaven.load_report import LoadReport
 
 # A failure counts for 1/e after this time, so that a server is tried again.
 FAILURE_TRUST_S = 3.0
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -15,7 +15,7 @@
     read_gateway_settings,
 )
 from berylhaven.http1.tests._raw_backend import RawBackend
-from berylhaven.load import LoadReport
+from berylhaven.load_report import LoadReport
 from berylhaven.routes import (
     CallerLimits,
     RequestKind,
--- a/berylhaven/http1/_connection_pool.py
+++ b/berylhaven/http1/_connection_pool.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.http1._connect_backoff import ConnectBackoff
 from berylhaven.http1._upstream_connection import UpstreamConnection
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from berylhaven.calls import AttemptEnd, AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import ManualClock
 from berylhaven.http1._connection_pool import (
     IDLE_FOR_ONCE_ONLY_S,
--- a/berylhaven/load/__init__.py
+++ b/berylhaven/load/__init__.py
@@ -6,7 +6,6 @@
     finish_estimate,
     least_finish_s,
 )
-from berylhaven.load._load_report import LoadReport
 from berylhaven.load._load_table import LOAD_SECTION, LoadTable
 from berylhaven.load._load_topic import LoadTopic
 from berylhaven.load._measuring_ledger import (
@@ -16,6 +15,7 @@
 from berylhaven.load._probe_planner import Probe, ProbePlanner
 from berylhaven.load._server_load import ServerLoad
 from berylhaven.load._service_load import ServiceLoad
+from berylhaven.load_report import LoadReport
 
 __all__ = [
     "LOAD_SECTION",
--- a/berylhaven/load/_load_topic.py
+++ b/berylhaven/load/_load_topic.py
@@ -5,9 +5,9 @@
 import orjson
 
 from berylhaven.exchange import register_topic
-from berylhaven.load._load_report import LoadReport
 from berylhaven.load._load_table import LoadTable
 from berylhaven.load._server_load import ServerLoad
+from berylhaven.load_report import LoadReport
 
 if TYPE_CHECKING:
     from berylhaven.controllers import ControllerContext
--- a/berylhaven/load/_server_load.py
+++ b/berylhaven/load/_server_load.py
@@ -2,8 +2,8 @@
 
 import math
 
-from berylhaven.load._load_report import LoadReport
 from berylhaven.load._service_load import ServiceLoad
+from berylhaven.load_report import LoadReport
 
 SMOOTHING_RATIO = 0.2
 # A sample this many times the mean is no chance, and weighs more.
