--- a/berylhaven/cli/_documents.py
+++ b/berylhaven/cli/_documents.py
@@ -3,6 +3,11 @@
 from pathlib import Path
 
 from berylhaven.catalogue import Catalogue, CatalogueRefused, read_catalogue
+from berylhaven.gateway import (
+    GatewaySettings,
+    GatewaySettingsRefused,
+    load_gateway_settings,
+)
 from berylhaven.results import DocumentRefused, NotReadable
 from berylhaven.settings import Settings, SettingsRefused, load_settings
 
@@ -15,6 +20,14 @@
         raise DocumentRefused(path, refused.exceptions) from None
 
 
+def load_checked_gateway_settings(path: str) -> GatewaySettings:
+    """Return a gateway's settings; raise DocumentRefused with every fault."""
+    try:
+        return load_gateway_settings(path)
+    except GatewaySettingsRefused as refused:
+        raise DocumentRefused(path, refused.exceptions) from None
+
+
 def load_catalogue(path: str) -> Catalogue:
     """Return the catalogue of a file; raise DocumentRefused with every fault."""
     try:
--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -154,7 +154,7 @@
         return WATCH_GAP_S if news.changes else 0.0
 
     def run_catching_up(self) -> None:
-        """Believe in time that lapsed entries are gone, and follow peers that know more.
+        """Believe in time that lapsed entries are gone, and catch up with peers.
 
         The watch itself may wait for longer than either may take.
         """
--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -62,6 +62,7 @@
     DocumentRefused,
     EntryUnreachable,
     NoSuchCode,
+    NoSuchRequest,
     UnexpectedAnswer,
 )
 from berylhaven.results._fleet_results import (
@@ -128,6 +129,7 @@
     "NoBackendServer",
     "NoBackendServerInTime",
     "NoSuchCode",
+    "NoSuchRequest",
     "NotReadable",
     "NotReady",
     "OutOfRange",
--- a/berylhaven/results/_command_results.py
+++ b/berylhaven/results/_command_results.py
@@ -105,3 +105,12 @@
         """Return the failure with its faults as a JSON object."""
         faults = [problem.to_json() for problem in self.problems]
         return {**super().to_json(), "problems": faults}
+
+
+@register_result(
+    507,
+    "no-such-request",
+    "Give all instances' logs, and the id as its caller sent it.",
+)
+class NoSuchRequest(CommandFailed):
+    """No line of the logs names the request."""
