--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -162,6 +162,7 @@
         now_s = monotonic_s()
 
         def rank(server: ServerRecord) -> tuple[bool, float]:
+            """Return the sort key of a server."""
             is_remote = server.entry.data_centre != self._data_centre
             penalty = server.failure_ratio(now_s) * FAILURE_COST
             if now_s < server.full_until_s:
