Join what the two roles had twice

Cause: the errors of an exchange, the reading of settings sections and short WSGI answers stood in two or three places.

--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -1,5 +1,6 @@
 """The course of one request: its route, its attempts, and its answer."""
 
+from collections.abc import Callable
 from random import Random
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
@@ -67,7 +68,7 @@
         runner: AttemptRunner,
         dialect: Dialect,
         allowance: RetryAllowance,
-        instance_count: "callable",
+        instance_count: Callable[[], int],
         random: Random,
         event_log: EventLog,
     ) -> None:
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -8,8 +8,8 @@
 from berylhaven.gateway._member_gossip import GOSSIP_PATH
 from berylhaven.gateway._news_codec import encode_news
 from berylhaven.gateway._relayed_source import NEWS_PATH
+from berylhaven.http1 import answer_bytes, answer_status
 
-PLAIN = [("Content-Type", "text/plain; charset=utf-8")]
 MESSAGE_LIMIT_BYTES = 1_000_000
 MILLISECONDS_PER_SECOND = 1_000
 # The longest time that a question for news is held.
@@ -37,7 +37,7 @@
             return self._hear(environ, start_response)
         if path == NEWS_PATH:
             return self._tell_news(environ, start_response)
-        return _plain(start_response, "404 Not Found")
+        return answer_status(start_response, "404 Not Found")
 
     def _tell_news(self, environ: dict, start_response: Callable) -> list[bytes]:
         query = parse_qs(environ.get("QUERY_STRING", ""))
@@ -45,34 +45,22 @@
             wait_ms = int(query.get("wait_ms", ["0"])[0])
             revision = int(query["after"][0]) if "after" in query else None
         except ValueError:
-            return _plain(start_response, "400 Bad Request")
+            return answer_status(start_response, "400 Bad Request")
         wait_s = min(wait_ms / MILLISECONDS_PER_SECOND, WAIT_LIMIT_S)
         try:
             news = self._instance.news(revision, wait_s)
         except HistoryGone:
-            return _plain(start_response, "410 Gone")
+            return answer_status(start_response, "410 Gone")
         except SourceUnavailable:
-            return _plain(start_response, "503 Service Unavailable")
-        return _json(start_response, encode_news(news))
+            return answer_status(start_response, "503 Service Unavailable")
+        return answer_bytes(start_response, "200 OK", encode_news(news))
 
     def _hear(self, environ: dict, start_response: Callable) -> list[bytes]:
         length_bytes = int(environ.get("CONTENT_LENGTH") or 0)
         if length_bytes > MESSAGE_LIMIT_BYTES:
-            return _plain(start_response, "413 Content Too Large")
+            return answer_status(start_response, "413 Content Too Large")
         try:
             body = self._instance.hear(environ["wsgi.input"].read(length_bytes))
         except ValueError:
-            return _plain(start_response, "400 Bad Request")
-        return _json(start_response, body)
-
-
-def _json(start_response: Callable, body: bytes) -> list[bytes]:
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-    start_response("200 OK", headers)
-    return [body]
-
-
-def _plain(start_response: Callable, status: str) -> list[bytes]:
-    body = (status + "\n").encode()
-    start_response(status, [*PLAIN, ("Content-Length", str(len(body)))])
-    return [body]
+            return answer_status(start_response, "400 Bad Request")
+        return answer_bytes(start_response, "200 OK", body)
--- a/berylhaven/gateway/_server_exchange.py
+++ b/berylhaven/gateway/_server_exchange.py
@@ -1,17 +1,18 @@
 """One request sent to one backend server, and its whole answer."""
 
-import http.client
 import io
 from dataclasses import dataclass
 
 import eventlet
-import urllib3
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.http1 import (
+    CALLER_ENDS,
+    CONNECTION_ERRORS,
+    MALFORMED_ANSWER,
     REQUEST_FRAMING,
     AnswerCut,
     AnswerHead,
@@ -21,27 +22,7 @@
     end_to_end,
     read_framing,
 )
-from berylhaven.results import (
-    BadFraming,
-    BadRequestHead,
-    BodyCut,
-    BodyTooLarge,
-    HeadTooLarge,
-    SenderTooSlow,
-)
 
-CONNECTION_ERRORS = (
-    OSError,
-    http.client.HTTPException,
-    urllib3.exceptions.HTTPError,
-)
-MALFORMED_ANSWER = (BadFraming, BadRequestHead, HeadTooLarge)
-CALLER_ENDS = {
-    BodyCut: AttemptEnd.CALLER_BODY_CUT,
-    BadFraming: AttemptEnd.CALLER_BODY_CUT,
-    BodyTooLarge: AttemptEnd.CALLER_BODY_TOO_LARGE,
-    SenderTooSlow: AttemptEnd.CALLER_TOO_SLOW,
-}
 # Within a region an opening is answered in milliseconds; a lost packet is sent again
 # after a second only, when another server has long been the better choice.
 CONNECT_TIMEOUT_S = 0.25
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -7,9 +7,14 @@
 from berylhaven.attempts import AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S, CONNECTION_ERRORS
+from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.http1 import AnswerCut, ConnectionPool, read_answer
+from berylhaven.http1 import (
+    CONNECTION_ERRORS,
+    AnswerCut,
+    ConnectionPool,
+    read_answer,
+)
 from berylhaven.results import CallRefused
 
 # A probe is answered at once, after a round trip within a region.
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -1,11 +1,10 @@
 """The settings of a gateway instance, read from INI."""
 
 from dataclasses import dataclass
-from pathlib import Path
 
 from berylhaven.gateway._shared_retry_budget import RetryAllowance
-from berylhaven.ini import Field, IniSection, read_document, read_fields
-from berylhaven.results import MissingSection, NotReadable, UnknownSection
+from berylhaven.ini import Field, read_sections, read_text_file
+from berylhaven.results import NotReadable
 
 
 @dataclass(slots=True, frozen=True)
@@ -154,9 +153,8 @@
         With every fault found.
     """
     try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        problem = NotReadable(error.strerror)
+        text = read_text_file(path)
+    except NotReadable as problem:
         raise GatewaySettingsRefused("settings refused", [problem]) from None
     return read_gateway_settings(text)
 
@@ -179,24 +177,10 @@
     GatewaySettingsRefused
         With every fault found.
     """
-    document, problems = read_document(text)
-    sections = {section.name: section for section in document.sections}
-    for section in document.sections:
-        if section.name not in SECTIONS:
-            known = ", ".join(SECTIONS)
-            message = f"the sections here are {known}"
-            problems.append(UnknownSection(message, section.line, section.name))
-    values = {}
-    for name, (_, fields) in SECTIONS.items():
-        section = sections.get(name)
-        if section is None and name not in OPTIONAL_SECTIONS:
-            problems.append(MissingSection(f"add [{name}]", section=name))
-            continue
-        found, faults = read_fields(section or IniSection(name, 0), fields)
-        values[name] = found
-        problems.extend(faults)
-    if problems:
-        raise GatewaySettingsRefused("settings refused", problems)
+    fields = {name: section_fields for name, (_, section_fields) in SECTIONS.items()}
+    read = read_sections(text, fields, OPTIONAL_SECTIONS)
+    if read.problems:
+        raise GatewaySettingsRefused("settings refused", read.problems)
     return GatewaySettings(
-        **{name: kind(**values[name]) for name, (kind, _) in SECTIONS.items()}
+        **{name: kind(**read.values[name]) for name, (kind, _) in SECTIONS.items()}
     )
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -145,6 +145,7 @@
         self.outage()
         self.clock.advance_s(1.0)
         self.assertEqual(self.members.own.calm_s, 0)
+        self.source.put(configuration(4))
         self.follower.step()
         self.clock.advance_s(2.5)
         self.assertEqual(self.members.own.calm_s, 2)
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -3,6 +3,11 @@
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, read_framing
 from berylhaven.http1._chunked_reader import ChunkedReader, ChunkFault
 from berylhaven.http1._connection_pool import ConnectionCounts, ConnectionPool
+from berylhaven.http1._exchange_errors import (
+    CALLER_ENDS,
+    CONNECTION_ERRORS,
+    MALFORMED_ANSWER,
+)
 from berylhaven.http1._head_fields import END_OF_HEAD, HeadFields, read_fields
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end
 from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
@@ -14,9 +19,13 @@
     read_answer,
 )
 from berylhaven.http1._upstream_connection import AnswerHead, UpstreamConnection
+from berylhaven.http1._wsgi_answer import answer_bytes, answer_status
 from berylhaven.http1._wsgi_server import serve
 
 __all__ = [
+    "CALLER_ENDS",
+    "CONNECTION_ERRORS",
+    "MALFORMED_ANSWER",
     "CONTINUE_LINE",
     "END_OF_HEAD",
     "NO_BODY",
@@ -34,6 +43,8 @@
     "RequestBody",
     "UpstreamAnswer",
     "UpstreamConnection",
+    "answer_bytes",
+    "answer_status",
     "end_to_end",
     "read_answer",
     "read_fields",
--- a/berylhaven/ini/__init__.py
+++ b/berylhaven/ini/__init__.py
@@ -2,6 +2,7 @@
 
 from berylhaven.ini._document import IniDocument, IniEntry, IniSection, read_document
 from berylhaven.ini._field import REQUIRED, Field, read_fields
+from berylhaven.ini._sections import SectionsRead, read_sections, read_text_file
 from berylhaven.ini._value_kinds import register_value_kind, value_kind
 
 __all__ = [
@@ -10,8 +11,11 @@
     "IniDocument",
     "IniEntry",
     "IniSection",
+    "SectionsRead",
     "read_document",
     "read_fields",
+    "read_sections",
+    "read_text_file",
     "register_value_kind",
     "value_kind",
 ]
--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -1,15 +1,14 @@
 """One attempt of a call at one backend server over one connection."""
 
-import http.client
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
-import urllib3
 
 from berylhaven.backend import CALL_ID_HEADER, request_headers
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
+from berylhaven.http1 import CALLER_ENDS, CONNECTION_ERRORS, MALFORMED_ANSWER
 from berylhaven.http1._upstream_answer import (
     AnswerCut,
     NoAnswerLength,
@@ -19,30 +18,8 @@
 from berylhaven.http1._upstream_connection import UpstreamConnection
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._caller_watch import CallerWatch
-from berylhaven.results import (
-    BadFraming,
-    BadRequestHead,
-    BodyCut,
-    BodyTooLarge,
-    CallerGone,
-    CallRefused,
-    HeadTooLarge,
-    SenderTooSlow,
-)
+from berylhaven.results import CallerGone, CallRefused
 
-CONNECTION_ERRORS = (
-    OSError,
-    http.client.HTTPException,
-    urllib3.exceptions.HTTPError,
-)
-# What the strict reading of an answer's head and framing raises.
-MALFORMED_ANSWER = (BadFraming, BadRequestHead, HeadTooLarge)
-CALLER_ENDS = {
-    BodyCut: AttemptEnd.CALLER_BODY_CUT,
-    BadFraming: AttemptEnd.CALLER_BODY_CUT,
-    BodyTooLarge: AttemptEnd.CALLER_BODY_TOO_LARGE,
-    SenderTooSlow: AttemptEnd.CALLER_TOO_SLOW,
-}
 # A server in the next region answers an opening well within this time.
 CONNECT_TIMEOUT_S = 1.0
 # How long to look for an early answer after the server stopped taking the body.
--- a/berylhaven/settings/_read.py
+++ b/berylhaven/settings/_read.py
@@ -1,14 +1,10 @@
 """Reading and checking the settings file."""
 
-from pathlib import Path
-
-from berylhaven.ini import IniSection, read_document, read_fields
+from berylhaven.ini import IniSection, read_sections, read_text_file
 from berylhaven.results import (
     CheckProblem,
-    MissingSection,
     NotReadable,
     PortConflict,
-    UnknownSection,
 )
 from berylhaven.settings._fields import OPTIONAL_SECTIONS, SECTION_FIELDS
 from berylhaven.settings._model import (
@@ -47,11 +43,9 @@
         With every fault found.
     """
     try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        raise _refused(NotReadable(error.strerror)) from None
-    except UnicodeDecodeError as error:
-        raise _refused(NotReadable(f"not UTF-8 at byte {error.start}")) from None
+        text = read_text_file(path)
+    except NotReadable as problem:
+        raise _refused(problem) from None
     return read_settings(text)
 
 
@@ -73,17 +67,9 @@
     SettingsRefused
         With every fault found.
     """
-    document, problems = read_document(text)
-    sections = {section.name: section for section in document.sections}
-    for section in document.sections:
-        if section.name not in SECTION_FIELDS:
-            known = ", ".join(SECTION_FIELDS)
-            message = f"the sections here are {known}"
-            problems.append(UnknownSection(message, section.line, section.name))
-    values = {}
-    for name in SECTION_FIELDS:
-        values[name] = _read_section(name, sections.get(name), problems)
-    _check_ports(sections, values, problems)
+    read = read_sections(text, SECTION_FIELDS, OPTIONAL_SECTIONS)
+    values, problems = read.values, read.problems
+    _check_ports(read.sections, values, problems)
     if problems:
         raise _refused(*problems)
     return Settings(
@@ -118,14 +104,3 @@
 def _refused(*problems: CheckProblem) -> SettingsRefused:
     ordered = sorted(problems, key=lambda problem: problem.line or 0)
     return SettingsRefused("settings refused", ordered)
-
-
-def _read_section(
-    name: str, section: IniSection | None, problems: list[CheckProblem]
-) -> dict:
-    if section is None and name not in OPTIONAL_SECTIONS:
-        problems.append(MissingSection(f"add [{name}]", section=name))
-        return {}
-    found, faults = read_fields(section or IniSection(name, 0), SECTION_FIELDS[name])
-    problems.extend(faults)
-    return found
