--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,16 @@
 DEMO_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
-.PHONY: run test bench slopes soak install format lint unit docs binary smoke clean clean-venv
+.PHONY: run run-gateways test bench slopes soak install format lint unit docs binary smoke clean clean-venv
 
 run: binary
 	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
 		--program=dist/berylhaven $(DEMO_OPTIONS)
 
+# The platform's path: gateways, a store, servers and callers as processes.
+run-gateways: install
+	$(BIN)/python -m standins.gateway_demo --duration_s=$(or $(filter-out 0,$(DURATION_S)),10)
+
 test: clean-venv install lint unit binary smoke
 
 clean-venv:
--- /dev/null
+++ b/standins/gateway_callers.py
@@ -0,0 +1,109 @@
+"""Callers of a gateway fleet, and the promises that their answers are held to."""
+
+import collections
+import secrets
+
+import eventlet
+import urllib3
+
+from standins.gateway_fleet import ORDERS, ROUTES_HOST, GatewayFleet
+
+SENDER_COUNT = 8
+PATIENCE_MS = 2_000
+# The answers that promise that a request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+OK = 200
+FOREIGN = "foreign"
+
+
+class GatewayCallers:
+    """Send orders and reads to the gateways that one of them names.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        The running fleet.
+    """
+
+    __slots__ = ("_fleet", "answers", "_is_ending", "_threads")
+
+    def __init__(self, fleet: GatewayFleet) -> None:
+        self._fleet = fleet
+        # Kind and status by request id; the status is None without an answer.
+        self.answers: dict[str, tuple[str, int | str | None]] = {}
+        self._is_ending = False
+        self._threads = [eventlet.spawn(self._send, n) for n in range(SENDER_COUNT)]
+
+    def end(self) -> None:
+        """Return when all requests are answered."""
+        self._is_ending = True
+        for thread in self._threads:
+            thread.wait()
+
+    def _send(self, number: int) -> None:
+        pool = urllib3.PoolManager(retries=False, timeout=2 * PATIENCE_MS / 1_000)
+        turn = 0
+        # Callers of the platform use no address again that has failed them.
+        failed = set()
+        kind = "order" if number % 2 else "read"
+        while not self._is_ending:
+            turn += 1
+            try:
+                addresses = self._fleet.locate(self._fleet.gateways[0])
+            except (urllib3.exceptions.HTTPError, KeyError):
+                continue
+            left = [a for a in addresses if a not in failed] or addresses
+            address = left[turn % len(left)]
+            request_id = secrets.token_hex(8)
+            status = self._ask(pool, address, kind, request_id)
+            self.answers[request_id] = (kind, status)
+            if status is None:
+                failed.add(address)
+
+    def _ask(
+        self, pool: urllib3.PoolManager, address: str, kind: str, request_id: str
+    ) -> int | str | None:
+        headers = {
+            "Host": ROUTES_HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(PATIENCE_MS),
+        }
+        method = "POST" if kind == "order" else "GET"
+        try:
+            answer = pool.request(method, f"http://{address}/{kind}/x", headers=headers)
+        except urllib3.exceptions.HTTPError:
+            return None
+        seal = answer.headers.get("X-Server-Seal", "")
+        if answer.status == OK and not seal.endswith(request_id):
+            return FOREIGN
+        return answer.status
+
+
+def broken_promises(
+    fleet: GatewayFleet, answers: dict[str, tuple[str, int | str | None]]
+) -> dict[str, int]:
+    """Count the promises that were broken, by what the servers ran.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        The fleet, still running.
+    answers : dict
+        Kind and status by request id.
+
+    Returns
+    -------
+    dict
+        Counts by promise; empty if all were kept.
+    """
+    runs = fleet.runs(ORDERS)
+    broken: collections.Counter[str] = collections.Counter()
+    broken["doubled"] = sum(count > 1 for count in runs.values())
+    for request_id, (kind, status) in answers.items():
+        if status == FOREIGN:
+            broken["foreign answer"] += 1
+        if kind == "order" and status in NOT_RUN_STATUSES:
+            broken["false not-run"] += request_id in runs
+        if kind == "order" and status == OK:
+            broken["answered unrun"] += request_id not in runs
+    return {name: count for name, count in broken.items() if count}
