--- a/standins/tests/test_gateway_fleet.py
+++ b/standins/tests/test_gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import signal
 import unittest
+from unittest import mock
 
 import eventlet
 import urllib3
@@ -51,17 +52,10 @@
     def test_a_broken_promise_is_found(self):
         """The check must be able to fail: the answers here are made up."""
         answers = {"a": ("order", 503), "b": ("read", "foreign"), "c": ("order", 200)}
-        self.fleet.runs = lambda service: {"a": 1, "d": 2}
-        found = broken_promises(self.fleet, answers)
-        self.assertEqual(
-            found,
-            {
-                "foreign answer": 1,
-                "doubled": 1,
-                "false not-run": 1,
-                "answered unrun": 1,
-            },
-        )
+        with mock.patch.object(GatewayFleet, "runs", return_value={"a": 1, "d": 2}):
+            found = broken_promises(self.fleet, answers)
+        expected = ("doubled", "foreign answer", "false not-run", "answered unrun")
+        self.assertEqual(found, dict.fromkeys(expected, 1))
 
     def test_a_start_without_the_store_serves_by_what_peers_know(self):
         first, second, _ = self.fleet.gateways
