Name itself to callers as soon as it says that it is ready

Cause: a whole-path test got a locate answer without addresses right after readiness was told: the first was looked at anew every 0.1 s, the second at each question. Ruled out: the peers; the instance asked was alone. Change: the locate answer looks at readiness itself. Test: test_an_instance_names_itself_as_soon_as_it_says_it_is_ready, failed before.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -198,6 +198,8 @@
         Location or None
             None if no instance takes callers.
         """
+        # What callers are told must agree with what the platform's checks are told.
+        self._update_ready()
         return locate(
             self._members.ready(monotonic_s()),
             data_centre,
--- a/berylhaven/gateway/tests/test_callers_port.py
+++ b/berylhaven/gateway/tests/test_callers_port.py
@@ -48,6 +48,13 @@
             bodies = [caller.answer().body for _ in range(3)]
         self.assertEqual(bodies, [b"/read/slow", b"/read/b", b"/read/c"])
 
+    def test_an_instance_names_itself_as_soon_as_it_says_it_is_ready(self):
+        later = GatewayPath()
+        self.addCleanup(later.stop)
+        self.assertIsNotNone(later.instance.locate("here"))
+        later.instance.leave()
+        self.assertIsNone(later.instance.locate("here"))
+
     def test_a_caller_that_leaves_ends_its_request_at_the_server(self):
         ended = eventlet.event.Event()
 
