Probe no server that tells no load

Change: a server whose first good answer bears no load is not probed; in its place count the requests sent to it. Tests: test_servers_that_tell_no_load_are_not_probed, which failed before, and its opposite.

--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -194,6 +194,8 @@
         report = self._dialect.load_report(answer.fields, now_s)
         if report is not None:
             server.take_report(report)
+        elif server.report is None and answer.status < FAILURE_STATUS:
+            server.tells_load = False
         if not self._dialect.is_not_executed(answer.status, answer.fields):
             server.attempt_ended(answer.status >= FAILURE_STATUS, now_s)
             return
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -67,7 +67,8 @@
         started_at_s = monotonic_s()
         waits = []
         for server in servers:
-            if server.report_age_s(started_at_s) > FRESH_REPORT_S:
+            is_fresh = server.report_age_s(started_at_s) <= FRESH_REPORT_S
+            if server.tells_load and not is_fresh:
                 waits.append(self._start(server, health_path))
         with eventlet.Timeout(PROBE_TIMEOUT_S, False):
             for wait in waits:
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -59,6 +59,7 @@
         "warm_at_s",
         "in_flight_count",
         "report",
+        "tells_load",
         "_in_flight_at_report",
         "_failure_ratio",
         "_failure_at_s",
@@ -73,6 +74,9 @@
         self.in_flight_count = 0
         # The last load report; None before the first.
         self.report: LoadReport | None = None
+        # Whether its answers bear its load; if not, a probe would tell nothing, and
+        # might wait for a slot.
+        self.tells_load = True
         self._in_flight_at_report = 0
         self._failure_ratio = 0.0
         self._failure_at_s = now_s
@@ -103,6 +107,7 @@
         """
         if self.report is None or report.received_at_s >= self.report.received_at_s:
             self.report = report
+            self.tells_load = True
             self._in_flight_at_report = self.in_flight_count
 
     def report_age_s(self, now_s: float) -> float:
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -6,7 +6,9 @@
 
 from berylhaven.gateway._attempt_runner import FULL_REST_S
 from berylhaven.gateway._fleet_follower import WATCH_GAP_S
+from berylhaven.gateway._server_probe import FRESH_REPORT_S
 from berylhaven.gateway.tests._gateway_path import (
+    HEALTH_PATH,
     ORDERS,
     READS,
     GatewayPath,
@@ -186,6 +188,32 @@
         paths = [request.path for request in gone.requests]
         self.assertEqual(paths.count("/read/x"), 0)
 
+    def probe_count(self):
+        return sum(
+            request.path == HEALTH_PATH
+            for backend in self.path.backends[READS]
+            for request in backend.requests
+        )
+
+    def send_reads(self, answer):
+        self.path.answer_all(READS, Answers(answer))
+        with self.path.connect() as caller:
+            for _ in range(6):
+                self.assertEqual(caller.exchange("/read/x").status, 200)
+                eventlet.sleep(2 * FRESH_REPORT_S)
+
+    def test_servers_that_tell_no_load_are_not_probed(self):
+        self.send_reads(OK)
+        before = self.probe_count()
+        self.send_reads(OK)
+        self.assertEqual(self.probe_count(), before)
+
+    def test_servers_that_tell_their_load_are_probed_before_a_choice(self):
+        self.send_reads(
+            OK.replace(b"Wordy-Id: a", b"Wordy-Id: a\r\nWordy-Load: 0,0,4,1")
+        )
+        self.assertGreaterEqual(self.probe_count(), 6)
+
     def test_requests_wait_for_no_other_on_a_connection(self):
         self.path.answer_all(ORDERS, Answers(OK))
         with self.path.connect() as caller:
