--- a/berylhaven/gateway/_attempt_race.py
+++ b/berylhaven/gateway/_attempt_race.py
@@ -18,12 +18,11 @@
 from berylhaven.gateway._finish_forecast import finish_forecast_s
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._server_chooser import ChoiceRequest
-from berylhaven.gateway._server_record import ServerRecord
 
 # An answer that is late by this many times its forecast is hedged.
-HEDGE_RATIO = 1.3
+HEDGE_RATIO = 1.6
 # No hedge is sent sooner, relative to the latency objective.
-LEAST_HEDGE_RATIO = 0.2
+LEAST_HEDGE_RATIO = 0.35
 # With less time left, another attempt could not be answered.
 LEAST_REMAINING_S = 0.005
 # The limits of what a caller is told to wait, in seconds.
@@ -160,21 +159,13 @@
         except eventlet.queue.Empty:
             return None
 
-    def _choose(self) -> ServerRecord | None:
-        """Return another server, or None if none can answer in time."""
+    def _start_attempt(self) -> bool:
+        """Start an attempt at another server; False if there is none."""
         try:
-            return self._runner.choose(self._request, self._wanted)
+            server = self._runner.choose(self._request, self._wanted)
         except NoServer as refusal:
             self._no_server = refusal
-            return None
-
-    def _start_attempt(self) -> None:
-        """Start an attempt at another server if there is one."""
-        server = self._choose()
-        if server is not None:
-            self._start_at(server)
-
-    def _start_at(self, server: ServerRecord) -> None:
+            return False
         server_id = server.entry.server_id
         excluded = self._wanted.excluded | {server_id}
         self._wanted = dataclasses.replace(self._wanted, excluded=excluded)
@@ -188,8 +179,9 @@
         self._running_count += 1
         self._sent_count += 1
         self._threads.append(eventlet.spawn(self._attempt, self._wanted, server))
+        return True
 
-    def _attempt(self, wanted: ChoiceRequest, server: ServerRecord) -> None:
+    def _attempt(self, wanted: ChoiceRequest, server: object) -> None:
         try:
             ended = self._runner.send(self._request, wanted, server)
         except Exception as error:
@@ -197,26 +189,10 @@
         self._ended.put(ended)
 
     def _hedge(self) -> None:
-        """Send a late idempotent request to a second server within the budget.
-
-        A second server that would be late as well is not worth its work.
-        """
+        """Send a late idempotent request to a second server within the budget."""
         self._hedge_at_s = math.inf
-        if not self._has_room():
-            return
-        server = self._choose()
-        if server is None:
-            return
-        now_s = monotonic_s()
-        wanted = self._wanted
-        finish_s = finish_forecast_s(server, wanted.work, now_s)
-        objective_left_s = (
-            wanted.received_at_s + wanted.route.latency_objective_s - now_s
-        )
-        is_in_time = finish_s <= max(objective_left_s, 0.0)
-        is_overdue = objective_left_s <= 0
-        if (is_in_time or is_overdue) and self._may_retry():
-            self._start_at(server)
+        if self._has_room() and self._may_retry():
+            self._start_attempt()
 
     def _has_room(self) -> bool:
         if self._sent_count >= self._wanted.route.attempt_limit:
