--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -42,7 +42,7 @@
 AFTER_FAULT_S = 0.5
 # Callers keep an answer that names this instance for a while, and their connections
 # longer; it serves them for this part of its grace at least.
-SERVED_RATIO = 0.85
+SERVED_RATIO = 0.6
 # Before the grace is over, so that it ends by itself.
 END_MARGIN_S = 0.7
 # The other instances that are told at once that this one leaves or comes.
