Count probes only once both servers have answered

Cause: test_servers_that_tell_no_load_are_not_probed failed once, 8 probes where 7 had been counted: only one of the two servers had answered by then, and the other was rightly asked. Change: the test waits for both; the bound is the same.

--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -203,7 +203,10 @@
                 eventlet.sleep(2 * FRESH_REPORT_S)
 
     def test_servers_that_tell_no_load_are_not_probed(self):
-        self.send_reads(OK)
+        with eventlet.Timeout(10.0):
+            # A server is known to tell no load from its first answer on.
+            while any(b.requests_of("/read/x") == 0 for b in self.path.backends[READS]):
+                self.send_reads(OK)
         before = self.probe_count()
         self.send_reads(OK)
         self.assertEqual(self.probe_count(), before)
--- a/berylhaven/http1/tests/_raw_backend.py
+++ b/berylhaven/http1/tests/_raw_backend.py
@@ -103,6 +103,10 @@
             request.body += piece
         request.is_whole = True
 
+    def requests_of(self, path):
+        """Return how many requests of a path came."""
+        return sum(request.path == path for request in self.requests)
+
     def stop(self):
         self.thread.kill()
         self.listener.close()
