Take only this instance's part of a server's connections

Cause: 16 connections a server, whatever the configuration says; 20 instances could open 320 where a server takes 300 and resets the rest. Change: the limit of the service divided by the most instances known, 16 at least.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -34,8 +34,10 @@
 # Backend servers close connections that were idle for ten seconds; these are closed
 # before that.
 SERVER_IDLE_LIMIT_S = 8.0
-# Connections to one backend server; requests beyond them go elsewhere.
-CONNECTIONS_PER_SERVER = 16
+# Instances that were not heard of hold connections too.
+LEAST_SHARER_COUNT = 16
+# With fewer connections to a server, a probe and a request could not go on at once.
+LEAST_CONNECTIONS = 2
 ANSWER_HEAD_LIMIT_BYTES = 32_768
 WAIT_INTERVAL_S = 0.1
 # A loop that failed by a fault of ours begins anew after this time.
@@ -96,7 +98,7 @@
         # Probes sent since the start.
         self.probe_count = 0
         pool = ConnectionPool(
-            lambda address: CONNECTIONS_PER_SERVER,
+            self._connection_part,
             ANSWER_HEAD_LIMIT_BYTES,
             self._random,
             SERVER_IDLE_LIMIT_S,
@@ -284,6 +286,15 @@
                 )
             sleep_s(AFTER_FAULT_S)
 
+    def _connection_part(self, address: str) -> int:
+        """Return this instance's part of the connections that a server takes."""
+        service = self._table.service_at(address)
+        if service is None:
+            return LEAST_CONNECTIONS
+        limit = self._routes.service(service).connection_limit
+        sharers = max(LEAST_SHARER_COUNT, self._members.most_count)
+        return max(LEAST_CONNECTIONS, limit // sharers)
+
     def _count_probe(self) -> None:
         self.probe_count += 1
 
--- a/berylhaven/gateway/_server_table.py
+++ b/berylhaven/gateway/_server_table.py
@@ -39,6 +39,24 @@
         """Return the records of all servers, leaving ones too."""
         return list(self._records.values())
 
+    def service_at(self, address: str) -> str | None:
+        """Return the service of the server at an address, or None.
+
+        Parameters
+        ----------
+        address : str
+            HOST:PORT.
+
+        Returns
+        -------
+        str or None
+            The service's name.
+        """
+        for record in self._records.values():
+            if record.entry.address == address:
+                return record.entry.service
+        return None
+
     @property
     def server_count(self) -> int:
         """All servers, leaving ones too."""
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -217,6 +217,19 @@
         )
         self.assertGreaterEqual(self.probe_count(), 6)
 
+    def test_no_more_connections_than_this_instances_part_go_to_a_server(self):
+        # 100 connections are shared by 16 instances at least.
+        part = 100 // 16
+        self.path.answer_all(ORDERS, never)
+        callers = [self.path.connect() for _ in range(4 * part)]
+        for number, caller in enumerate(callers):
+            self.addCleanup(caller.close)
+            caller.send(request_bytes("/order/x", str(number), "POST", b"1"))
+        eventlet.sleep(0.3)
+        for backend in self.path.backends[ORDERS]:
+            open_now = [r for r in backend.requests if r.path == "/order/x"]
+            self.assertLessEqual(len(open_now), part)
+
     def test_requests_wait_for_no_other_on_a_connection(self):
         self.path.answer_all(ORDERS, Answers(OK))
         with self.path.connect() as caller:
