Remove what nothing uses, and forget old splits

Cause: a read-through; SplitChooser.keep_only was never called, so that each change of weights left a point behind. Change: it is called when a new configuration is first used; four unused members are gone. Test: test_splits_that_are_no_longer_in_force_are_forgotten.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -106,11 +106,6 @@
         # Servers whose entries vanished while the store was away.
         self._missing: set[str] = set()
 
-    @property
-    def is_current(self) -> bool:
-        """Whether all was read once."""
-        return self._revision is not None
-
     @property
     def is_store_lost(self) -> bool:
         """Whether the last call to the store failed."""
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -57,6 +57,7 @@
         "_allowance",
         "_instance_count",
         "_splits",
+        "_splits_version",
         "_budgets",
         "_works",
         "_event_log",
@@ -78,6 +79,8 @@
         self._allowance = allowance
         self._instance_count = instance_count
         self._splits = SplitChooser(random)
+        # The configuration whose splits are kept.
+        self._splits_version: int | None = None
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._works: dict[tuple[str, str], RouteWork] = {}
         self._event_log = event_log
@@ -103,6 +106,7 @@
         if route is None:
             message = f'host "{request.host}" has no route for "{request.path}"'
             return self._refuse(request, 404, message)
+        self._forget_old_splits()
         service = self._routes.service(self._splits.choose(route))
         try:
             request.body.limit_bytes = self._routes.caller_limits.body_limit_bytes
@@ -201,6 +205,12 @@
             duration_s=monotonic_s() - request.received_at_s,
         )
 
+    def _forget_old_splits(self) -> None:
+        configuration = self._routes.configuration
+        if configuration.version != self._splits_version:
+            self._splits_version = configuration.version
+            self._splits.keep_only(configuration.routes)
+
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -80,7 +80,6 @@
         "_threads",
         "_drain_began_at_s",
         "_is_leaving",
-        "probe_count",
     )
 
     def __init__(
@@ -95,15 +94,13 @@
         self._random = Random()
         self._routes = RoutesInForce()
         self._table = ServerTable()
-        # Probes sent since the start.
-        self.probe_count = 0
         pool = ConnectionPool(
             self._connection_part,
             ANSWER_HEAD_LIMIT_BYTES,
             self._random,
             SERVER_IDLE_LIMIT_S,
         )
-        prober = ServerProber(pool, dialect, self._count_probe)
+        prober = ServerProber(pool, dialect)
         instance = settings.instance
         chooser = ServerChooser(instance.data_centre, self._table, prober, self._random)
         own = Member(
@@ -295,9 +292,6 @@
         sharers = max(LEAST_SHARER_COUNT, self._members.most_count)
         return max(LEAST_CONNECTIONS, limit // sharers)
 
-    def _count_probe(self) -> None:
-        self.probe_count += 1
-
     def _update_ready(self) -> None:
         own = self._members.own
         if own.is_ready != self.is_ready:
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -1,6 +1,6 @@
 """Asking backend servers for their load just before one of them is chosen."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import eventlet
 
@@ -24,7 +24,6 @@
 # The time after which a silent probe's connection is given up.
 PROBE_LIMIT_S = 0.25
 ANSWER_LIMIT_BYTES = 4_096
-HEALTHY_STATUS = 200
 
 
 class ServerProber:
@@ -36,21 +35,13 @@
         The connections to backend servers.
     dialect : Dialect
         The headers' names.
-    on_probe : callable
-        Told of each probe that is sent.
     """
 
-    __slots__ = ("_pool", "_dialect", "_on_probe", "_under_way")
+    __slots__ = ("_pool", "_dialect", "_under_way")
 
-    def __init__(
-        self,
-        pool: ConnectionPool,
-        dialect: Dialect,
-        on_probe: Callable[[], None] = lambda: None,
-    ) -> None:
+    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
         self._pool = pool
         self._dialect = dialect
-        self._on_probe = on_probe
         # Probes by server id; requests that come together share them.
         self._under_way: dict[str, eventlet.greenthread.GreenThread] = {}
 
@@ -103,7 +94,6 @@
         try:
             if not connection.is_open:
                 connection.open(CONNECT_TIMEOUT_S)
-            self._on_probe()
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
             head = connection.read_head()
--- a/berylhaven/routes/tests/test_routes.py
+++ b/berylhaven/routes/tests/test_routes.py
@@ -72,3 +72,12 @@
         chooser = SplitChooser(random.Random(1))
         split = route("/", parts=(("all", 1.0), ("none", 0.0)))
         self.assertEqual({chooser.choose(split) for _ in range(50)}, {"all"})
+
+    def test_splits_that_are_no_longer_in_force_are_forgotten(self):
+        chooser = SplitChooser(random.Random(1))
+        old = route("/", parts=(("a", 1.0), ("b", 1.0)))
+        new = route("/", parts=(("a", 2.0), ("b", 1.0)))
+        for split in (old, new):
+            chooser.choose(split)
+        chooser.keep_only((new,))
+        self.assertEqual(list(chooser._points), [new.parts])
