--- a/berylhaven/gateway/_attempt_race.py
+++ b/berylhaven/gateway/_attempt_race.py
@@ -18,6 +18,7 @@
 from berylhaven.gateway._finish_forecast import finish_forecast_s
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._server_chooser import ChoiceRequest
+from berylhaven.gateway._server_record import ServerRecord
 
 # An answer that is late by this many times its forecast is hedged.
 HEDGE_RATIO = 1.6
@@ -159,13 +160,13 @@
         except eventlet.queue.Empty:
             return None
 
-    def _start_attempt(self) -> bool:
-        """Start an attempt at another server; False if there is none."""
+    def _start_attempt(self) -> None:
+        """Start an attempt at another server if there is one."""
         try:
             server = self._runner.choose(self._request, self._wanted)
         except NoServer as refusal:
             self._no_server = refusal
-            return False
+            return
         server_id = server.entry.server_id
         excluded = self._wanted.excluded | {server_id}
         self._wanted = dataclasses.replace(self._wanted, excluded=excluded)
@@ -179,9 +180,8 @@
         self._running_count += 1
         self._sent_count += 1
         self._threads.append(eventlet.spawn(self._attempt, self._wanted, server))
-        return True
 
-    def _attempt(self, wanted: ChoiceRequest, server: object) -> None:
+    def _attempt(self, wanted: ChoiceRequest, server: ServerRecord) -> None:
         try:
             ended = self._runner.send(self._request, wanted, server)
         except Exception as error:
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -149,7 +149,7 @@
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
             )
-            self._tell(request, route, answer.status, len(race.failures), "server")
+            self._tell(request, route, answer.status, len(race.failures))
             return GatewayAnswer(answer.status, answer.reason, headers, answer.body)
         return self._give_up(request, route, race)
 
@@ -191,7 +191,7 @@
         return answer
 
     def _tell(
-        self, request: GatewayRequest, route: Route, status: int, failed: int, by: str
+        self, request: GatewayRequest, route: Route, status: int, failed: int
     ) -> None:
         self._event_log.write(
             "request",
@@ -200,7 +200,7 @@
             route=route.name,
             configuration=self._routes.version,
             status=status,
-            by=by,
+            by="server",
             failed_attempts=failed,
             duration_s=monotonic_s() - request.received_at_s,
         )
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -2,6 +2,7 @@
 
 import urllib.parse
 import zlib
+from collections.abc import Callable
 
 import eventlet
 import urllib3
@@ -80,7 +81,7 @@
             If neither answers.
         """
         try:
-            return self._read_direct()
+            return self._ask_store(self._direct.read)
         except SourceUnavailable as unavailable:
             for reader in self._peers():
                 try:
@@ -119,18 +120,13 @@
         """Return the changes after a revision that the store knows now."""
         return self._watch_direct(revision, 0.0)
 
-    def _read_direct(self) -> FleetNews:
-        try:
-            news = self._direct.read()
-        except SourceUnavailable:
-            self._asked_at_s = monotonic_s()
-            raise
-        self._log.heard()
-        return news
-
     def _watch_direct(self, revision: int, wait_s: float) -> FleetNews:
+        return self._ask_store(lambda: self._direct.watch(revision, wait_s))
+
+    def _ask_store(self, call: Callable[[], FleetNews]) -> FleetNews:
+        """Make a call to the store, and remember how it ended."""
         try:
-            news = self._direct.watch(revision, wait_s)
+            news = call()
         except SourceUnavailable:
             self._asked_at_s = monotonic_s()
             raise
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -156,7 +156,7 @@
     ) -> list[ServerRecord]:
         """Return the candidates in the order in which they are asked.
 
-        Near ones come first, in random order but for those that were slow or failed
+        Near ones come first, in random order but for those that were full or failed
         just now.
         """
         now_s = monotonic_s()
