Pass over servers that leave a probe unanswered

Cause: a probe that got no answer within 15 ms changed nothing; the server counted as one of unknown speed, and once-only requests were sent to servers that were gone and waited there until their deadline. A probe answered by another server at the address, and one that found all of this instance's connections busy, were taken alike. Change: such a server is the last choice until it reports again, and is probed anew after 0.5 s. After a pause of the process the answers that have come are read first. Test: test_a_server_that_answers_no_probe_gets_no_request, red before (504).

--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -21,6 +21,8 @@
 GOOD_WORTH = 0.8
 # A recent failure ratio of 1 takes this much from a server's worth.
 FAILURE_COST = 1.5
+# A server that left its last probe unanswered is the last choice: it may be gone.
+SILENCE_COST = 1.0
 # How many rounds of probes one choice may take.
 PROBE_ROUNDS_LIMIT = 4
 # The worth below which no server is expected to answer in time.
@@ -167,6 +169,8 @@
             penalty = server.failure_ratio(now_s) * FAILURE_COST
             if now_s < server.full_until_s:
                 penalty += 1.0
+            if now_s < server.rests_until_s:
+                penalty += SILENCE_COST
             return is_remote, penalty + self._random.random()
 
         return sorted(candidates, key=rank)
@@ -191,4 +195,6 @@
         worth -= self._remote_cost(server, request)
         if now_s < server.full_until_s:
             worth -= 1.0
+        if server.is_silent:
+            worth -= SILENCE_COST
         return worth
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -24,6 +24,8 @@
 # The time after which a silent probe's connection is given up.
 PROBE_LIMIT_S = 0.25
 ANSWER_LIMIT_BYTES = 4_096
+# Passes of the hub in which an answer that has arrived is read to its end.
+READ_PASSES = 3
 
 
 class ServerProber:
@@ -56,14 +58,24 @@
             The path that answers with the load.
         """
         started_at_s = monotonic_s()
-        waits = []
-        for server in servers:
-            is_fresh = server.report_age_s(started_at_s) <= FRESH_REPORT_S
-            if server.tells_load and not is_fresh:
-                waits.append(self._start(server, health_path))
+        asked = [
+            server
+            for server in servers
+            if server.tells_load and server.report_age_s(started_at_s) > FRESH_REPORT_S
+        ]
+        waits = [self._start(server, health_path) for server in asked]
         with eventlet.Timeout(PROBE_TIMEOUT_S, False):
             for wait in waits:
                 wait.wait()
+            return
+        # After a pause of this process the timer fires before the answers that came
+        # meanwhile are read.
+        for _ in range(READ_PASSES):
+            eventlet.sleep(0)
+        now_s = monotonic_s()
+        for server in asked:
+            if server.entry.server_id in self._under_way:
+                server.probe_unanswered(now_s)
 
     def _start(
         self, server: ServerRecord, health_path: str
@@ -81,9 +93,9 @@
             with eventlet.Timeout(PROBE_LIMIT_S, False):
                 self._ask(server, health_path)
         except (*CONNECTION_ERRORS, AttemptFailed, CallRefused, AnswerCut):
-            # A server that does not answer keeps its old report, which counts for less
-            # the older it is; requests tell whether it works.
-            server.attempt_ended(True, monotonic_s())
+            now_s = monotonic_s()
+            server.attempt_ended(True, now_s)
+            server.probe_unanswered(now_s)
         finally:
             del self._under_way[entry.server_id]
 
@@ -102,6 +114,8 @@
         finally:
             self._pool.put_back(connection, is_reusable)
         if self._dialect.server_id(head.fields) not in (None, entry.server_id):
+            # Its address has been given to another server.
+            server.probe_unanswered(monotonic_s())
             return
         report = self._dialect.load_report(head.fields, monotonic_s())
         if report is not None:
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -9,6 +9,9 @@
 FAILURE_TRUST_S = 3.0
 # The weight of one attempt in the failure ratio.
 FAILURE_WEIGHT = 0.25
+# How long a silent server is passed over before it is probed again: a probe of one
+# that is gone holds a request up by the probe's timeout.
+SILENCE_REST_S = 0.5
 # A server that has just started works this many times slower at first, and comes to
 # its usual speed step by step.
 WARMUP_RATIO = 2.0
@@ -64,6 +67,8 @@
         "_failure_ratio",
         "_failure_at_s",
         "full_until_s",
+        "is_silent",
+        "rests_until_s",
     )
 
     def __init__(self, entry: ServerEntry, now_s: float) -> None:
@@ -82,6 +87,10 @@
         self._failure_at_s = now_s
         # Until when it is taken as full, since it has just refused a request.
         self.full_until_s = -math.inf
+        # Whether the last probe got no answer in time, and no report came since.
+        self.is_silent = False
+        # Until when it is not probed again if there are others, since it was silent.
+        self.rests_until_s = -math.inf
 
     def take_entry(self, entry: ServerEntry, now_s: float) -> None:
         """Take in a newer entry of the same server.
@@ -108,6 +117,7 @@
         if self.report is None or report.received_at_s >= self.report.received_at_s:
             self.report = report
             self.tells_load = True
+            self.is_silent = False
             self._in_flight_at_report = self.in_flight_count
 
     def report_age_s(self, now_s: float) -> float:
@@ -152,6 +162,17 @@
         self._failure_ratio = ratio + FAILURE_WEIGHT * (float(has_failed) - ratio)
         self._failure_at_s = now_s
 
+    def probe_unanswered(self, now_s: float) -> None:
+        """Take in that a probe got no answer in time, or that of another server.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        """
+        self.is_silent = True
+        self.rests_until_s = now_s + SILENCE_REST_S
+
     def refused(self, now_s: float, rest_s: float) -> None:
         """Take in that the server was full.
 
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -217,6 +217,20 @@
         )
         self.assertGreaterEqual(self.probe_count(), 6)
 
+    def test_a_server_that_answers_no_probe_gets_no_request(self):
+        told = OK.replace(b"Wordy-Id: a", b"Wordy-Id: a\r\nWordy-Load: 0,0,4,3")
+        sound, silent = self.path.backends[ORDERS]
+        sound.answers = {HEALTH_PATH: Answers(told), "/order/x": Answers(told)}
+        silent.answers = {HEALTH_PATH: never, "/order/x": never}
+        with self.path.connect() as caller:
+            for _ in range(6):
+                answer = caller.exchange(
+                    "/order/x", "a", "POST", b"1", Wordy_Left_Ms="900"
+                )
+                self.assertEqual(answer.status, 200)
+                eventlet.sleep(2 * FRESH_REPORT_S)
+        self.assertEqual(silent.requests_of("/order/x"), 0)
+
     def test_no_more_connections_than_this_instances_part_go_to_a_server(self):
         # 100 connections are shared by 16 instances at least.
         part = 100 // 16
