Read an old state first, gossip between data centres by few, keep connections

Change: the first reading may be seconds old (a tenth of the price), the watch follows on; the two instances that read the store speak to other data centres, 16 rows at a time with some rows of the receiver's; servers with a connection are asked first, and those that joined within 6 s. An instance that has just started takes a 220th of the shared retries. Ruled out: a far message without rows of the receiver's data centre; the simulated fleet of 120 instances then fell apart into islands. Tests: test_members FleetGossipTest, test_server_chooser, test_fleet_follower, test_store_client.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -24,6 +24,8 @@
 WATCH_WAIT_S = 4.0
 # Changes that come in a burst are read with one call.
 WATCH_GAP_S = 0.4
+# The first watch waits until peers have been heard, which may read the store already.
+FIRST_WATCH_AFTER_S = 0.5
 # A peer must have heard the store from so long before an outage seen here, since it may
 # notice one later.
 CALM_MARGIN_S = 3.0
@@ -138,23 +140,30 @@
         """
         try:
             if self._revision is None:
-                news = self._source.read()
-                self._regained()
-                self._take_whole(news)
-                self._log.begin(news.revision)
-            else:
-                news = self._source.watch(self._revision, WATCH_WAIT_S)
-                self._regained()
-                self._take_newer(news)
+                return self._read_whole()
+            news = self._source.watch(self._revision, WATCH_WAIT_S)
         except HistoryGone:
             self._event_log.write("store", "history gone", revision=self._revision)
             self._revision = None
             return 0.0
         except SourceUnavailable as error:
             return self._lost(error)
+        self._regained()
+        self._take_newer(news)
         self._set_revision(news.revision)
         return WATCH_GAP_S if news.changes else 0.0
 
+    def _read_whole(self) -> float:
+        """Read all, and return how long to wait before the first watch."""
+        # After a loss of history an old state would lack its history again.
+        is_first = self._members.own.revision == 0
+        news = self._source.read(may_be_old=is_first)
+        self._regained()
+        self._take_whole(news)
+        self._log.begin(news.revision)
+        self._set_revision(news.revision)
+        return FIRST_WATCH_AFTER_S if is_first else 0.0
+
     def run_catching_up(self) -> None:
         """Believe in time that lapsed entries are gone, and catch up with peers.
 
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -61,9 +61,20 @@
 class FleetSource(Protocol):
     """Where routes and servers are published."""
 
-    def read(self) -> FleetNews:
+    def read(self, may_be_old: bool = False) -> FleetNews:
         """Return all that is published.
 
+        Parameters
+        ----------
+        may_be_old : bool
+            Whether a state of some seconds ago will do, which is cheaper to read; the
+            changes after its revision follow from `watch`.
+
+        Returns
+        -------
+        FleetNews
+            The whole state.
+
         Raises
         ------
         SourceUnavailable
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -36,6 +36,10 @@
 SERVER_IDLE_LIMIT_S = 8.0
 # Instances that were not heard of hold connections too.
 LEAST_SHARER_COUNT = 16
+# Until an instance has had time to hear of the others, it takes them to be so many: the
+# largest deployment has 220 instances, and after 5 s gossip has told of nearly all.
+UNHEARD_SHARER_COUNT = 220
+SETTLING_S = 5.0
 # With fewer connections to a server, a probe and a request could not go on at once.
 LEAST_CONNECTIONS = 2
 ANSWER_HEAD_LIMIT_BYTES = 32_768
@@ -80,6 +84,7 @@
         "_threads",
         "_drain_began_at_s",
         "_is_leaving",
+        "_started_at_s",
     )
 
     def __init__(
@@ -102,7 +107,13 @@
         )
         prober = ServerProber(pool, dialect)
         instance = settings.instance
-        chooser = ServerChooser(instance.data_centre, self._table, prober, self._random)
+        chooser = ServerChooser(
+            instance.data_centre,
+            self._table,
+            prober,
+            self._random,
+            lambda address: pool.counts(address).open_count > 0,
+        )
         own = Member(
             instance.peers_address,
             instance.callers_address,
@@ -117,7 +128,7 @@
             AttemptRunner(chooser, pool, dialect, event_log),
             dialect,
             settings.retries.allowance,
-            lambda: self._members.most_count,
+            self._sharer_count,
             self._random,
             event_log,
         )
@@ -139,6 +150,7 @@
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._drain_began_at_s: float | None = None
         self._is_leaving = False
+        self._started_at_s = monotonic_s()
 
     @property
     def is_ready(self) -> bool:
@@ -292,6 +304,13 @@
         sharers = max(LEAST_SHARER_COUNT, self._members.most_count)
         return max(LEAST_CONNECTIONS, limit // sharers)
 
+    def _sharer_count(self) -> int:
+        """Return by how many instances the retries of all are divided."""
+        known_count = self._members.most_count
+        if monotonic_s() - self._started_at_s < SETTLING_S:
+            return max(known_count, UNHEARD_SHARER_COUNT)
+        return known_count
+
     def _update_ready(self) -> None:
         own = self._members.own
         if own.is_ready != self.is_ready:
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -13,8 +13,8 @@
 GOSSIP_PATH = "/v1/members"
 # How often an instance talks to one of its own data centre.
 NEAR_INTERVAL_S = 0.5
-# Of so many talks one goes to another data centre, where bytes cost.
-FAR_EVERY = 8
+# Of so many talks of a speaker one goes to another data centre, where bytes cost.
+FAR_EVERY = 3
 TALK_TIMEOUT_S = 0.4
 # A seed that does not know others yet is asked again this often.
 SEED_EVERY = 20
@@ -92,18 +92,23 @@
             eventlet.spawn(self._talk, member.peers_address)
 
     def _partner_address(self, now_s: float) -> str | None:
-        is_near = self._talk_count % FAR_EVERY != 0
+        is_speaker = self._members.own in self._members.speakers(now_s)
+        is_near = not is_speaker or self._talk_count % FAR_EVERY != 0
         partner = self._members.partner(self._random, now_s, is_near)
-        # Seeds are asked until others are known, and now and then after that, so that
-        # two halves that lost each other meet again.
-        asks_seed = partner is None or self._talk_count % SEED_EVERY == 1
-        if asks_seed and self._seeds:
-            return self._random.choice(self._seeds)
+        seeds = self._seeds
+        if partner is not None:
+            # Now and then seeds are asked even so, so that two halves that lost each
+            # other meet again.
+            if self._talk_count % SEED_EVERY != 1:
+                return partner.peers_address
+            seeds = [s for s in seeds if is_speaker or self._members.is_near(s)]
+        if seeds:
+            return self._random.choice(seeds)
+        partner = partner or self._members.partner(self._random, now_s, not is_near)
         return partner.peers_address if partner else None
 
     def _talk(self, address: str) -> None:
-        is_near = self._members.is_near(address)
-        body = orjson.dumps(self._members.rows(monotonic_s(), is_near))
+        body = self._message(address)
         try:
             with eventlet.Timeout(TALK_TIMEOUT_S, TimeoutError("no answer in time")):
                 answer = self._http.request(
@@ -158,9 +163,15 @@
         bytes
             Rows as JSON.
         """
-        sender = self.take(body)
-        is_near = self._members.is_near(sender)
-        return orjson.dumps(self._members.rows(monotonic_s(), is_near))
+        return self._message(self.take(body))
+
+    def _message(self, address: str) -> bytes:
+        """Return this instance's message to another."""
+        now_s = monotonic_s()
+        if self._members.is_near(address):
+            return orjson.dumps(self._members.near_rows(now_s, self._random))
+        data_centre = self._members.data_centre(address)
+        return orjson.dumps(self._members.far_rows(now_s, self._random, data_centre))
 
     def _tell_changes(self) -> None:
         now_s = monotonic_s()
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -1,5 +1,6 @@
 """The entry instances that know of one another."""
 
+import zlib
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -14,6 +15,14 @@
 # instance takes itself as cut off.
 CUT_OFF_RATIO = 0.34
 CUT_OFF_TRUST_S = 20.0
+# Instances of a data centre that read the store and talk to other data centres; two, so
+# that news goes on while one of them is cut off.
+SPEAKERS_PER_DATA_CENTRE = 2
+# A message tells of so many instances of another data centre, and one to another data
+# centre of so many of this one, drawn anew each time.
+FAR_ROWS_LIMIT = 16
+# And of so many of the receiver's own data centre.
+RETURNED_ROWS_LIMIT = 4
 # The most that a message may tell of.
 ROWS_LIMIT = 2_000
 ROW_LENGTH = 8
@@ -170,35 +179,95 @@
         members = [m for m in live if m.is_ready]
         return [self.own, *members] if self.own.is_ready else members
 
-    def rows(self, now_s: float, is_near: bool = True) -> list[list]:
-        """Return the rows of a message: this instance and live ones.
+    def near_rows(self, now_s: float, random: Random) -> list[list]:
+        """Return the rows of a message that stays in this data centre.
 
         Parameters
         ----------
         now_s : float
             The time on the hub's clock.
-        is_near : bool
-            Whether the message stays in this data centre; one to another tells of this
-            data centre only, since bytes on that way cost.
+        random : random.Random
+            The source of random numbers.
 
         Returns
         -------
         list of list
-            One row for each instance.
+            This instance, all live ones near, and some of the others.
+        """
+        near, far = self._near_and_far(now_s)
+        told = [self.own, *near, *_some(far, FAR_ROWS_LIMIT, random)]
+        return [member.to_row() for member in told]
+
+    def far_rows(
+        self, now_s: float, random: Random, data_centre: str | None
+    ) -> list[list]:
+        """Return the rows of a message to another data centre, where bytes cost.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        random : random.Random
+            The source of random numbers.
+        data_centre : str or None
+            Where the receiver stands; None if that is not known.
+
+        Returns
+        -------
+        list of list
+            This instance, some others of this data centre, and a few of the receiver's,
+            by which an instance that has just started finds those near it.
+        """
+        near, far = self._near_and_far(now_s)
+        theirs = [member for member in far if member.data_centre == data_centre]
+        told = [self.own, *_some(near, FAR_ROWS_LIMIT - 1, random)]
+        told += _some(theirs, RETURNED_ROWS_LIMIT, random)
+        return [member.to_row() for member in told]
+
+    def _near_and_far(self, now_s: float) -> tuple[list[Member], list[Member]]:
+        near: list[Member] = []
+        far: list[Member] = []
+        for member in self.live(now_s):
+            is_here = member.data_centre == self.own.data_centre
+            (near if is_here else far).append(member)
+        return near, far
+
+    def speakers(self, now_s: float) -> list[Member]:
+        """Return the instances that read the store for this data centre.
+
+        All instances that know the same members name the same ones.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+
+        Returns
+        -------
+        list of Member
+            Ready ones; this instance may be among them.
         """
-        told = self.live(now_s)
-        if not is_near:
-            told = [m for m in told if m.data_centre == self.own.data_centre]
-        return [self.own.to_row(), *(m.to_row() for m in told)]
+        near = [
+            member
+            for member in self.live(now_s)
+            if member.data_centre == self.own.data_centre and member.is_ready
+        ]
+        if self.own.is_ready:
+            near.append(self.own)
+        return sorted(near, key=rank)[:SPEAKERS_PER_DATA_CENTRE]
 
     def newest_revision(self, now_s: float) -> int:
         """Return the highest revision that a live instance knows."""
         return max((m.revision for m in self.live(now_s)), default=0)
 
+    def data_centre(self, peers_address: str) -> str | None:
+        """Return where an instance is known to stand, or None."""
+        member = self._others.get(peers_address)
+        return member.data_centre if member else None
+
     def is_near(self, peers_address: str) -> bool:
         """Tell whether an instance is known to stand in this data centre."""
-        member = self._others.get(peers_address)
-        return member is not None and member.data_centre == self.own.data_centre
+        return self.data_centre(peers_address) == self.own.data_centre
 
     def partner(self, random: Random, now_s: float, is_near: bool) -> Member | None:
         """Return a live instance to talk to, or None.
@@ -228,3 +297,12 @@
         is_near = member.data_centre == self.own.data_centre
         limit_s = SILENT_AFTER_S if is_near else FAR_SILENT_AFTER_S
         return now_s - member.heard_at_s <= limit_s
+
+
+def rank(member: Member) -> int:
+    """Return a number that orders instances alike everywhere, and evenly."""
+    return zlib.crc32(member.peers_address.encode())
+
+
+def _some(members: list[Member], limit: int, random: Random) -> list[Member]:
+    return random.sample(members, min(limit, len(members)))
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -1,7 +1,6 @@
 """Reading the store by few instances, and its news from those by the others."""
 
 import urllib.parse
-import zlib
 from collections.abc import Callable
 
 import eventlet
@@ -14,7 +13,7 @@
     HistoryGone,
     SourceUnavailable,
 )
-from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._members import Member, MemberTable, rank
 from berylhaven.gateway._news_codec import decode_news
 from berylhaven.gateway._news_log import NewsLog
 
@@ -22,8 +21,8 @@
 GONE = 410
 DONE = 200
 MILLISECONDS_PER_SECOND = 1_000
-# Instances of a data centre that read the store; the others ask one of them.
-READERS_PER_DATA_CENTRE = 2
+# Peers of any data centre that are asked for the whole state if the store is silent.
+ASKED_PEERS_LIMIT = 2
 # How long a reader's watch waits. A silent connection shows only by the end of that
 # time, and a change must be in force within two seconds.
 DIRECT_WAIT_S = 1.5
@@ -72,23 +71,50 @@
         self._direct_until_s = float("-inf")
         self._turn = 0
 
-    def read(self) -> FleetNews:
-        """Return all that is published, from the store or else from a peer.
+    def read(self, may_be_old: bool = False) -> FleetNews:
+        """Return all that is published, from a reader, the store, or another peer.
+
+        Parameters
+        ----------
+        may_be_old : bool
+            Whether the store may answer with a state of some seconds ago.
+
+        Returns
+        -------
+        FleetNews
+            The whole state.
 
         Raises
         ------
         SourceUnavailable
-            If neither answers.
+            If none answers.
         """
+        readers = self._members.speakers(monotonic_s())
+        if self._members.own not in readers:
+            news = self._ask_each(readers)
+            if news is not None:
+                return news
         try:
-            return self._ask_store(self._direct.read)
+            return self._ask_store(lambda: self._direct.read(may_be_old))
         except SourceUnavailable as unavailable:
-            for reader in self._peers():
-                try:
-                    return self._ask(reader, None)
-                except (SourceUnavailable, HistoryGone):
-                    continue
-            raise unavailable
+            news = self._ask_each(self._peers())
+            if news is None:
+                raise unavailable
+            return news
+
+    def _ask_each(self, peers: list[Member]) -> FleetNews | None:
+        """Return the whole state from the first peer that tells it, or None.
+
+        A peer that is behind this instance would make it go back.
+        """
+        for peer in peers:
+            try:
+                news = self._ask(peer, None)
+            except (SourceUnavailable, HistoryGone):
+                continue
+            if news.revision >= self._members.own.revision:
+                return news
+        return None
 
     def watch(self, revision: int, wait_s: float) -> FleetNews:
         """Return the changes after a revision, waiting for the first.
@@ -101,7 +127,7 @@
             If all must be read anew.
         """
         now_s = monotonic_s()
-        readers = self._readers()
+        readers = self._members.speakers(now_s)
         is_reader = not readers or self._members.own in readers
         if is_reader or now_s < self._direct_until_s:
             return self._watch_direct(revision, min(wait_s, DIRECT_WAIT_S))
@@ -133,23 +159,11 @@
         self._log.heard()
         return news
 
-    def _readers(self) -> list[Member]:
-        """Return the instances of this data centre that read the store."""
-        own = self._members.own
-        near = [
-            member
-            for member in self._members.live(monotonic_s())
-            if member.data_centre == own.data_centre and member.is_ready
-        ]
-        if own.is_ready:
-            near.append(own)
-        return sorted(near, key=_rank)[:READERS_PER_DATA_CENTRE]
-
     def _peers(self) -> list[Member]:
         own = self._members.own
         live = self._members.live(monotonic_s())
-        return sorted(live, key=lambda m: (m.data_centre != own.data_centre, _rank(m)))[
-            :READERS_PER_DATA_CENTRE
+        return sorted(live, key=lambda m: (m.data_centre != own.data_centre, rank(m)))[
+            :ASKED_PEERS_LIMIT
         ]
 
     def _ask(self, reader: Member, revision: int | None) -> FleetNews:
@@ -172,8 +186,3 @@
             return decode_news(answer.data)
         except ValueError as error:
             raise SourceUnavailable(f"{reader.peers_address}: {error}") from None
-
-
-def _rank(member: Member) -> int:
-    """Return a number that orders instances alike everywhere, and evenly."""
-    return zlib.crc32(member.peers_address.encode())
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -1,5 +1,6 @@
 """Choosing the backend server for one attempt."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -23,6 +24,12 @@
 FAILURE_COST = 1.5
 # A server that left its last probe unanswered is the last choice: it may be gone.
 SILENCE_COST = 1.0
+# Servers without an open connection are probed after the others, so that an instance that
+# seldom sends keeps to few servers until they are too slow or full.
+NEW_CONNECTION_COST = 0.9
+# A server that has joined is treated as if it had a connection for this time, so that
+# it gets its part within seconds.
+JOINED_FOR_S = 6.0
 # How many rounds of probes one choice may take.
 PROBE_ROUNDS_LIMIT = 4
 # The worth below which no server is expected to answer in time.
@@ -76,9 +83,11 @@
         Asks servers for their load.
     random : random.Random
         The source of random numbers.
+    has_connection : callable
+        Tells whether a connection to an address is open.
     """
 
-    __slots__ = ("_data_centre", "_table", "_prober", "_random")
+    __slots__ = ("_data_centre", "_table", "_prober", "_random", "_has_connection")
 
     def __init__(
         self,
@@ -86,7 +95,9 @@
         table: ServerTable,
         prober: ServerProber,
         random: Random,
+        has_connection: Callable[[str], bool],
     ) -> None:
+        self._has_connection = has_connection
         self._data_centre = data_centre
         self._table = table
         self._prober = prober
@@ -159,7 +170,7 @@
         """Return the candidates in the order in which they are asked.
 
         Near ones come first, in random order but for those that were full or failed
-        just now.
+        just now, and those to which a connection would have to be opened.
         """
         now_s = monotonic_s()
 
@@ -171,6 +182,9 @@
                 penalty += 1.0
             if now_s < server.rests_until_s:
                 penalty += SILENCE_COST
+            has_joined = now_s - server.first_seen_at_s < JOINED_FOR_S
+            if not has_joined and not self._has_connection(server.entry.address):
+                penalty += NEW_CONNECTION_COST
             return is_remote, penalty + self._random.random()
 
         return sorted(candidates, key=rank)
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -59,6 +59,7 @@
 
     __slots__ = (
         "entry",
+        "first_seen_at_s",
         "warm_at_s",
         "in_flight_count",
         "report",
@@ -73,6 +74,8 @@
 
     def __init__(self, entry: ServerEntry, now_s: float) -> None:
         self.entry = entry
+        # When this run of it was first heard of, on the hub's clock.
+        self.first_seen_at_s = now_s
         # From when it works at its usual speed, on the hub's clock.
         self.warm_at_s = now_s + entry.warmup_left_s
         # Requests that this instance has sent and that are not answered.
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -106,6 +106,8 @@
         self.later = []
         self.call_count = 0
         self.failure = None
+        # Whether each reading of the whole state allowed an old one.
+        self.old_allowed = []
 
     def put(self, *changes):
         """Publish changes."""
@@ -118,8 +120,9 @@
         if self.failure is not None:
             raise self.failure
 
-    def read(self):
+    def read(self, may_be_old=False):
         self.call_count += 1
+        self.old_allowed.append(may_be_old)
         self._check()
         return FleetNews(tuple(self.whole), self.revision)
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -82,6 +82,14 @@
         self.follower.step()
         self.assertEqual(self.table.record("a").in_flight_count, 0)
 
+    def test_only_the_first_reading_may_be_old(self):
+        self.assertEqual(self.source.old_allowed, [True])
+        self.source.failure = HistoryGone("forgotten")
+        self.follower.step()
+        self.source.failure = None
+        self.follower.step()
+        self.assertEqual(self.source.old_allowed, [True, False])
+
     def outage(self):
         self.source.failure = SourceUnavailable("down")
         self.follower.step()
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import orjson
 from hypothesis import given
@@ -10,10 +11,12 @@
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._locate import locate
-from berylhaven.gateway._member_gossip import MemberGossip
+from berylhaven.gateway._member_gossip import NEAR_INTERVAL_S, MemberGossip
 from berylhaven.gateway._members import (
     CUT_OFF_TRUST_S,
+    FAR_ROWS_LIMIT,
     SILENT_AFTER_S,
+    SPEAKERS_PER_DATA_CENTRE,
     Member,
     MemberTable,
     read_row,
@@ -71,11 +74,36 @@
         self.table.forget_silent(1_000.0)
         self.assertEqual(self.table.most_count, 4)
 
-    def test_a_message_to_another_data_centre_tells_of_this_one_only(self):
+    def test_a_message_to_another_data_centre_tells_of_no_third_one(self):
         self.table.take(member("a"), 0.0)
         self.table.take(member("b", data_centre="there"), 0.0)
-        self.assertEqual(len(self.table.rows(0.0)), 3)
-        self.assertEqual(len(self.table.rows(0.0, is_near=False)), 2)
+        self.table.take(member("c", data_centre="elsewhere"), 0.0)
+        source = random.Random(1)
+        self.assertEqual(len(self.table.near_rows(0.0, source)), 4)
+        self.assertEqual(len(self.table.far_rows(0.0, source, None)), 2)
+        self.assertEqual(len(self.table.far_rows(0.0, source, "there")), 3)
+
+    def test_messages_to_another_data_centre_stay_short_and_tell_of_all_in_time(self):
+        for number in range(60):
+            self.table.take(member(f"n{number}"), 0.0)
+        source = random.Random(1)
+        told = set()
+        for _ in range(40):
+            rows = self.table.far_rows(0.0, source, "there")
+            self.assertLessEqual(len(rows), FAR_ROWS_LIMIT)
+            told |= {row[0] for row in rows}
+        self.assertEqual(len(told), 61)
+
+    def test_all_instances_name_the_same_speakers(self):
+        everyone = [member(name) for name in "abcde"]
+        named = set()
+        for own in everyone:
+            table = MemberTable(own)
+            for other in everyone:
+                table.take(member(other.peers_address.split(":")[0]), 0.0)
+            named.add(tuple(m.peers_address for m in table.speakers(0.0)))
+        self.assertEqual(len(named), 1)
+        self.assertEqual(len(named.pop()), SPEAKERS_PER_DATA_CENTRE)
 
     @given(st.lists(JSON_VALUES, max_size=9) | JSON_VALUES)
     def test_any_row_gives_a_member_or_a_value_error(self, row):
@@ -85,6 +113,60 @@
             self.assertTrue(str(error))
 
 
+class FleetGossipTest(unittest.TestCase):
+    """Instances of several data centres that talk without sockets."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
+        patcher = unittest.mock.patch.object(MemberGossip, "_talk", self.talk)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.byte_count = 0
+        self.gossips = {}
+        centres = ("a", "b", "c")
+        seeds = tuple(f"{centre}0:peers" for centre in centres)
+        for number in range(120):
+            own = member(f"{centres[number % 3]}{number // 3}", 0, centres[number % 3])
+            gossip = MemberGossip(
+                MemberTable(own), seeds, random.Random(number), EventLog(1, 0, 0)
+            )
+            self.gossips[own.peers_address] = gossip
+
+    def talk(self, address):
+        second = self.gossips[address]
+        first = self.talker
+        told = first._message(address)
+        answer = second.answer(told)
+        first.take(answer)
+        if first._members.own.data_centre != second._members.own.data_centre:
+            self.byte_count += len(told) + len(answer)
+
+    def run_for(self, duration_s):
+        for _ in range(int(duration_s / NEAR_INTERVAL_S)):
+            for gossip in self.gossips.values():
+                self.talker = gossip
+                gossip.step()
+            self.clock.advance_s(NEAR_INTERVAL_S)
+
+    def test_the_near_stay_live_and_a_few_far_ones_with_few_bytes_between(self):
+        self.run_for(10.0)
+        self.byte_count = 0
+        self.run_for(20.0)
+        now_s = monotonic_s()
+        for gossip in self.gossips.values():
+            live = gossip._members.live(now_s)
+            own = gossip._members.own
+            near = [m for m in live if m.data_centre == own.data_centre]
+            self.assertEqual(len(near), 39)
+            self.assertGreaterEqual(len(live) - len(near), 16)
+            # Shares of budgets are divided by the instances ever heard of.
+            self.assertGreater(gossip._members.most_count, 0.9 * len(self.gossips))
+        # The long-run target for control is 3 KB a second for each instance.
+        self.assertLess(self.byte_count / 20.0 / len(self.gossips), 3_000)
+
+
 class MemberGossipTest(unittest.TestCase):
     def gossip(self, name):
         table = MemberTable(member(name))
@@ -96,7 +178,9 @@
             two, second = self.gossip("two")
             one.take(member("three"), monotonic_s())
             two.take(member("four"), monotonic_s())
-            answer = second.answer(orjson.dumps(one.rows(monotonic_s())))
+            answer = second.answer(
+                orjson.dumps(one.near_rows(monotonic_s(), random.Random(1)))
+            )
             first.take(answer)
             now_s = monotonic_s()
             names = [
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -89,3 +89,14 @@
         self.source.failure = SourceUnavailable("down")
         self.add_reader(self.serve(lambda: FleetNews((), 7)))
         self.assertEqual(self.relayed.read().revision, 7)
+
+    def test_the_whole_state_comes_from_a_reader_without_a_call(self):
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        self.assertEqual(self.relayed.read().revision, 7)
+        self.assertEqual(self.source.call_count, 0)
+
+    def test_a_reader_that_is_behind_tells_no_whole_state(self):
+        self.members.own.revision = 9
+        self.source.revision = 10
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        self.assertEqual(self.relayed.read().revision, 10)
--- a/berylhaven/http1/_connection_pool.py
+++ b/berylhaven/http1/_connection_pool.py
@@ -29,6 +29,11 @@
     # Waiting for one.
     idle_count: int
 
+    @property
+    def open_count(self) -> int:
+        """All connections."""
+        return self.busy_count + self.idle_count
+
 
 @dataclass(slots=True)
 class _ServerConnections:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -28,8 +28,9 @@
     def __init__(self) -> None:
         # Of the faults, refuse_status answers every reading call with that status.
         self.faults = Faults(refuse_status=0, delay_s=0.0, cut_watches=False)
-        # Reading calls since the start.
+        # Reading calls since the start, and those of them that allowed an old answer.
         self.call_count = 0
+        self.stale_call_count = 0
         self._revision = 1
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
@@ -100,6 +101,8 @@
                 environ.get("QUERY_STRING", ""), keep_blank_values=True
             ).items()
         }
+        if query.get("AllowStale") == "1":
+            self.stale_call_count += 1
         if path == "/kv-key":
             return self._answer_item(query, start_response)
         if path == "/kv-range":
