Take changed settings while running, and wait for peers before the first watch

Cause: SIGHUP was only logged. At a cold start each instance watched the store itself, since it had not heard of the readers yet. Change: the file is read again after SIGHUP and every 2 s; what is refused changes nothing. The first watch waits up to 1.5 s for a near peer.

--- a/berylhaven/gateway/__init__.py
+++ b/berylhaven/gateway/__init__.py
@@ -17,9 +17,10 @@
 from berylhaven.gateway._settings import (
     GatewaySettings,
     GatewaySettingsRefused,
-    load_gateway_settings,
+    StoreSettings,
     read_gateway_settings,
 )
+from berylhaven.gateway._settings_file import SettingsFile, load_gateway_settings
 
 __all__ = [
     "Change",
@@ -35,7 +36,9 @@
     "PeersApplication",
     "ServerEntry",
     "ServerRemoved",
+    "SettingsFile",
     "SourceUnavailable",
+    "StoreSettings",
     "load_gateway_settings",
     "read_gateway_settings",
 ]
--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -24,8 +24,10 @@
 WATCH_WAIT_S = 4.0
 # Changes that come in a burst are read with one call.
 WATCH_GAP_S = 0.4
-# The first watch waits until peers have been heard, which may read the store already.
-FIRST_WATCH_AFTER_S = 0.5
+# The first watch waits for so long until peers have been heard that read the store
+# already; all instances may be starting at once.
+FIRST_WATCH_WITHIN_S = 1.5
+PEERS_LOOK_EVERY_S = 0.1
 # A peer must have heard the store from so long before an outage seen here, since it may
 # notice one later.
 CALM_MARGIN_S = 3.0
@@ -72,6 +74,7 @@
         "_random",
         "_event_log",
         "_revision",
+        "_first_watch_by_s",
         "_failure_count",
         "_lost_at_s",
         "_returned_at_s",
@@ -100,6 +103,8 @@
         self._random = random
         self._event_log = event_log
         self._revision: int | None = None
+        # Until when the first watch waits for peers, on the hub's clock.
+        self._first_watch_by_s = float("-inf")
         self._failure_count = 0
         # When the last outage began, on the hub's clock.
         self._lost_at_s = monotonic_s()
@@ -140,7 +145,10 @@
         """
         try:
             if self._revision is None:
-                return self._read_whole()
+                self._read_whole()
+                return 0.0
+            if self._awaits_peers():
+                return PEERS_LOOK_EVERY_S
             news = self._source.watch(self._revision, WATCH_WAIT_S)
         except HistoryGone:
             self._event_log.write("store", "history gone", revision=self._revision)
@@ -153,8 +161,13 @@
         self._set_revision(news.revision)
         return WATCH_GAP_S if news.changes else 0.0
 
-    def _read_whole(self) -> float:
-        """Read all, and return how long to wait before the first watch."""
+    def _awaits_peers(self) -> bool:
+        """Tell whether the first watch waits until a near peer has been heard."""
+        now_s = monotonic_s()
+        is_alone = not self._members.expects_peers or now_s >= self._first_watch_by_s
+        return not is_alone and len(self._members.speakers(now_s)) < 2
+
+    def _read_whole(self) -> None:
         # After a loss of history an old state would lack its history again.
         is_first = self._members.own.revision == 0
         news = self._source.read(may_be_old=is_first)
@@ -162,7 +175,8 @@
         self._take_whole(news)
         self._log.begin(news.revision)
         self._set_revision(news.revision)
-        return FIRST_WATCH_AFTER_S if is_first else 0.0
+        if is_first:
+            self._first_watch_by_s = monotonic_s() + FIRST_WATCH_WITHIN_S
 
     def run_catching_up(self) -> None:
         """Believe in time that lapsed entries are gone, and catch up with peers.
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from berylhaven.gateway._server_record import ServerEntry
+from berylhaven.gateway._settings import StoreSettings
 from berylhaven.routes import RoutingConfiguration
 
 
@@ -91,3 +92,12 @@
         HistoryGone
             If all must be read anew.
         """
+
+    def move(self, settings: StoreSettings) -> None:
+        """Ask where the settings say from the next call on.
+
+        Parameters
+        ----------
+        settings : StoreSettings
+            The newer settings.
+        """
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -85,6 +85,18 @@
         self._works: dict[tuple[str, str], RouteWork] = {}
         self._event_log = event_log
 
+    def take_allowance(self, allowance: RetryAllowance) -> None:
+        """Limit retries by newer settings; what was spent stays counted.
+
+        Parameters
+        ----------
+        allowance : RetryAllowance
+            What all instances may do together.
+        """
+        self._allowance = allowance
+        for budget in self._budgets.values():
+            budget.allowance = allowance
+
     def answer(self, request: GatewayRequest) -> GatewayAnswer:
         """Return the final answer of a request.
 
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -29,6 +29,7 @@
 from berylhaven.gateway._server_probe import ServerProber
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.http1 import ConnectionPool
 
 # Backend servers close connections that were idle for ten seconds; these are closed
@@ -44,6 +45,8 @@
 LEAST_CONNECTIONS = 2
 ANSWER_HEAD_LIMIT_BYTES = 32_768
 WAIT_INTERVAL_S = 0.1
+# How often the settings file is looked at without a signal; it is small.
+SETTINGS_LOOK_EVERY_S = 2.0
 # A loop that failed by a fault of ours begins anew after this time.
 AFTER_FAULT_S = 0.5
 # Callers keep an answer that names this instance for a while, and their connections
@@ -68,10 +71,16 @@
         Where routes and servers are published.
     event_log : EventLog
         The process's log.
+    settings_file : SettingsFile or None
+        Where the settings come from; None if they do not change.
     """
 
     __slots__ = (
         "_settings",
+        "_settings_file",
+        "_settings_looked_at_s",
+        "_source",
+        "_forwarder",
         "_event_log",
         "_random",
         "_routes",
@@ -93,8 +102,12 @@
         dialect: Dialect,
         source: FleetSource,
         event_log: EventLog,
+        settings_file: SettingsFile | None = None,
     ) -> None:
         self._settings = settings
+        self._settings_file = settings_file
+        self._settings_looked_at_s = monotonic_s()
+        self._source = source
         self._event_log = event_log
         self._random = Random()
         self._routes = RoutesInForce()
@@ -122,8 +135,9 @@
             0,
             False,
         )
-        self._members = MemberTable(own)
-        forwarder = Forwarder(
+        others = set(instance.seed_peers) - {instance.peers_address}
+        self._members = MemberTable(own, expects_peers=bool(others))
+        self._forwarder = Forwarder(
             self._routes,
             AttemptRunner(chooser, pool, dialect, event_log),
             dialect,
@@ -132,7 +146,9 @@
             self._random,
             event_log,
         )
-        self._port = CallersPort(forwarder.answer, self._routes, dialect, event_log)
+        self._port = CallersPort(
+            self._forwarder.answer, self._routes, dialect, event_log
+        )
         self._news_log = NewsLog()
         self._follower = FleetFollower(
             RelayedSource(source, self._members, self._news_log),
@@ -187,6 +203,8 @@
         """Return when the instance was told to leave and nothing is under way."""
         while not self._has_left():
             self._update_ready()
+            if self._settings_file is not None:
+                self._look_at_settings()
             sleep_s(WAIT_INTERVAL_S)
         self._event_log.write("instance", "stop", pending=self._port.pending_count)
         self.stop()
@@ -277,8 +295,33 @@
             raise SourceUnavailable(f"the store has been silent for {silent_s:.1f} s")
 
     def reload(self) -> None:
-        """Take in that the settings file changed; nothing in it may change in a run."""
-        self._event_log.write("instance", "reload", outcome="settings unchanged")
+        """Look at the settings file soon; safe in a signal handler."""
+        self._settings_looked_at_s = float("-inf")
+
+    def _look_at_settings(self) -> None:
+        """Take in a changed settings file; it may change without a signal too."""
+        now_s = monotonic_s()
+        if now_s - self._settings_looked_at_s < SETTINGS_LOOK_EVERY_S:
+            return
+        is_asked = self._settings_looked_at_s == float("-inf")
+        self._settings_looked_at_s = now_s
+        settings = self._settings_file.reread(self._event_log)
+        if settings is not None:
+            self._take_settings(settings)
+        elif is_asked:
+            self._event_log.write("instance", "reload", outcome="settings unchanged")
+
+    def _take_settings(self, settings: GatewaySettings) -> None:
+        seeds = settings.instance.seed_peers
+        # Addresses and names hold for as long as the process runs.
+        own = dataclasses.replace(self._settings.instance, seed_peers=seeds)
+        is_kept = own == settings.instance
+        self._settings = dataclasses.replace(settings, instance=own)
+        self._gossip.take_seeds(seeds)
+        self._source.move(settings.store)
+        self._forwarder.take_allowance(settings.retries.allowance)
+        outcome = "in force" if is_kept else "in force but for names and addresses"
+        self._event_log.write("instance", "reload", outcome=outcome)
 
     def _keep_running(self, name: str, run: Callable[[], None]) -> None:
         """Run a loop, and begin it anew after a fault of ours."""
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -53,14 +53,24 @@
         event_log: EventLog,
     ) -> None:
         self._members = members
-        own_address = members.own.peers_address
-        self._seeds = tuple(seed for seed in seeds if seed != own_address)
+        self.take_seeds(seeds)
         self._random = random
         self._event_log = event_log
         self._http = urllib3.PoolManager(num_pools=64, maxsize=1, retries=False)
         self._talk_count = 0
         self._seen: set[str] = set()
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask these addresses for others from now on.
+
+        Parameters
+        ----------
+        seeds : tuple of str
+            HOST:PORT each; this instance's own is left out.
+        """
+        own_address = self._members.own.peers_address
+        self._seeds = tuple(seed for seed in seeds if seed != own_address)
+
     def run(self) -> None:
         """Talk for ever."""
         while True:
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -105,13 +105,17 @@
     ----------
     own : Member
         This instance.
+    expects_peers : bool
+        Whether the settings name other instances.
     """
 
-    __slots__ = ("own", "_others", "_most_count")
+    __slots__ = ("own", "expects_peers", "_others", "_most_count")
 
-    def __init__(self, own: Member) -> None:
+    def __init__(self, own: Member, expects_peers: bool = False) -> None:
         # This instance.
         self.own = own
+        # Whether there are other instances, heard of or not.
+        self.expects_peers = expects_peers
         self._others: dict[str, Member] = {}
         self._most_count = 1
 
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -24,7 +24,7 @@
 FAILURE_COST = 1.5
 # A server that left its last probe unanswered is the last choice: it may be gone.
 SILENCE_COST = 1.0
-# Servers without an open connection are probed after the others, so that an instance that
+# Servers without an open connection are probed after the others: an instance that
 # seldom sends keeps to few servers until they are too slow or full.
 NEW_CONNECTION_COST = 0.9
 # A server that has joined is treated as if it had a connection for this time, so that
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 
 from berylhaven.gateway._shared_retry_budget import RetryAllowance
-from berylhaven.ini import Field, read_sections, read_text_file
-from berylhaven.results import NotReadable
+from berylhaven.ini import Field, read_sections
 
 
 @dataclass(slots=True, frozen=True)
@@ -134,31 +133,6 @@
     """Every fault of a gateway's settings file."""
 
 
-def load_gateway_settings(path: str) -> GatewaySettings:
-    """Read a settings file.
-
-    Parameters
-    ----------
-    path : str
-        The file's path.
-
-    Returns
-    -------
-    GatewaySettings
-        The checked settings.
-
-    Raises
-    ------
-    GatewaySettingsRefused
-        With every fault found.
-    """
-    try:
-        text = read_text_file(path)
-    except NotReadable as problem:
-        raise GatewaySettingsRefused("settings refused", [problem]) from None
-    return read_gateway_settings(text)
-
-
 def read_gateway_settings(text: str) -> GatewaySettings:
     """Check settings given as text.
 
--- a/berylhaven/gateway/_shared_retry_budget.py
+++ b/berylhaven/gateway/_shared_retry_budget.py
@@ -31,10 +31,11 @@
         What all instances may do together.
     """
 
-    __slots__ = ("_allowance", "_requests", "_retries")
+    __slots__ = ("allowance", "_requests", "_retries")
 
     def __init__(self, allowance: RetryAllowance) -> None:
-        self._allowance = allowance
+        # What all instances may do together.
+        self.allowance = allowance
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -65,7 +66,7 @@
             Less than one if none may be made.
         """
         self._forget(now_s)
-        allowance = self._allowance
+        allowance = self.allowance
         sharers = max(instance_count, LEAST_INSTANCE_COUNT)
         granted = allowance.ratio * len(self._requests)
         granted += allowance.extra_count / sharers
@@ -92,7 +93,7 @@
         return True
 
     def _forget(self, now_s: float) -> None:
-        oldest_s = now_s - self._allowance.window_s
+        oldest_s = now_s - self.allowance.window_s
         for times in (self._requests, self._retries):
             while times and times[0] < oldest_s:
                 times.popleft()
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -249,3 +249,7 @@
         with self.path.connect() as caller:
             caller.send(request_bytes("/order/x", "a", "POST", b"1"))
             self.assertEqual(caller.answer().status, 200)
+
+    def test_an_instance_that_has_just_started_takes_a_small_part_of_the_retries(self):
+        # The largest deployment has 220 instances, which may all start at once.
+        self.assertGreaterEqual(self.path.instance._sharer_count(), 220)
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -15,7 +15,11 @@
     ServerRemoved,
     SourceUnavailable,
 )
-from berylhaven.gateway._fleet_follower import LAPSED_TRUST_S, FleetFollower
+from berylhaven.gateway._fleet_follower import (
+    FIRST_WATCH_WITHIN_S,
+    LAPSED_TRUST_S,
+    FleetFollower,
+)
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._news_codec import decode_news, encode_news
 from berylhaven.gateway._news_log import NewsLog
@@ -90,6 +94,20 @@
         self.follower.step()
         self.assertEqual(self.source.old_allowed, [True, False])
 
+    def test_a_first_watch_waits_a_while_for_peers_that_read_the_store(self):
+        self.members.expects_peers = True
+        self.members.own.revision = 0
+        self.follower._revision = None
+        self.follower.step()
+        calls = self.source.call_count
+        self.clock.advance_s(FIRST_WATCH_WITHIN_S - 0.1)
+        self.assertGreater(self.follower.step(), 0)
+        self.assertEqual(self.source.call_count, calls)
+        self.source.put(ServerRemoved("a"))
+        self.clock.advance_s(0.2)
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+
     def outage(self):
         self.source.failure = SourceUnavailable("down")
         self.follower.step()
