Serve metrics, and let callers keep a locate answer for 5 s

Change: metrics of requests, attempts, probes, store, servers, instances and the loop's lateness; answers are kept for 5 s, the most that counts. Test: test_gateway_metrics.

--- a/berylhaven/gateway/__init__.py
+++ b/berylhaven/gateway/__init__.py
@@ -11,6 +11,7 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._gateway_instance import GatewayInstance
+from berylhaven.gateway._gateway_metrics import GatewayMetrics, MetricsApplication
 from berylhaven.gateway._locate import Location
 from berylhaven.gateway._peers_application import PeersApplication
 from berylhaven.gateway._server_record import ServerEntry
@@ -29,10 +30,12 @@
     "FleetNews",
     "FleetSource",
     "GatewayInstance",
+    "GatewayMetrics",
     "GatewaySettings",
     "GatewaySettingsRefused",
     "HistoryGone",
     "Location",
+    "MetricsApplication",
     "PeersApplication",
     "ServerEntry",
     "ServerRemoved",
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -7,6 +7,7 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._finish_forecast import finish_forecast_s, slowness_ratio
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._server_chooser import ChoiceRequest, ServerChooser
 from berylhaven.gateway._server_exchange import ServerAnswer, exchange
@@ -69,9 +70,11 @@
         The headers' names.
     event_log : EventLog
         Gets a line for each choice.
+    metrics : GatewayMetrics
+        Counts the attempts.
     """
 
-    __slots__ = ("_chooser", "_pool", "_dialect", "_event_log")
+    __slots__ = ("_chooser", "_pool", "_dialect", "_event_log", "_metrics")
 
     def __init__(
         self,
@@ -79,11 +82,13 @@
         pool: ConnectionPool,
         dialect: Dialect,
         event_log: EventLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._chooser = chooser
         self._pool = pool
         self._dialect = dialect
         self._event_log = event_log
+        self._metrics = metrics
 
     def choose(self, request: GatewayRequest, wanted: ChoiceRequest) -> ServerRecord:
         """Return the server for an attempt and log the choice.
@@ -171,9 +176,10 @@
         finally:
             server.in_flight_count -= 1
             self._pool.put_back(connection, answer is not None and answer.is_reusable)
-        self._take_answer(request, server, answer)
         duration_s = monotonic_s() - sent_at_s
+        self._take_answer(request, server, answer, duration_s)
         size_bytes = request.body.position + len(answer.body)
+        self._metrics.attempt_ended(entry.service, "answered", duration_s)
         wanted.work.take(wanted.work.work_s * duration_s / forecast_s, size_bytes)
         self._event_log.write(
             "attempt",
@@ -188,7 +194,11 @@
         return AttemptResult(server, answer)
 
     def _take_answer(
-        self, request: GatewayRequest, server: ServerRecord, answer: ServerAnswer
+        self,
+        request: GatewayRequest,
+        server: ServerRecord,
+        answer: ServerAnswer,
+        duration_s: float,
     ) -> None:
         now_s = monotonic_s()
         report = self._dialect.load_report(answer.fields, now_s)
@@ -200,6 +210,8 @@
             server.attempt_ended(answer.status >= FAILURE_STATUS, now_s)
             return
         server.refused(now_s, FULL_REST_S)
+        end = AttemptEnd.SHED
+        self._metrics.attempt_ended(server.entry.service, end.value, duration_s)
         self._event_log.write_failure(
             "attempt",
             "server refused",
@@ -209,7 +221,7 @@
             occupied=server.occupied_count,
         )
         message = f"server {server.entry.server_id} refused with {answer.status}"
-        raise AttemptFailed(AttemptEnd.SHED, message)
+        raise AttemptFailed(end, message)
 
     def _tell_failed(
         self,
@@ -219,6 +231,8 @@
         sent_at_s: float,
     ) -> None:
         now_s = monotonic_s()
+        duration_s = now_s - sent_at_s
+        self._metrics.attempt_ended(server.entry.service, failure.end.value, duration_s)
         if failure.end not in ENDS_WITHOUT_BLAME:
             server.attempt_ended(True, now_s)
         self._event_log.write_failure(
@@ -229,7 +243,7 @@
             address=server.entry.address,
             end=failure.end.value,
             outcome=failure.judgement.outcome.value,
-            duration_s=now_s - sent_at_s,
+            duration_s=duration_s,
             reason=failure.message,
         )
 
--- a/berylhaven/gateway/_callers_port.py
+++ b/berylhaven/gateway/_callers_port.py
@@ -72,6 +72,11 @@
         """Requests that were read and are not answered yet."""
         return sum(connection.pending_count for connection in self._connections)
 
+    @property
+    def connection_count(self) -> int:
+        """Open connections of callers."""
+        return len(self._connections)
+
     def listen(self, address: str) -> eventlet.greenthread.GreenThread:
         """Serve an address in a green thread.
 
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -10,6 +10,7 @@
 from berylhaven.gateway._attempt_runner import AttemptRunner
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._finish_forecast import FIRST_WORK_RATIO, RouteWork
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, own_answer
 from berylhaven.gateway._routes_in_force import RoutesInForce
 from berylhaven.gateway._server_chooser import ChoiceRequest
@@ -48,6 +49,8 @@
         The source of random numbers.
     event_log : EventLog
         Gets a line for each request's end.
+    metrics : GatewayMetrics
+        Counts the requests.
     """
 
     __slots__ = (
@@ -61,6 +64,7 @@
         "_budgets",
         "_works",
         "_event_log",
+        "_metrics",
     )
 
     def __init__(
@@ -72,7 +76,9 @@
         instance_count: Callable[[], int],
         random: Random,
         event_log: EventLog,
+        metrics: GatewayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._routes = routes
         self._runner = runner
         self._dialect = dialect
@@ -161,21 +167,22 @@
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
             )
-            self._tell(request, route, answer.status, len(race.failures))
+            self._tell(request, wanted, answer.status, len(race.failures))
             return GatewayAnswer(answer.status, answer.reason, headers, answer.body)
-        return self._give_up(request, route, race)
+        return self._give_up(request, wanted, race)
 
     def _give_up(
-        self, request: GatewayRequest, route: Route, race: AttemptRace
+        self, request: GatewayRequest, wanted: ChoiceRequest, race: AttemptRace
     ) -> GatewayAnswer:
         caller_fault = _caller_fault(race.failures)
         if caller_fault is not None:
-            return self._refuse(request, caller_fault, race.last_message)
+            message = race.last_message
+            return self._refuse(request, caller_fault, message, None, wanted)
         if not race.may_have_run:
             retry_after_s = race.retry_after_s
-            return self._refuse(request, 503, race.last_message, retry_after_s, route)
+            return self._refuse(request, 503, race.last_message, retry_after_s, wanted)
         status = 504 if race.is_late else 502
-        return self._refuse(request, status, race.last_message, None, route)
+        return self._refuse(request, status, race.last_message, None, wanted)
 
     def _refuse(
         self,
@@ -183,8 +190,10 @@
         status: int,
         message: str,
         retry_after_s: float | None = None,
-        route: Route | None = None,
+        wanted: ChoiceRequest | None = None,
     ) -> GatewayAnswer:
+        duration_s = monotonic_s() - request.received_at_s
+        self._count(wanted, f"refused-{status}", duration_s)
         answer = own_answer(status, message, retry_after_s)
         answer.ends_connection = not request.body.is_ended
         self._event_log.write_failure(
@@ -193,30 +202,39 @@
             request=request.request_id,
             host=request.host,
             path=request.path,
-            route=route.name if route else None,
+            route=wanted.route.name if wanted else None,
             configuration=self._routes.version,
             status=status,
             retry_after_s=retry_after_s,
-            duration_s=monotonic_s() - request.received_at_s,
+            duration_s=duration_s,
             reason=message,
         )
         return answer
 
     def _tell(
-        self, request: GatewayRequest, route: Route, status: int, failed: int
+        self, request: GatewayRequest, wanted: ChoiceRequest, status: int, failed: int
     ) -> None:
+        duration_s = monotonic_s() - request.received_at_s
+        self._count(wanted, f"answered-{status // 100}xx", duration_s)
         self._event_log.write(
             "request",
             "answered",
             request=request.request_id,
-            route=route.name,
+            route=wanted.route.name,
             configuration=self._routes.version,
             status=status,
             by="server",
             failed_attempts=failed,
-            duration_s=monotonic_s() - request.received_at_s,
+            duration_s=duration_s,
         )
 
+    def _count(
+        self, wanted: ChoiceRequest | None, outcome: str, duration_s: float
+    ) -> None:
+        service = wanted.service.name if wanted else None
+        kind = wanted.route.kind.value if wanted else ""
+        self._metrics.request_ended(service, kind, outcome, duration_s)
+
     def _forget_old_splits(self) -> None:
         configuration = self._routes.configuration
         if configuration.version != self._splits_version:
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -19,6 +19,8 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._forwarder import Forwarder
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._instance_gauges import InstanceGauges
 from berylhaven.gateway._locate import Location, locate
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import Member, MemberTable
@@ -94,6 +96,7 @@
         "_drain_began_at_s",
         "_is_leaving",
         "_started_at_s",
+        "metrics",
     )
 
     def __init__(
@@ -118,7 +121,9 @@
             self._random,
             SERVER_IDLE_LIMIT_S,
         )
-        prober = ServerProber(pool, dialect)
+        # What this instance counts.
+        self.metrics = GatewayMetrics()
+        prober = ServerProber(pool, dialect, self.metrics)
         instance = settings.instance
         chooser = ServerChooser(
             instance.data_centre,
@@ -139,19 +144,20 @@
         self._members = MemberTable(own, expects_peers=bool(others))
         self._forwarder = Forwarder(
             self._routes,
-            AttemptRunner(chooser, pool, dialect, event_log),
+            AttemptRunner(chooser, pool, dialect, event_log, self.metrics),
             dialect,
             settings.retries.allowance,
             self._sharer_count,
             self._random,
             event_log,
+            self.metrics,
         )
         self._port = CallersPort(
             self._forwarder.answer, self._routes, dialect, event_log
         )
         self._news_log = NewsLog()
         self._follower = FleetFollower(
-            RelayedSource(source, self._members, self._news_log),
+            RelayedSource(source, self._members, self._news_log, self.metrics),
             self._members,
             self._news_log,
             self._routes,
@@ -163,6 +169,15 @@
         self._gossip = MemberGossip(
             self._members, instance.seed_peers, self._random, event_log
         )
+        InstanceGauges(
+            self.metrics,
+            self._routes,
+            self._table,
+            self._members,
+            self._news_log,
+            self._port,
+            event_log,
+        )
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._drain_began_at_s: float | None = None
         self._is_leaving = False
@@ -205,7 +220,9 @@
             self._update_ready()
             if self._settings_file is not None:
                 self._look_at_settings()
+            slept_at_s = monotonic_s()
             sleep_s(WAIT_INTERVAL_S)
+            self.metrics.loop_woke(monotonic_s() - slept_at_s - WAIT_INTERVAL_S)
         self._event_log.write("instance", "stop", pending=self._port.pending_count)
         self.stop()
 
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -13,6 +13,7 @@
     HistoryGone,
     SourceUnavailable,
 )
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable, rank
 from berylhaven.gateway._news_codec import decode_news
 from berylhaven.gateway._news_log import NewsLog
@@ -49,19 +50,29 @@
         The instances.
     log : NewsLog
         Told when the store has answered directly.
+    metrics : GatewayMetrics
+        Counts the calls to the store.
     """
 
     __slots__ = (
         "_direct",
         "_members",
         "_log",
+        "_metrics",
         "_http",
         "_asked_at_s",
         "_direct_until_s",
         "_turn",
     )
 
-    def __init__(self, direct: FleetSource, members: MemberTable, log: NewsLog) -> None:
+    def __init__(
+        self,
+        direct: FleetSource,
+        members: MemberTable,
+        log: NewsLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._metrics = metrics
         self._direct = direct
         self._members = members
         self._log = log
@@ -155,7 +166,9 @@
             news = call()
         except SourceUnavailable:
             self._asked_at_s = monotonic_s()
+            self._metrics.store_called(is_answered=False)
             raise
+        self._metrics.store_called(is_answered=True)
         self._log.heard()
         return news
 
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -4,9 +4,10 @@
 
 import eventlet
 
-from berylhaven.attempts import AttemptFailed
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway._server_record import ServerRecord
 from berylhaven.http1 import (
@@ -24,6 +25,8 @@
 # The time after which a silent probe's connection is given up.
 PROBE_LIMIT_S = 0.25
 ANSWER_LIMIT_BYTES = 4_096
+# How long a server is passed over to which all of this instance's connections are busy.
+NO_CONNECTION_REST_S = 0.02
 # Passes of the hub in which an answer that has arrived is read to its end.
 READ_PASSES = 3
 
@@ -37,11 +40,16 @@
         The connections to backend servers.
     dialect : Dialect
         The headers' names.
+    metrics : GatewayMetrics
+        Counts the probes.
     """
 
-    __slots__ = ("_pool", "_dialect", "_under_way")
+    __slots__ = ("_pool", "_dialect", "_metrics", "_under_way")
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self, pool: ConnectionPool, dialect: Dialect, metrics: GatewayMetrics
+    ) -> None:
+        self._metrics = metrics
         self._pool = pool
         self._dialect = dialect
         # Probes by server id; requests that come together share them.
@@ -57,16 +65,23 @@
         health_path : str
             The path that answers with the load.
         """
-        started_at_s = monotonic_s()
+        now_s = monotonic_s()
         asked = [
             server
             for server in servers
-            if server.tells_load and server.report_age_s(started_at_s) > FRESH_REPORT_S
+            if server.tells_load and server.report_age_s(now_s) > FRESH_REPORT_S
         ]
         waits = [self._start(server, health_path) for server in asked]
         with eventlet.Timeout(PROBE_TIMEOUT_S, False):
             for wait in waits:
                 wait.wait()
+        self._judge_late(asked)
+        silent_count = sum(server.is_silent for server in asked)
+        self._metrics.probes_ended(len(asked) - silent_count, silent_count)
+
+    def _judge_late(self, asked: list[ServerRecord]) -> None:
+        """Take in which of the servers have left their probe unanswered."""
+        if all(server.entry.server_id not in self._under_way for server in asked):
             return
         # After a pause of this process the timer fires before the answers that came
         # meanwhile are read.
@@ -92,13 +107,21 @@
         try:
             with eventlet.Timeout(PROBE_LIMIT_S, False):
                 self._ask(server, health_path)
-        except (*CONNECTION_ERRORS, AttemptFailed, CallRefused, AnswerCut):
-            now_s = monotonic_s()
-            server.attempt_ended(True, now_s)
-            server.probe_unanswered(now_s)
+        except (*CONNECTION_ERRORS, AttemptFailed, CallRefused, AnswerCut) as error:
+            self._take_failure(server, error)
         finally:
             del self._under_way[entry.server_id]
 
+    def _take_failure(self, server: ServerRecord, error: Exception) -> None:
+        now_s = monotonic_s()
+        end = error.end if isinstance(error, AttemptFailed) else None
+        if end is AttemptEnd.CONNECTION_LIMIT:
+            # It is this instance that has no connection left for a request either.
+            server.refused(now_s, NO_CONNECTION_REST_S)
+            return
+        server.attempt_ended(True, now_s)
+        server.probe_unanswered(now_s)
+
     def _ask(self, server: ServerRecord, health_path: str) -> None:
         entry = server.entry
         connection = self._pool.acquire(entry.address, is_idempotent=True)
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -22,6 +22,8 @@
     peers_address: str
     # HOST:PORT where callers ask which instances to use.
     locate_address: str
+    # HOST:PORT of the metrics; empty if they are not served.
+    metrics_address: str
     # Peers' addresses to ask first.
     seed_peers: tuple[str, ...]
 
@@ -97,6 +99,7 @@
             Field("readiness_address", "address"),
             Field("peers_address", "address"),
             Field("locate_address", "address"),
+            Field("metrics_address", "address", default=""),
             Field("seed_peers", "addresses", default=()),
         ),
     ),
@@ -123,7 +126,7 @@
     ),
     "locate": (
         LocateSettings,
-        (Field("time_to_live_s", "number", default=2.0, minimum=0.5, maximum=300),),
+        (Field("time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),),
     ),
 }
 OPTIONAL_SECTIONS = ("drain", "retries", "locate")
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -20,6 +20,7 @@
     LAPSED_TRUST_S,
     FleetFollower,
 )
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._news_codec import decode_news, encode_news
 from berylhaven.gateway._news_log import NewsLog
@@ -45,7 +46,7 @@
         self.log = NewsLog()
         self.members = MemberTable(Member("own", "own", "here", 1, 0, True))
         self.follower = FleetFollower(
-            RelayedSource(self.source, self.members, self.log),
+            RelayedSource(self.source, self.members, self.log, GatewayMetrics()),
             self.members,
             self.log,
             self.routes,
--- /dev/null
+++ b/berylhaven/gateway/tests/test_gateway_metrics.py
@@ -0,0 +1,61 @@
+"""Tests of what an instance counts."""
+
+import unittest
+
+from berylhaven.gateway import MetricsApplication
+from berylhaven.gateway.tests._gateway_path import READS, GatewayPath
+from berylhaven.gateway.tests.test_attempts import OK, Answers, reset
+
+
+class GatewayMetricsTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+
+    def metrics(self):
+        """Return the samples of a scrape by name and labels."""
+        application = MetricsApplication(self.path.instance.metrics)
+        seen = []
+        body = application(
+            {"PATH_INFO": "/metrics"}, lambda status, headers: seen.append(status)
+        )
+        self.assertEqual(seen, ["200 OK"])
+        lines = b"".join(body).decode().splitlines()
+        samples = [line.rsplit(" ", 1) for line in lines if not line.startswith("#")]
+        return {name: float(value) for name, value in samples if name}
+
+    def value(self, name, **labels):
+        found = [
+            value
+            for sample, value in self.metrics().items()
+            if sample.split("{")[0] == f"berylhaven_{name}"
+            and all(f'{key}="{text}"' in sample for key, text in labels.items())
+        ]
+        return sum(found)
+
+    def test_requests_and_attempts_are_counted_by_their_ends(self):
+        self.path.answer_all(READS, Answers(reset, OK))
+        with self.path.connect() as caller:
+            self.assertEqual(caller.exchange("/read/x").status, 200)
+            self.assertEqual(caller.exchange("/nowhere/").status, 404)
+        answered = {"service": READS, "outcome": "answered-2xx"}
+        self.assertEqual(self.value("requests_total", **answered), 1)
+        self.assertEqual(self.value("requests_total", outcome="refused-404"), 1)
+        self.assertEqual(self.value("attempts_total", end="answered"), 1)
+        self.assertEqual(self.value("attempts_total", end="broken-before-head"), 1)
+        self.assertEqual(self.value("attempt_duration_seconds_count"), 2)
+
+    def test_gauges_tell_what_holds_when_they_are_read(self):
+        self.assertEqual(self.value("configuration_version"), 1)
+        self.assertEqual(self.value("servers", state="ready"), 4)
+        with self.path.connect() as caller:
+            caller.exchange("/read/x")
+            self.assertEqual(self.value("caller_connections"), 1)
+        self.assertEqual(self.value("store_calls_total", outcome="failed"), 0)
+        self.assertGreaterEqual(self.value("store_calls_total", outcome="answered"), 1)
+
+    def test_other_paths_are_not_found(self):
+        application = MetricsApplication(self.path.instance.metrics)
+        seen = []
+        application({"PATH_INFO": "/"}, lambda status, headers: seen.append(status))
+        self.assertEqual(seen, ["404 Not Found"])
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -6,6 +6,7 @@
 
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway import FleetNews, PeersApplication, SourceUnavailable
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._news_log import NewsLog
 from berylhaven.gateway._relayed_source import (
@@ -35,7 +36,9 @@
         self.source = FakeSource()
         # An instance that is not ready yet is no reader itself.
         self.members = MemberTable(Member("own", "own", "here", 1, 1, False))
-        self.relayed = RelayedSource(self.source, self.members, NewsLog())
+        self.relayed = RelayedSource(
+            self.source, self.members, NewsLog(), GatewayMetrics()
+        )
 
     def add_reader(self, address):
         peer = Member(address, address, "here", 1, 1, True)
