--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,140 @@
+"""A loopback proxy between two programs, which disturbs their connections."""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+
+import eventlet
+import eventlet.event
+import fire
+
+from standins._program import FAULTS_PATH, Faults, answer_faults, serve_forever
+
+PIECE_BYTES = 65_536
+POLL_S = 0.02
+# SO_LINGER with no time: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ONWARD, BACK = "onward", "back"
+
+
+class FaultProxy:
+    """Passes connections on to one address, with faults switched over HTTP.
+
+    Parameters
+    ----------
+    target : str
+        HOST:PORT behind the proxy.
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        # delay_s holds each piece up; held_way ("onward", "back", "both") holds up all
+        # that goes that way until it is switched off, as a partition does. Each rise of
+        # reset_count resets what is open then; each rise of silence_count makes what
+        # is open then silent for good, while new connections work.
+        self.faults = Faults(delay_s=0.0, held_way="", reset_count=0, silence_count=0)
+        self._links: set[_Link] = set()
+
+    def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answer a call that reads or sets faults."""
+        if environ["PATH_INFO"] != FAULTS_PATH:
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return [b""]
+        before = self.faults.as_dict()
+        answer = answer_faults(self.faults, environ, start_response)
+        if self.faults.reset_count > before["reset_count"]:
+            self._disturb_open(_Link.reset)
+        if self.faults.silence_count > before["silence_count"]:
+            self._disturb_open(_Link.silence)
+        return answer
+
+    def _disturb_open(self, disturb: Callable) -> None:
+        for link in list(self._links):
+            disturb(link)
+
+    def serve(self, listener: socket.socket) -> None:
+        """Take connections for ever."""
+        while True:
+            caller, _ = listener.accept()
+            eventlet.spawn(self._link, caller)
+
+    def _link(self, caller: socket.socket) -> None:
+        try:
+            target = eventlet.connect(self._target)
+        except OSError:
+            # The other end sees what it would see without the proxy.
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            caller.close()
+            return
+        link = _Link(caller, target, self.faults)
+        self._links.add(link)
+        try:
+            link.run()
+        finally:
+            self._links.discard(link)
+
+
+class _Link:
+    """One connection through the proxy."""
+
+    def __init__(
+        self, caller: socket.socket, target: socket.socket, faults: Faults
+    ) -> None:
+        self._sockets = (caller, target)
+        self._faults = faults
+        self._is_silent = False
+        for sock in self._sockets:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def run(self) -> None:
+        """Pass bytes on both ways until both have ended."""
+        caller, target = self._sockets
+        back = eventlet.spawn(self._pass, target, caller, BACK)
+        self._pass(caller, target, ONWARD)
+        back.wait()
+        for sock in self._sockets:
+            sock.close()
+
+    def _pass(self, source: socket.socket, sink: socket.socket, way: str) -> None:
+        try:
+            while piece := source.recv(PIECE_BYTES):
+                self._await_passage(way)
+                if not self._is_silent:
+                    sink.sendall(piece)
+            self._await_passage(way)
+            if not self._is_silent:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            # An end that was reset on one side is a reset on the other.
+            self.reset()
+
+    def _await_passage(self, way: str) -> None:
+        if self._faults.delay_s:
+            eventlet.sleep(self._faults.delay_s)
+        while self._faults.held_way in (way, "both"):
+            eventlet.sleep(POLL_S)
+
+    def reset(self) -> None:
+        """Reset the connection on both sides."""
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                sock.close()
+
+    def silence(self) -> None:
+        """Pass nothing on from now on, and tell neither side."""
+        self._is_silent = True
+
+
+def run(host: str, port: int, control_port: int, target: str) -> None:
+    """Serve a proxy, and its fault switches on a port of their own."""
+    proxy = FaultProxy(target)
+    listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
+    eventlet.spawn(proxy.serve, listener)
+    serve_forever(host, control_port, proxy)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/standins/gateway_callers.py
+++ b/standins/gateway_callers.py
@@ -8,7 +8,9 @@
 
 from standins.gateway_fleet import ORDERS, ROUTES_HOST, GatewayFleet
 
-SENDER_COUNT = 8
+SENDER_COUNT = 9
+LOCATE_PAUSE_S = 0.05
+UPLOAD_BODY = b"u" * 60_000
 PATIENCE_MS = 2_000
 # The answers that promise that a request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -45,12 +47,14 @@
         turn = 0
         # Callers of the platform use no address again that has failed them.
         failed = set()
-        kind = "order" if number % 2 else "read"
+        kind = ("read", "order", "upload")[number % 3]
+        gateways = self._fleet.gateways
         while not self._is_ending:
             turn += 1
             try:
-                addresses = self._fleet.locate(self._fleet.gateways[0])
+                addresses = self._fleet.locate(gateways[turn % len(gateways)])
             except (urllib3.exceptions.HTTPError, KeyError):
+                eventlet.sleep(LOCATE_PAUSE_S)
                 continue
             left = [a for a in addresses if a not in failed] or addresses
             address = left[turn % len(left)]
@@ -68,9 +72,11 @@
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(PATIENCE_MS),
         }
-        method = "POST" if kind == "order" else "GET"
+        method = "GET" if kind == "read" else "POST"
+        body = UPLOAD_BODY if kind == "upload" else None
+        url = f"http://{address}/{kind}/x"
         try:
-            answer = pool.request(method, f"http://{address}/{kind}/x", headers=headers)
+            answer = pool.request(method, url, headers=headers, body=body)
         except urllib3.exceptions.HTTPError:
             return None
         seal = answer.headers.get("X-Server-Seal", "")
@@ -102,8 +108,8 @@
     for request_id, (kind, status) in answers.items():
         if status == FOREIGN:
             broken["foreign answer"] += 1
-        if kind == "order" and status in NOT_RUN_STATUSES:
+        if kind != "read" and status in NOT_RUN_STATUSES:
             broken["false not-run"] += request_id in runs
-        if kind == "order" and status == OK:
+        if kind != "read" and status == OK:
             broken["answered unrun"] += request_id not in runs
     return {name: count for name, count in broken.items() if count}
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -22,8 +22,11 @@
     STOP_PATIENCE_S,
     free_ports,
 )
+from standins.metadata_store import server_value
 
 PORTS_PER_GATEWAY = 4
+PORTS_PER_PROXY = 2
+LOCATE_PATIENCE_S = 1.0
 GRACE_S = 4.0
 ROUTES_HOST = "shop.example"
 READS, ORDERS = "reads", "orders"
@@ -52,6 +55,8 @@
 
     # How many gateways there are.
     gateway_count: int = 3
+    # Whether proxies stand before the servers and, for each gateway, the store.
+    has_proxies: bool = False
     # How long a server works on one request, in seconds.
     work_s: float = 0.02
     # The gateways.
@@ -60,6 +65,8 @@
     servers: dict[str, list[str]] = field(default_factory=dict)
     # HOST:PORT of the store.
     store: str = ""
+    # Where the faults of each proxy are set.
+    proxies: list[str] = field(default_factory=list)
     _standins: list[subprocess.Popen] = field(default_factory=list)
     _directory: Path | None = None
 
@@ -79,7 +86,10 @@
 
     def _start(self) -> None:
         server_count = 2 * SERVERS_PER_SERVICE
-        ports = free_ports(1 + server_count + PORTS_PER_GATEWAY * self.gateway_count)
+        port_count = 1 + server_count + PORTS_PER_GATEWAY * self.gateway_count
+        if self.has_proxies:
+            port_count += PORTS_PER_PROXY * (server_count + self.gateway_count)
+        ports = free_ports(port_count)
         self.store = f"{HOST}:{ports.pop()}"
         self._start_standin("metadata_store", *_host_and_port(self.store))
         wait_until(lambda: self._status(f"http://{self.store}/counters") == HTTP_OK)
@@ -88,18 +98,35 @@
             addresses = [f"{HOST}:{ports.pop()}" for _ in range(SERVERS_PER_SERVICE)]
             self.servers[service] = addresses
             for address in addresses:
-                self._start_server(service, address)
+                registered = self._proxied(address, ports)
+                self._start_server(service, address, registered)
         for index in range(self.gateway_count):
             taken = [ports.pop() for _ in range(PORTS_PER_GATEWAY)]
             path = self._directory / f"gateway-{index}.ini"
             self.gateways.append(GatewayProcess(taken, path))
         for index, gateway in enumerate(self.gateways):
-            gateway.settings_path.write_text(self._settings_text(index, gateway))
+            store = self._proxied(self.store, ports)
+            gateway.settings_path.write_text(self._settings_text(index, gateway, store))
             self.start_gateway(gateway)
         for gateway in self.gateways:
             self.wait_until_ready(gateway)
 
-    def _start_server(self, service: str, address: str) -> None:
+    def _proxied(self, target: str, ports: list[int]) -> str:
+        """Return the address of a new proxy, or the target's own without proxies."""
+        if not self.has_proxies:
+            return target
+        port, control_port = ports.pop(), ports.pop()
+        address = f"{HOST}:{port}"
+        control = f"{HOST}:{control_port}"
+        host_and_port = _host_and_port(address)
+        control_argument = f"--control_port={control_port}"
+        arguments = (*host_and_port, control_argument, f"--target={target}")
+        self._start_standin("fault_proxy", *arguments)
+        wait_until(lambda: self._status(f"http://{control}/faults") == HTTP_OK)
+        self.proxies.append(control)
+        return address
+
+    def _start_server(self, service: str, address: str, registered: str) -> None:
         self._start_standin(
             "route_server",
             *_host_and_port(address),
@@ -107,6 +134,7 @@
             f"--service={service}",
             "--data_centre=here",
             f"--work_s={self.work_s}",
+            f"--registered_address={registered}",
         )
 
     def _start_standin(self, module: str, *arguments: str) -> None:
@@ -115,7 +143,7 @@
             subprocess.Popen(words, stderr=subprocess.DEVNULL, process_group=0)
         )
 
-    def _settings_text(self, index: int, gateway: GatewayProcess) -> str:
+    def _settings_text(self, index: int, gateway: GatewayProcess, store: str) -> str:
         names = (
             "callers_address",
             "readiness_address",
@@ -125,7 +153,7 @@
         lines = ["[instance]", f"name = gateway-{index}", "data_centre = here"]
         lines += [f"{name} = {gateway.address(i)}" for i, name in enumerate(names)]
         lines.append(f"seed_peers = {self.gateways[0].address(2)}")
-        lines += ["[store]", f"address = {self.store}"]
+        lines += ["[store]", f"address = {store}"]
         lines += ["[drain]", f"grace_s = {GRACE_S}", ""]
         return "\n".join(lines)
 
@@ -149,9 +177,26 @@
         url = f"http://{gateway.address(1)}/ready"
         wait_until(lambda: self._status(url) == HTTP_OK)
 
-    def publish(self, version: int, timeout_s: float = 2.0) -> None:
+    def forget_history(self) -> None:
+        """Let the store drop its history."""
+        urllib3.request("POST", f"http://{self.store}/forget")
+
+    def server_facts(self, address: str) -> dict:
+        """Return a server's id and when it last began a request."""
+        return orjson.loads(urllib3.request("GET", f"http://{address}/self").data)
+
+    def let_leave(self, service: str, address: str) -> None:
+        """Let a server say in the store that it takes no new requests."""
+        server_id = self.server_facts(address)["id"]
+        url = f"http://{self.store}/items/servers/{server_id}"
+        value = server_value(service, address, "here", state="draining")
+        urllib3.request("PUT", url, body=value)
+
+    def publish(
+        self, version: int, timeout_s: float = 2.0, added_prefix: str = ""
+    ) -> None:
         """Write a configuration into the store."""
-        value = configuration_value(version, timeout_s)
+        value = configuration_value(version, timeout_s, added_prefix)
         urllib3.request("PUT", f"http://{self.store}/items/op/config", body=value)
 
     def set_faults(self, address: str, **faults: object) -> None:
@@ -162,7 +207,12 @@
     def locate(self, gateway: GatewayProcess) -> list[str]:
         """Return the addresses that a gateway tells callers."""
         url = f"http://{gateway.address(3)}/resolve"
-        answer = urllib3.request("GET", f"{url}?Name={ROUTES_HOST}&Zone=here")
+        answer = urllib3.request(
+            "GET",
+            f"{url}?Name={ROUTES_HOST}&Zone=here",
+            timeout=LOCATE_PATIENCE_S,
+            retries=False,
+        )
         return orjson.loads(answer.data)["Addresses"]
 
     def runs(self, service: str) -> dict[str, int]:
@@ -198,13 +248,17 @@
             return 0
 
 
-def configuration_value(version: int, timeout_s: float) -> bytes:
+def configuration_value(
+    version: int, timeout_s: float, added_prefix: str = ""
+) -> bytes:
     """Return a configuration with a route of each kind, as the operator writes it."""
     rules = [
         _rule("/read/", "safe", READS, timeout_s),
         _rule("/order/", "unsafe", ORDERS, timeout_s),
         _rule("/upload/", "upload", ORDERS, timeout_s),
     ]
+    if added_prefix:
+        rules.append(_rule(added_prefix, "safe", READS, timeout_s))
     limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864}
     limits |= {"HeaderTimeoutS": 3, "IdleTimeoutS": 15}
     clusters = [
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -20,6 +20,7 @@
 PAGE_ITEMS = 50
 MILLISECONDS_PER_SECOND = 1_000
 WRITE_PATH = "/items/"
+FORGET_PATH = "/forget"
 
 
 class MetadataStoreStandIn:
@@ -76,6 +77,9 @@
             return answer_faults(self.faults, environ, start_response)
         if path == "/counters":
             return json_answer(start_response, {"calls": self.call_count})
+        if path == FORGET_PATH:
+            self.forget_history()
+            return json_answer(start_response, {"Revision": self._revision})
         if path.startswith(WRITE_PATH):
             return self._write(environ, path.removeprefix(WRITE_PATH), start_response)
         return self._read(environ, path, start_response)
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -22,6 +22,7 @@
 
 HEALTH_PATH = "/health"
 RUNS_PATH = "/runs"
+SELF_PATH = "/self"
 QUEUED_PER_SLOT = 2
 PERCENT = 100
 # How often the speed of the machine may turn, in seconds.
@@ -43,6 +44,8 @@
         self.faults = Faults(lose_share=0.0, fail_share=0.0, is_draining=False)
         # How often each request id ran.
         self.runs: dict[str, int] = {}
+        # When the last one began, on the steady clock, which all processes share.
+        self.last_run_at_s = 0.0
         self._slots = eventlet.semaphore.Semaphore(slot_count)
         self._running = 0
         self._waiting = 0
@@ -67,6 +70,9 @@
             return answer_faults(self.faults, environ, start_response)
         if path == RUNS_PATH:
             return json_answer(start_response, self.runs)
+        if path == SELF_PATH:
+            document = {"id": self.server_id, "last_run_at_s": self.last_run_at_s}
+            return json_answer(start_response, document)
         if path == HEALTH_PATH:
             status = "503 Draining" if self.faults.is_draining else "200 OK"
             return json_answer(start_response, {}, status, self.headers())
@@ -88,6 +94,7 @@
         finally:
             self._waiting -= 1
         self._running += 1
+        self.last_run_at_s = time.monotonic()
         try:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
             eventlet.sleep(self.work_s * self.slowness_ratio())
@@ -113,11 +120,14 @@
     slot_count: int = 4,
     work_s: float = 0.05,
     slow_share: float = 0.25,
+    registered_address: str = "",
 ) -> None:
     """Register in the store and serve."""
     server_id = f"i-{secrets.token_hex(4)}"
     stand_in = RouteServerStandIn(server_id, slot_count, work_s, slow_share)
-    value = server_value(service, f"{host}:{port}", data_centre, slot_count)
+    # Callers reach it through a proxy if another address is registered.
+    address = registered_address or f"{host}:{port}"
+    value = server_value(service, address, data_centre, slot_count)
     urllib3.request("PUT", f"http://{store}/items/servers/{server_id}", body=value)
     serve_forever(host, port, stand_in)
 
