Never take a whole state that is not newer

Change: a peer's whole state is taken only if it is newer than what is known; a reader whose watch was cut once does not send its peers to the store.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -115,8 +115,11 @@
 
     @property
     def is_store_lost(self) -> bool:
-        """Whether the last call to the store failed."""
-        return self._failure_count > 0
+        """Whether the store failed again after a first failure.
+
+        A watch that was cut is made anew at once; peers need not know of that.
+        """
+        return self._failure_count > 1
 
     @property
     def is_after_outage(self) -> bool:
@@ -128,7 +131,7 @@
         changes: list[Change] = [record.entry for record in self._table.records()]
         if self._routes.configuration is not None:
             changes.append(self._routes.configuration)
-        return FleetNews(tuple(changes), self._revision or 0)
+        return FleetNews(tuple(changes), self._members.own.revision)
 
     def run(self) -> None:
         """Follow for ever."""
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -16,6 +16,8 @@
 # Of so many talks of a speaker one goes to another data centre, where bytes cost.
 FAR_EVERY = 3
 TALK_TIMEOUT_S = 0.4
+# A log line names so many instances at most.
+NAMED_PEERS_LIMIT = 8
 # A seed that does not know others yet is asked again this often.
 SEED_EVERY = 20
 
@@ -186,8 +188,15 @@
     def _tell_changes(self) -> None:
         now_s = monotonic_s()
         live = {member.peers_address for member in self._members.live(now_s)}
-        for address in live - self._seen:
-            self._event_log.write("members", "instance heard", peer=address)
-        for address in self._seen - live:
-            self._event_log.write("members", "instance silent", peer=address)
+        self._tell("instances heard", live - self._seen, len(live))
+        self._tell("instances silent", self._seen - live, len(live))
         self._seen = live
+
+    def _tell(self, event: str, addresses: set[str], live_count: int) -> None:
+        """Write one line for all instances, since a whole fleet may start at once."""
+        if not addresses:
+            return
+        named = ",".join(sorted(addresses)[:NAMED_PEERS_LIMIT])
+        self._event_log.write(
+            "members", event, count=len(addresses), live=live_count, peers=named
+        )
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -116,14 +116,15 @@
     def _ask_each(self, peers: list[Member]) -> FleetNews | None:
         """Return the whole state from the first peer that tells it, or None.
 
-        A peer that is behind this instance would make it go back.
+        One that knows no more than this instance would make it go back, or ask anew
+        for a history that is lost.
         """
         for peer in peers:
             try:
                 news = self._ask(peer, None)
             except (SourceUnavailable, HistoryGone):
                 continue
-            if news.revision >= self._members.own.revision:
+            if news.revision > self._members.own.revision:
                 return news
         return None
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -109,9 +109,20 @@
         self.follower.step()
         self.assertEqual(self.servers(), ["b"])
 
+    def test_a_watch_that_was_cut_once_is_no_loss_of_the_store(self):
+        self.source.failure = SourceUnavailable("cut")
+        self.follower.step()
+        self.assertFalse(self.follower.is_store_lost)
+
+    def test_while_all_is_read_anew_peers_are_told_what_was_known(self):
+        self.source.failure = HistoryGone("forgotten")
+        self.follower.step()
+        self.assertEqual(self.follower.whole().revision, self.source.revision)
+
     def outage(self):
         self.source.failure = SourceUnavailable("down")
         self.follower.step()
+        self.follower.step()
         self.assertTrue(self.follower.is_store_lost)
         self.source.failure = None
 
