Give readers time to read all anew

Cause: after a loss of history all instances learn of it at about the same time; with the change before, those that are no readers would read the whole store at once. Change: they ask the readers for up to 0.5 s first. Test: test_a_reader_has_time_to_read_all_anew.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -6,7 +6,7 @@
 import eventlet
 import urllib3
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.gateway._fleet_source import (
     FleetNews,
     FleetSource,
@@ -35,6 +35,9 @@
 HEARD_LIMIT_S = 2.0
 # Without a reader that hears the store, it is asked directly this often.
 DIRECT_EVERY_S = 1.5
+# How long an instance that must read all anew waits for a reader to have done so.
+READERS_PATIENCE_S = 0.5
+READERS_LOOK_EVERY_S = 0.1
 # An instance that had to ask the store itself goes on to do so for this time.
 DIRECT_FOR_S = 4.0
 
@@ -100,11 +103,9 @@
         SourceUnavailable
             If none answers.
         """
-        readers = self._members.speakers(monotonic_s())
-        if self._members.own not in readers:
-            news = self._ask_each(readers)
-            if news is not None:
-                return news
+        news = self._read_from_readers()
+        if news is not None:
+            return news
         try:
             return self._ask_store(lambda: self._direct.read(may_be_old))
         except SourceUnavailable as unavailable:
@@ -113,6 +114,23 @@
                 raise unavailable
             return news
 
+    def _read_from_readers(self) -> FleetNews | None:
+        """Return the whole state from a reader of this data centre, or None.
+
+        Where the store's history is lost, all instances learn of it at about the same
+        time, and readers need a moment to read all anew.
+        """
+        end_s = monotonic_s() + READERS_PATIENCE_S
+        while True:
+            now_s = monotonic_s()
+            readers = self._members.speakers(now_s)
+            if not readers or self._members.own in readers:
+                return None
+            news = self._ask_each(readers)
+            if news is not None or now_s >= end_s:
+                return news
+            sleep_s(READERS_LOOK_EVERY_S)
+
     def _ask_each(self, peers: list[Member]) -> FleetNews | None:
         """Return the whole state from the first peer that tells it, or None.
 
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -98,6 +98,13 @@
         self.assertEqual(self.relayed.read().revision, 7)
         self.assertEqual(self.source.call_count, 0)
 
+    def test_a_reader_has_time_to_read_all_anew(self):
+        self.members.own.revision = 9
+        told = [7, 9, 12]
+        self.add_reader(self.serve(lambda: FleetNews((), told.pop(0))))
+        self.assertEqual(self.relayed.read().revision, 12)
+        self.assertEqual(self.source.call_count, 0)
+
     def test_a_reader_that_knows_no_more_tells_no_whole_state(self):
         # Two instances that take each other for a reader would never ask the store.
         self.members.own.revision = 9
