Keep to Keep-Alive, and pass over an address that another server has taken

Cause: idle connections were kept for 8 s whatever a server says; a server that answers 421 in place of another was asked again after 50 ms. Change: four fifths of the stated time are used; such a server counts as silent. Tests: test_a_connection_is_used_no_longer_than_its_server_keeps_it, test_a_server_whose_address_another_has_taken_is_passed_over.

--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -209,6 +209,10 @@
         if not self._dialect.is_not_executed(answer.status, answer.fields):
             server.attempt_ended(answer.status >= FAILURE_STATUS, now_s)
             return
+        named = self._dialect.server_id(answer.fields)
+        if named not in (None, server.entry.server_id):
+            # Its address has been given to another server.
+            server.probe_unanswered(now_s)
         server.refused(now_s, FULL_REST_S)
         end = AttemptEnd.SHED
         self._metrics.attempt_ended(server.entry.service, end.value, duration_s)
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -231,6 +231,18 @@
                 eventlet.sleep(2 * FRESH_REPORT_S)
         self.assertEqual(silent.requests_of("/order/x"), 0)
 
+    def test_a_server_whose_address_another_has_taken_is_passed_over(self):
+        foreign = NOT_RUN.replace(b"Wordy-Not-Run", b"Wordy-Server: x\r\nWordy-Not-Run")
+        told = OK.replace(b"Wordy-Id: a", b"Wordy-Id: a\r\nWordy-Load: 0,0,4,1")
+        sound, taken = self.path.backends[READS]
+        sound.answers = {"/read/x": Answers(told)}
+        taken.answers = {"/read/x": Answers(foreign)}
+        with self.path.connect() as caller:
+            for _ in range(8):
+                self.assertEqual(caller.exchange("/read/x").status, 200)
+                eventlet.sleep(2 * FULL_REST_S)
+        self.assertLessEqual(taken.requests_of("/read/x"), 1)
+
     def test_no_more_connections_than_this_instances_part_go_to_a_server(self):
         # 100 connections are shared by 16 instances at least.
         part = 100 // 16
--- a/berylhaven/http1/_connection_pool.py
+++ b/berylhaven/http1/_connection_pool.py
@@ -141,10 +141,11 @@
         age_limit_s = self._idle_limit_s if is_idempotent else IDLE_FOR_ONCE_ONLY_S
         while server.idle:
             # The last one is the youngest, so what is left is older still.
-            if now_s - server.idle[-1].used_at_s > age_limit_s:
+            idle_s = now_s - server.idle[-1].used_at_s
+            if idle_s > age_limit_s:
                 return None
             connection = server.idle.pop()
-            if connection.is_quiet():
+            if idle_s <= connection.idle_limit_s and connection.is_quiet():
                 return connection
             connection.close()
         return None
@@ -232,11 +233,15 @@
         """Close what has been idle for too long, and forget unused servers."""
         now_s = self._swept_at_s = monotonic_s()
         for address, server in list(self._servers.items()):
-            while server.idle and now_s - server.idle[0].used_at_s > self._idle_limit_s:
+            while server.idle and self._is_aged(server.idle[0], now_s):
                 server.idle.pop(0).close()
             if server.open_count == 0 and server.backoff.is_forgettable(now_s):
                 del self._servers[address]
 
+    def _is_aged(self, connection: UpstreamConnection, now_s: float) -> bool:
+        limit_s = min(self._idle_limit_s, connection.idle_limit_s)
+        return now_s - connection.used_at_s > limit_s
+
     def counts(self, address: str) -> ConnectionCounts:
         """Return how many connections to a server are open."""
         server = self._servers.get(address)
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import io
+import math
 import re
 import socket
 from dataclasses import dataclass
@@ -16,6 +17,10 @@
 STATUS_LINE = re.compile(
     rb"(HTTP/1\.[01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r\n"
 )
+# The seconds after which a server closes an idle connection.
+KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,\s])timeout=([0-9]{1,6})(?:$|[,\s])")
+# A request needs its time on the way, and servers name whole seconds only.
+KEEP_ALIVE_RATIO = 0.8
 HTTP_1_1 = "HTTP/1.1"
 STATUS_LINE_LIMIT_BYTES = 4_096
 SWITCHING_PROTOCOLS = 101
@@ -97,6 +102,7 @@
         "opened_at_s",
         "used_at_s",
         "was_tried",
+        "idle_limit_s",
         "_head_limit_bytes",
         "_http",
         "_source",
@@ -112,6 +118,8 @@
         self.used_at_s = 0.0
         # Whether opening it was tried.
         self.was_tried = False
+        # How long it may be idle, by what its server said; infinite if it said nothing.
+        self.idle_limit_s = math.inf
         self._head_limit_bytes = head_limit_bytes
         # urllib3 sets TCP_NODELAY on its connections.
         self._http = HTTPConnection(host, int(port))
@@ -220,7 +228,13 @@
                 version.decode(), int(status), reason.decode("latin-1"), fields
             )
             if head.status >= FINAL_STATUS:
+                self._learn_idle_limit(head.fields)
                 return head
             if head.status == SWITCHING_PROTOCOLS:
                 break
         raise http.client.BadStatusLine("101, or too many interim answers")
+
+    def _learn_idle_limit(self, fields: HeadFields) -> None:
+        match = KEEP_ALIVE_TIMEOUT.search(fields.get("keep-alive") or "")
+        if match is not None:
+            self.idle_limit_s = KEEP_ALIVE_RATIO * int(match[1])
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -13,7 +13,7 @@
     ConnectionCounts,
     ConnectionPool,
 )
-from berylhaven.http1.tests._raw_backend import RawBackend
+from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
 
 LIMIT = 4
 
@@ -24,6 +24,8 @@
     def setUp(self):
         self.backend = RawBackend()
         self.addCleanup(self.backend.stop)
+        # It begins to accept while the clock still runs.
+        eventlet.sleep(0)
         self.address = self.backend.address
         self.clock = ManualClock()
         self.clock.__enter__()
@@ -66,6 +68,23 @@
         self.assertIsNot(other, connection)
         self.assertIs(self.open(is_idempotent=True), connection)
 
+    def test_a_connection_is_used_no_longer_than_its_server_keeps_it(self):
+        for said, limit_s in ((b"timeout=2", 1.6), (b"max=5, timeout=1", 0.8)):
+            with self.subTest(said):
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: "
+                self.backend.answers = {"/": answers_raw(head + said + b"\r\n\r\n")}
+                connection = self.open(needs_new=True)
+                connection.send(b"GET / HTTP/1.1\r\n\r\n")
+                connection.read_head()
+                self.put_back([connection])
+                self.clock.advance_s(limit_s - 0.1)
+                self.assertIs(self.open(is_idempotent=True), connection)
+                self.put_back([connection])
+                self.clock.advance_s(limit_s + 0.1)
+                other = self.open(is_idempotent=True)
+                self.assertIsNot(other, connection)
+                self.pool.put_back(other, is_reusable=False)
+
     def test_a_connection_idle_for_too_long_is_closed(self):
         connections = self.open_many(2)
         self.put_back(connections)
