Ask far servers once near ones are busy

With 30 near servers four rounds of two probes never came to another data centre. Change: from the third round on far servers are asked too. Test: test_a_busy_data_centre_sends_requests_to_another, red without it.

--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -30,8 +30,9 @@
 # A server that has joined is treated as if it had a connection for this time, so that
 # it gets its part within seconds.
 JOINED_FOR_S = 6.0
-# How many rounds of probes one choice may take.
-PROBE_ROUNDS_LIMIT = 4
+# How many of the servers of each round of probes stand in other data centres; a whole
+# data centre may be too busy.
+FAR_PROBED_COUNTS = (0, 0, 1, 2, 2)
 # The worth below which no server is expected to answer in time.
 HOPELESS_WORTH = 0.0
 
@@ -121,12 +122,12 @@
             for server in self._table.candidates(request.service.name)
             if server.entry.server_id not in request.excluded
         ]
-        order = self._order(candidates, request)
+        near, far = self._order(candidates)
         compared: list[ServerRecord] = []
         best: ServerRecord | None = None
         worth = HOPELESS_WORTH
-        for _ in range(PROBE_ROUNDS_LIMIT):
-            probed, order = order[:PROBED_COUNT], order[PROBED_COUNT:]
+        for far_count in FAR_PROBED_COUNTS:
+            probed = _take(near, far, far_count)
             if not probed:
                 break
             self._prober.refresh(probed, request.service.health_path)
@@ -165,18 +166,17 @@
         )
 
     def _order(
-        self, candidates: list[ServerRecord], request: ChoiceRequest
-    ) -> list[ServerRecord]:
-        """Return the candidates in the order in which they are asked.
+        self, candidates: list[ServerRecord]
+    ) -> tuple[list[ServerRecord], list[ServerRecord]]:
+        """Return near and far candidates, each in the order in which they are asked.
 
-        Near ones come first, in random order but for those that were full or failed
-        just now, and those to which a connection would have to be opened.
+        The order is random but for those that were full or failed just now, and those
+        to which a connection would have to be opened.
         """
         now_s = monotonic_s()
 
-        def rank(server: ServerRecord) -> tuple[bool, float]:
+        def rank(server: ServerRecord) -> float:
             """Return the sort key of a server."""
-            is_remote = server.entry.data_centre != self._data_centre
             penalty = server.failure_ratio(now_s) * FAILURE_COST
             if now_s < server.full_until_s:
                 penalty += 1.0
@@ -185,9 +185,12 @@
             has_joined = now_s - server.first_seen_at_s < JOINED_FOR_S
             if not has_joined and not self._has_connection(server.entry.address):
                 penalty += NEW_CONNECTION_COST
-            return is_remote, penalty + self._random.random()
+            return penalty + self._random.random()
 
-        return sorted(candidates, key=rank)
+        ordered = sorted(candidates, key=rank)
+        near = [s for s in ordered if s.entry.data_centre == self._data_centre]
+        far = [s for s in ordered if s.entry.data_centre != self._data_centre]
+        return near, far
 
     def _remote_cost(self, server: ServerRecord, request: ChoiceRequest) -> float:
         if server.entry.data_centre == self._data_centre:
@@ -212,3 +215,14 @@
         if server.is_silent:
             worth -= SILENCE_COST
         return worth
+
+
+def _take(
+    near: list[ServerRecord], far: list[ServerRecord], far_count: int
+) -> list[ServerRecord]:
+    """Remove and return the next servers to ask; where one kind ends, the other."""
+    far_count = max(min(far_count, len(far)), PROBED_COUNT - len(near))
+    near_count = PROBED_COUNT - min(far_count, len(far))
+    taken = near[:near_count] + far[:far_count]
+    del near[:near_count], far[:far_count]
+    return taken
--- a/berylhaven/gateway/tests/test_server_chooser.py
+++ b/berylhaven/gateway/tests/test_server_chooser.py
@@ -53,8 +53,8 @@
             self.join(f"s{number}")
         self.clock.advance_s(2 * JOINED_FOR_S)
 
-    def join(self, name):
-        entry = ServerEntry(name, READS, f"{name}:80", "here", SLOT_COUNT, False)
+    def join(self, name, data_centre="here"):
+        entry = ServerEntry(name, READS, f"{name}:80", data_centre, SLOT_COUNT, False)
         self.table.put(entry, monotonic_s())
 
     def choose(self):
@@ -79,6 +79,21 @@
         later = {self.choose() for _ in range(20)}
         self.assertFalse(first & later)
 
+    def test_a_busy_data_centre_sends_requests_to_another(self):
+        for number in range(30):
+            self.prober.running_count[f"s{number}"] = 6 * SLOT_COUNT
+            self.join(f"far{number}", "there")
+        self.clock.advance_s(2 * JOINED_FOR_S)
+        chosen = [self.choose() for _ in range(20)]
+        self.assertTrue(all(name.startswith("far") for name in chosen), chosen)
+
+    def test_an_idle_data_centre_keeps_its_requests(self):
+        for number in range(30):
+            self.join(f"far{number}", "there")
+        self.clock.advance_s(2 * JOINED_FOR_S)
+        chosen = [self.choose() for _ in range(20)]
+        self.assertFalse(any(name.startswith("far") for name in chosen), chosen)
+
     def test_a_server_that_joins_gets_requests(self):
         for _ in range(20):
             self.choose()
