--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -44,15 +44,22 @@
             return [b""]
         before = self.faults.as_dict()
         answer = answer_faults(self.faults, environ, start_response)
-        if self.faults.reset_count > before["reset_count"]:
-            self._disturb_open(_Link.reset)
-        if self.faults.silence_count > before["silence_count"]:
-            self._disturb_open(_Link.silence)
+        self.disturb_open_since(before)
         return answer
 
-    def _disturb_open(self, disturb: Callable) -> None:
+    def disturb_open_since(self, before: dict) -> None:
+        """Reset or silence what is open, if a count has risen.
+
+        Parameters
+        ----------
+        before : dict
+            The fault switches as they were.
+        """
         for link in list(self._links):
-            disturb(link)
+            if self.faults.reset_count > before["reset_count"]:
+                link.reset()
+            if self.faults.silence_count > before["silence_count"]:
+                link.silence()
 
     def serve(self, listener: socket.socket) -> None:
         """Take connections for ever."""
@@ -106,8 +113,9 @@
             self._await_passage(way)
             if not self._is_silent:
                 sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            # An end that was reset on one side is a reset on the other.
+        except (OSError, EOFError):
+            # An end that was reset on one side is a reset on the other; the green
+            # socket raises EOFError where it was closed while it was read.
             self.reset()
 
     def _await_passage(self, way: str) -> None:
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -40,8 +40,11 @@
         self.slot_count = slot_count
         self.work_s = work_s
         self.slow_share = slow_share
-        # lose_share of the answers are cut off after the request has run.
-        self.faults = Faults(lose_share=0.0, fail_share=0.0, is_draining=False)
+        # lose_share of the answers are cut off after the request has run; lie_share of
+        # them say that it has not run, which a check of promises must find.
+        self.faults = Faults(
+            lose_share=0.0, fail_share=0.0, lie_share=0.0, is_draining=False
+        )
         # How often each request id ran.
         self.runs: dict[str, int] = {}
         # When the last one began, on the steady clock, which all processes share.
@@ -103,6 +106,9 @@
             self._slots.release()
         if random.random() < self.faults.lose_share:
             raise ConnectionResetError("an answer that is lost on purpose")
+        if random.random() < self.faults.lie_share:
+            refusal = (*self.headers(), ("X-Not-Executed", "1"))
+            return json_answer(start_response, {}, "503 Full", refusal)
         seal = (*self.headers(), ("X-Request-Id", request_id))
         seal = (*seal, ("X-Server-Seal", f"{self.server_id}.{request_id}"))
         if random.random() < self.faults.fail_share:
--- /dev/null
+++ b/standins/tests/test_fault_proxy.py
@@ -0,0 +1,94 @@
+"""Tests of the proxy that disturbs connections."""
+
+import unittest
+
+import eventlet
+
+from standins.fault_proxy import FaultProxy
+
+PATIENCE_S = 2.0
+SILENCE_S = 0.2
+
+
+class FaultProxyTest(unittest.TestCase):
+    """A program that echoes, behind a proxy."""
+
+    def setUp(self):
+        target = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(target.close)
+        self.spawn(self.echo, target)
+        host, port = target.getsockname()
+        self.proxy = FaultProxy(f"{host}:{port}")
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.spawn(self.proxy.serve, self.listener)
+
+    def spawn(self, function, *arguments):
+        thread = eventlet.spawn(function, *arguments)
+        self.addCleanup(thread.kill)
+
+    def echo(self, listener):
+        while True:
+            sock, _ = listener.accept()
+            eventlet.spawn(self.echo_one, sock)
+
+    def echo_one(self, sock):
+        try:
+            while piece := sock.recv(100):
+                sock.sendall(piece)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def connect(self):
+        sock = eventlet.connect(self.listener.getsockname())
+        self.addCleanup(sock.close)
+        return sock
+
+    def ask(self, sock, patience_s=PATIENCE_S):
+        """Return what comes back of three bytes; None if nothing comes in time."""
+        sock.sendall(b"abc")
+        return self.receive(sock, patience_s)
+
+    def receive(self, sock, patience_s=PATIENCE_S):
+        sock.settimeout(patience_s)
+        try:
+            return sock.recv(3)
+        except TimeoutError:
+            return None
+
+    def post(self, **faults):
+        """Set faults as a call over HTTP does."""
+        before = self.proxy.faults.as_dict()
+        self.proxy.faults.set(faults)
+        self.proxy.disturb_open_since(before)
+
+    def test_without_faults_bytes_go_both_ways(self):
+        self.assertEqual(self.ask(self.connect()), b"abc")
+
+    def test_held_bytes_come_once_the_way_is_free(self):
+        for way in ("onward", "back", "both"):
+            with self.subTest(way):
+                sock = self.connect()
+                self.post(held_way=way)
+                self.assertIsNone(self.ask(sock, SILENCE_S))
+                self.post(held_way="")
+                self.assertEqual(self.receive(sock), b"abc")
+
+    def test_a_reset_ends_what_is_open_and_nothing_else(self):
+        sock = self.connect()
+        self.assertEqual(self.ask(sock), b"abc")
+        self.post(reset_count=1)
+        eventlet.sleep(SILENCE_S)
+        # The green socket's own reads tell a reset as an ordinary end.
+        with self.assertRaises(ConnectionResetError):
+            sock.fd.recv(3)
+        self.assertEqual(self.ask(self.connect()), b"abc")
+
+    def test_what_is_silenced_stays_silent_and_new_connections_work(self):
+        sock = self.connect()
+        self.assertEqual(self.ask(sock), b"abc")
+        self.post(silence_count=1)
+        self.assertIsNone(self.ask(sock, SILENCE_S))
+        self.assertEqual(self.ask(self.connect()), b"abc")
