Count outcomes of requests from logs

Cause: on-call engineers see thousands of lines; the issue asks for counts by cause. Change: berylhaven logs summary, with a plot by second.

--- a/berylhaven/cli/commands/_trace.py
+++ b/berylhaven/cli/commands/_trace.py
@@ -1,15 +1,11 @@
 """The command ``trace``."""
 
-import contextlib
-import sys
-from collections.abc import Iterable
-
+from berylhaven.cli._log_files import STANDARD_INPUT, log_lines
 from berylhaven.cli._output import print_json
 from berylhaven.cli._registry import register_command
 from berylhaven.event_log import TracedLine, trace
-from berylhaven.results import BadUsage, NoSuchRequest
+from berylhaven.results import NoSuchRequest
 
-STANDARD_INPUT = "-"
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -28,7 +24,7 @@
     json : bool
         Print JSON.
     """
-    found = trace(_lines(logs), request)
+    found = trace(log_lines(logs), request)
     if not found:
         raise NoSuchRequest(f"no line of {logs} names the request {request}")
     if json:
@@ -39,18 +35,5 @@
         print(f"{after_ms:+9.1f} ms  {line.origin}  {line.text}")
 
 
-def _lines(logs: str) -> Iterable[str]:
-    if logs == STANDARD_INPUT:
-        yield from sys.stdin
-        return
-    for path in logs.split(","):
-        with contextlib.ExitStack() as stack:
-            try:
-                file = stack.enter_context(open(path, errors="replace"))
-            except OSError as error:
-                raise BadUsage(f"{path}: {error.strerror}") from None
-            yield from file
-
-
 def _document(line: TracedLine) -> dict:
     return {"at_s": line.at_s, "origin": line.origin, "text": line.text}
--- a/berylhaven/cli/tests/test_gateway_commands.py
+++ b/berylhaven/cli/tests/test_gateway_commands.py
@@ -57,3 +57,14 @@
         logs = self.file("one", OTHER)
         self.assertEqual(run("trace", "a1", "--logs", logs)[0], 1)
         self.assertEqual(run("trace", "a1", "--logs", logs + ".none")[0], 2)
+
+    def test_a_summary_counts_outcomes_and_plots_them(self):
+        refusal = OTHER.replace("answered", "refused").replace("200", "503")
+        logs = self.file("one", 2 * OTHER + refusal.replace("12.6", "14.6"))
+        status, output, _ = run("logs", "summary", "--logs", logs)
+        self.assertEqual(status, 0)
+        self.assertIn("       2      0.0  200", output)
+        self.assertIn("  200 |@  |", output)
+        self.assertIn("  503 |  @|", output)
+        document = orjson.loads(run("logs", "summary", "--logs", logs, "--json")[1])
+        self.assertEqual([row["status"] for row in document], [200, 503])
