--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,11 @@
 DURATION_S ?= 0
 # Further options of the demonstration, such as --kill_one.
 DEMO_OPTIONS ?=
+# Further options of the soak.
+SOAK_OPTIONS ?=
 SOURCES := $(shell find berylhaven -name '*.py' -not -path '*/tests/*')
 
-.PHONY: run run-gateways test bench slopes soak install format lint unit docs binary smoke clean clean-venv
+.PHONY: run run-gateways test bench slopes soak entry-soak install format lint unit docs binary smoke clean clean-venv
 
 run: binary
 	$(BIN)/python -m standins.demo --duration_s=$(DURATION_S) \
@@ -59,7 +61,13 @@
 slopes: install
 	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m bench.slopes
 
+# Seeded faults around gateways as processes; SOAK_OPTIONS="--seed=7 --count=50".
 soak: install
+	$(BIN)/python -W "ignore:.*Eventlet is deprecated" -m bench.gateway_soak \
+		--duration_s=$(DURATION_S) $(SOAK_OPTIONS)
+
+# The same for the older role, the entry instance.
+entry-soak: install
 	$(BIN)/python -m bench.soak --duration_s $(DURATION_S)
 
 clean:
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -55,7 +55,7 @@
 # longer; it serves them for this part of its grace at least.
 SERVED_RATIO = 0.6
 # Before the grace is over, so that it ends by itself.
-END_MARGIN_S = 0.7
+END_MARGIN_S = 0.9
 # The other instances that are told at once that this one leaves or comes.
 URGENT_PEERS = 4
 
