Put a gateway instance together in smaller steps

Change: the forwarder and this instance's own member are made in functions of their own. Tests: test_attempts, test_settings_file, test_gateway_metrics, test_gateway_fleet pass.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -30,7 +30,7 @@
 from berylhaven.gateway._server_chooser import ServerChooser
 from berylhaven.gateway._server_probe import ServerProber
 from berylhaven.gateway._server_table import ServerTable
-from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.gateway._settings import GatewayInstanceSettings, GatewaySettings
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.http1 import ConnectionPool
 
@@ -115,43 +115,19 @@
         self._random = Random()
         self._routes = RoutesInForce()
         self._table = ServerTable()
+        # What this instance counts.
+        self.metrics = GatewayMetrics()
+        others = set(settings.instance.seed_peers) - {settings.instance.peers_address}
+        self._members = MemberTable(
+            _own_member(settings.instance), expects_peers=bool(others)
+        )
         pool = ConnectionPool(
             self._connection_part,
             ANSWER_HEAD_LIMIT_BYTES,
             self._random,
             SERVER_IDLE_LIMIT_S,
         )
-        # What this instance counts.
-        self.metrics = GatewayMetrics()
-        prober = ServerProber(pool, dialect, self.metrics)
-        instance = settings.instance
-        chooser = ServerChooser(
-            instance.data_centre,
-            self._table,
-            prober,
-            self._random,
-            lambda address: pool.counts(address).open_count > 0,
-        )
-        own = Member(
-            instance.peers_address,
-            instance.callers_address,
-            instance.data_centre,
-            wall_clock_ms(),
-            0,
-            False,
-        )
-        others = set(instance.seed_peers) - {instance.peers_address}
-        self._members = MemberTable(own, expects_peers=bool(others))
-        self._forwarder = Forwarder(
-            self._routes,
-            AttemptRunner(chooser, pool, dialect, event_log, self.metrics),
-            dialect,
-            settings.retries.allowance,
-            self._sharer_count,
-            self._random,
-            event_log,
-            self.metrics,
-        )
+        self._forwarder = self._make_forwarder(pool, dialect)
         self._port = CallersPort(
             self._forwarder.answer, self._routes, dialect, event_log
         )
@@ -167,7 +143,7 @@
             event_log,
         )
         self._gossip = MemberGossip(
-            self._members, instance.seed_peers, self._random, event_log
+            self._members, settings.instance.seed_peers, self._random, event_log
         )
         InstanceGauges(
             self.metrics,
@@ -183,6 +159,25 @@
         self._is_leaving = False
         self._started_at_s = monotonic_s()
 
+    def _make_forwarder(self, pool: ConnectionPool, dialect: Dialect) -> Forwarder:
+        chooser = ServerChooser(
+            self._settings.instance.data_centre,
+            self._table,
+            ServerProber(pool, dialect, self.metrics),
+            self._random,
+            lambda address: pool.counts(address).open_count > 0,
+        )
+        return Forwarder(
+            self._routes,
+            AttemptRunner(chooser, pool, dialect, self._event_log, self.metrics),
+            dialect,
+            self._settings.retries.allowance,
+            self._sharer_count,
+            self._random,
+            self._event_log,
+            self.metrics,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether callers shall come here."""
@@ -394,3 +389,14 @@
             return False
         self._port.close_idle()
         return self._port.pending_count == 0
+
+
+def _own_member(settings: GatewayInstanceSettings) -> Member:
+    return Member(
+        settings.peers_address,
+        settings.callers_address,
+        settings.data_centre,
+        incarnation=wall_clock_ms(),
+        beat=0,
+        is_ready=False,
+    )
