Tell peers the difference after a loss of history, and ask the other reader first

When the history is lost, each instance of a data centre asks a reader for the whole state: 448 servers are some 100 KB (worked out), and a reader's link takes 10 Mbit/s. Change: a reader that has read all anew tells its peers the difference to what it told them; after one reader's failure the other is asked at once, and only then the store; an instance that does not hear the store is no speaker. Tests: test_peers_get_the_difference_after_a_loss_of_history, test_after_one_readers_refusal_the_other_is_asked, test_an_instance_that_does_not_hear_the_store_is_no_speaker.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -9,6 +9,7 @@
     EntryUnusable,
     FleetNews,
     HistoryGone,
+    ServerRemoved,
     SourceUnavailable,
 )
 from berylhaven.gateway._members import MemberTable
@@ -175,8 +176,13 @@
         is_first = self._members.own.revision == 0
         news = self._source.read(may_be_old=is_first)
         self._regained()
+        difference = self._difference(news)
         self._take_whole(news)
-        self._log.begin(news.revision)
+        if is_first:
+            self._log.begin(news.revision)
+        else:
+            # Peers that read by way of this instance need not read all anew.
+            self._log.add(difference)
         self._set_revision(news.revision)
         if is_first:
             self._first_watch_by_s = monotonic_s() + FIRST_WATCH_WITHIN_S
@@ -242,6 +248,21 @@
         self._failure_count = 0
         self._returned_at_s = monotonic_s()
 
+    def _difference(self, news: FleetNews) -> FleetNews:
+        """Return what a whole state changes in what is known."""
+        listed = {c.server_id for c in news.changes if isinstance(c, ServerEntry)}
+        changes = [change for change in news.changes if not self._is_known(change)]
+        changes += map(ServerRemoved, self._table.server_ids() - listed)
+        return FleetNews(tuple(changes), news.revision)
+
+    def _is_known(self, change: Change) -> bool:
+        if isinstance(change, ServerEntry):
+            known = self._table.record(change.server_id)
+            return known is not None and known.entry == change
+        if isinstance(change, RoutingConfiguration):
+            return change.version == self._routes.version
+        return False
+
     def _take_whole(self, news: FleetNews) -> None:
         listed = {c.server_id for c in news.changes if isinstance(c, ServerEntry)}
         self._take_changes(news)
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -258,7 +258,9 @@
         ]
         if self.own.is_ready:
             near.append(self.own)
-        return sorted(near, key=rank)[:SPEAKERS_PER_DATA_CENTRE]
+        # One that does not hear the store gives way to the next.
+        near.sort(key=lambda member: (member.calm_s == 0, rank(member)))
+        return near[:SPEAKERS_PER_DATA_CENTRE]
 
     def newest_revision(self, now_s: float) -> int:
         """Return the highest revision that a live instance knows."""
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -139,7 +139,7 @@
         """
         for peer in peers:
             try:
-                news = self._ask(peer, None)
+                news = self._ask(peer, None, 0.0)
             except (SourceUnavailable, HistoryGone):
                 continue
             if news.revision > self._members.own.revision:
@@ -164,14 +164,27 @@
         self._turn += 1
         reader = readers[self._turn % len(readers)]
         try:
-            return self._ask(reader, revision)
+            return self._ask(reader, revision, PEER_WAIT_S)
         except SourceUnavailable as unavailable:
+            others = [member for member in readers if member is not reader]
+            news = self._ask_at_once(others, revision)
+            if news is not None:
+                return news
             if monotonic_s() - self._asked_at_s < DIRECT_EVERY_S:
                 raise unavailable
         news = self._watch_direct(revision, 0.0)
         self._direct_until_s = monotonic_s() + DIRECT_FOR_S
         return news
 
+    def _ask_at_once(self, readers: list[Member], revision: int) -> FleetNews | None:
+        """Return the news of the first reader that answers at once, or None."""
+        for reader in readers:
+            try:
+                return self._ask(reader, revision, 0.0)
+            except SourceUnavailable:
+                continue
+        return None
+
     def look(self, revision: int) -> FleetNews:
         """Return the changes after a revision that the store knows now."""
         return self._watch_direct(revision, 0.0)
@@ -198,14 +211,14 @@
             :ASKED_PEERS_LIMIT
         ]
 
-    def _ask(self, reader: Member, revision: int | None) -> FleetNews:
-        query = {"wait_ms": str(int(PEER_WAIT_S * MILLISECONDS_PER_SECOND))}
+    def _ask(self, reader: Member, revision: int | None, wait_s: float) -> FleetNews:
+        query = {"wait_ms": str(int(wait_s * MILLISECONDS_PER_SECOND))}
         if revision is not None:
             query["after"] = str(revision)
         url = f"http://{reader.peers_address}{NEWS_PATH}?"
         late = SourceUnavailable(f"{reader.peers_address}: no answer")
         try:
-            with eventlet.Timeout(PEER_WAIT_S + PEER_MARGIN_S, late):
+            with eventlet.Timeout(wait_s + PEER_MARGIN_S, late):
                 answer = self._http.request("GET", url + urllib.parse.urlencode(query))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise SourceUnavailable(f"{reader.peers_address}: {error}") from error
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -114,6 +114,19 @@
         self.follower.step()
         self.assertFalse(self.follower.is_store_lost)
 
+    def test_peers_get_the_difference_after_a_loss_of_history(self):
+        before = self.source.revision
+        self.source.failure = HistoryGone("forgotten")
+        self.follower.step()
+        self.source.failure = None
+        self.source.whole = [configuration(4), entry("b"), entry("c")]
+        self.source.revision += 5
+        self.follower.step()
+        news = self.log.after(before)
+        self.assertEqual(news.revision, self.source.revision)
+        self.assertEqual(set(news.changes[1:]), {entry("c"), ServerRemoved("a")})
+        self.assertEqual(news.changes[0].version, 4)
+
     def test_while_all_is_read_anew_peers_are_told_what_was_known(self):
         self.source.failure = HistoryGone("forgotten")
         self.follower.step()
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -112,6 +112,19 @@
         except ValueError as error:
             self.assertTrue(str(error))
 
+    def test_an_instance_that_does_not_hear_the_store_is_no_speaker(self):
+        for name in "abcd":
+            heard = member(name)
+            heard.calm_s = 5
+            self.table.take(heard, 0.0)
+        first = self.table.speakers(0.0)[0]
+        cut_off = member(first.peers_address.split(":")[0], beat=2)
+        self.table.take(cut_off, 0.5)
+        speakers = [m.peers_address for m in self.table.speakers(0.5)]
+        self.assertEqual(len(speakers), SPEAKERS_PER_DATA_CENTRE)
+        self.assertNotIn(first.peers_address, speakers)
+        self.assertNotIn("own:peers", speakers)
+
 
 class FleetGossipTest(unittest.TestCase):
     """Instances of several data centres that talk without sockets."""
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -70,6 +70,13 @@
         self.assertEqual(self.relayed.watch(1, 1.0).revision, 2)
         self.assertEqual(self.source.call_count, 1)
 
+    def test_after_one_readers_refusal_the_other_is_asked(self):
+        self.add_reader(self.serve(self.refuse))
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        for _ in range(4):
+            self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
+        self.assertEqual(self.source.call_count, 0)
+
     def test_a_silent_reader_is_given_up_in_time(self):
         listener = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(listener.close)
