Let a new reader hear the store at once

Cause: an instance that becomes a reader told its peers that it had not heard the store until its first watch ended, up to 1.5 s later; they asked the store themselves. Change: its first watch does not wait. Test: test_a_new_reader_hears_the_store_at_once_and_waits_from_then_on.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -160,7 +160,10 @@
         readers = self._members.speakers(now_s)
         is_reader = not readers or self._members.own in readers
         if is_reader or now_s < self._direct_until_s:
-            return self._watch_direct(revision, min(wait_s, DIRECT_WAIT_S))
+            # Peers may ask a new reader once the store has answered it.
+            is_heard = now_s - self._log.heard_at_s <= HEARD_LIMIT_S
+            wait_s = min(wait_s, DIRECT_WAIT_S) if is_heard else 0.0
+            return self._watch_direct(revision, wait_s)
         self._turn += 1
         reader = readers[self._turn % len(readers)]
         try:
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -109,6 +109,8 @@
         self.failure = None
         # Whether each reading of the whole state allowed an old one.
         self.old_allowed = []
+        # How long each watch was to wait.
+        self.waits_s = []
         # The settings of the last move.
         self.moved_to = None
 
@@ -138,6 +140,7 @@
 
     def watch(self, revision, wait_s):
         self.call_count += 1
+        self.waits_s.append(wait_s)
         self._check()
         news = self._news(revision)
         if not news.changes:
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -56,6 +56,12 @@
         self.assertEqual(self.relayed.watch(1, 0.0).revision, 1)
         self.assertEqual(self.source.call_count, 1)
 
+    def test_a_new_reader_hears_the_store_at_once_and_waits_from_then_on(self):
+        for longest_s in (0.1, 1.0):
+            with eventlet.Timeout(longest_s):
+                self.relayed.watch(1, 0.2)
+        self.assertEqual(self.source.waits_s, [0.0, 0.2])
+
     def test_news_of_a_reader_costs_no_call(self):
         self.add_reader(self.serve(lambda: FleetNews((), 7)))
         self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
