Catch up by a reader first, and read all anew where the history is lost

Cause: an instance that was behind asked the store, a priced call, though a reader knew; and where the store had lost its history it only logged that, while its watch waited on a connection that heard nothing any more. Change: readers are asked first, the store if they know too little; after a lost history all is read anew at once. Before the first watch nothing is caught up. Tests: test_an_instance_that_is_behind_asks_a_reader_that_knows_enough, test_one_that_is_behind_a_lost_history_reads_all_while_its_watch_waits.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -199,7 +199,8 @@
             self._tell_calm()
             now_s = monotonic_s()
             newest = self._members.newest_revision(now_s)
-            if self._revision is None or newest <= self._revision:
+            is_behind = self._revision is not None and newest > self._revision
+            if not is_behind or self._awaits_peers():
                 behind_since_s = None
             elif behind_since_s is None:
                 behind_since_s = now_s
@@ -210,11 +211,20 @@
     def _catch_up(self, newest: int) -> None:
         self._event_log.write("store", "behind", revision=self._revision, newest=newest)
         try:
-            news = self._source.look(self._revision)
-        except (SourceUnavailable, HistoryGone) as error:
+            news = self._source.look(self._revision, newest)
+            self._take_newer(news)
+        except HistoryGone:
+            # The watch may be waiting on a connection that hears nothing any more.
+            self._event_log.write("store", "history gone", revision=self._revision)
+            self._catch_up_wholly()
+        except SourceUnavailable as error:
+            self._event_log.write_failure("store", "not caught up", reason=str(error))
+
+    def _catch_up_wholly(self) -> None:
+        try:
+            self._read_whole()
+        except SourceUnavailable as error:
             self._event_log.write_failure("store", "not caught up", reason=str(error))
-            return
-        self._take_newer(news)
 
     def _take_newer(self, news: FleetNews) -> None:
         # Another call may have told of the same changes, and of later ones.
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -188,8 +188,33 @@
                 continue
         return None
 
-    def look(self, revision: int) -> FleetNews:
-        """Return the changes after a revision that the store knows now."""
+    def look(self, revision: int, newest: int) -> FleetNews:
+        """Return the changes after a revision without waiting.
+
+        Parameters
+        ----------
+        revision : int
+            What this instance knows.
+        newest : int
+            What must be known at least; the store is asked if no reader knows it.
+
+        Returns
+        -------
+        FleetNews
+            The changes.
+
+        Raises
+        ------
+        SourceUnavailable
+            If neither a reader nor the store answers.
+        HistoryGone
+            If all must be read anew.
+        """
+        readers = self._members.speakers(monotonic_s())
+        if self._members.own not in readers:
+            news = self._ask_at_once(readers, revision)
+            if news is not None and news.revision >= newest:
+                return news
         return self._watch_direct(revision, 0.0)
 
     def _watch_direct(self, revision: int, wait_s: float) -> FleetNews:
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import eventlet
 
@@ -132,6 +133,18 @@
         self.follower.step()
         self.assertEqual(self.follower.whole().revision, self.source.revision)
 
+    def test_one_that_is_behind_a_lost_history_reads_all_while_its_watch_waits(self):
+        self.source.whole = [configuration(4), entry("b")]
+        self.source.revision += 5
+        self.source.watch = unittest.mock.Mock(side_effect=HistoryGone("forgotten"))
+        self.run_on()
+        peer = Member("peer", "peer", "there", 1, 1, True, self.source.revision)
+        self.members.take(peer, monotonic_s())
+        for _ in range(10):
+            self.clock.advance_s(0.1)
+        self.assertEqual(self.servers(), ["b"])
+        self.assertEqual(self.routes.version, 4)
+
     def outage(self):
         self.source.failure = SourceUnavailable("down")
         self.follower.step()
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -62,6 +62,13 @@
                 self.relayed.watch(1, 0.2)
         self.assertEqual(self.source.waits_s, [0.0, 0.2])
 
+    def test_an_instance_that_is_behind_asks_a_reader_that_knows_enough(self):
+        self.source.revision = 9
+        self.add_reader(self.serve(lambda: FleetNews((), 7)))
+        self.assertEqual(self.relayed.look(1, newest=7).revision, 7)
+        self.assertEqual(self.source.call_count, 0)
+        self.assertEqual(self.relayed.look(1, newest=8).revision, 9)
+
     def test_news_of_a_reader_costs_no_call(self):
         self.add_reader(self.serve(lambda: FleetNews((), 7)))
         self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
