After a lost watch, ask the store at once and then for short

Change: the call after a failed one does not wait, and those of the next 3 s wait 0.5 s. Test: test_after_a_lost_watch_the_store_is_asked_at_once_and_then_for_short.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -27,6 +27,10 @@
 # How long a reader's watch waits. A silent connection shows only by the end of that
 # time, and a change must be in force within two seconds.
 DIRECT_WAIT_S = 1.5
+# Where one watch was lost, the store may lose others without a word for some seconds:
+# shorter ones show it sooner.
+CAUTIOUS_WAIT_S = 0.5
+CAUTIOUS_FOR_S = 3.0
 # How long a peer holds a question for news. A peer that is cut off shows only by the
 # end of that time, after which the store itself is asked at once.
 PEER_WAIT_S = 0.8
@@ -160,10 +164,7 @@
         readers = self._members.speakers(now_s)
         is_reader = not readers or self._members.own in readers
         if is_reader or now_s < self._direct_until_s:
-            # Peers may ask a new reader once the store has answered it.
-            is_heard = now_s - self._log.heard_at_s <= HEARD_LIMIT_S
-            wait_s = min(wait_s, DIRECT_WAIT_S) if is_heard else 0.0
-            return self._watch_direct(revision, wait_s)
+            return self._watch_direct(revision, min(wait_s, self._direct_wait_s()))
         self._turn += 1
         reader = readers[self._turn % len(readers)]
         try:
@@ -179,6 +180,17 @@
         self._direct_until_s = monotonic_s() + DIRECT_FOR_S
         return news
 
+    def _direct_wait_s(self) -> float:
+        """Return how long a watch of the store itself may wait."""
+        now_s = monotonic_s()
+        heard_at_s = self._log.heard_at_s
+        # Peers may ask a new reader once the store has answered it.
+        if now_s - heard_at_s > HEARD_LIMIT_S or self._asked_at_s > heard_at_s:
+            return 0.0
+        if now_s - self._asked_at_s < CAUTIOUS_FOR_S:
+            return CAUTIOUS_WAIT_S
+        return DIRECT_WAIT_S
+
     def _ask_at_once(self, readers: list[Member], revision: int) -> FleetNews | None:
         """Return the news of the first reader that answers at once, or None."""
         for reader in readers:
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -4,12 +4,20 @@
 
 import eventlet
 
-from berylhaven.clock import monotonic_s
-from berylhaven.gateway import FleetNews, PeersApplication, SourceUnavailable
+from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.gateway import (
+    FleetNews,
+    PeersApplication,
+    ServerRemoved,
+    SourceUnavailable,
+)
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._news_log import NewsLog
 from berylhaven.gateway._relayed_source import (
+    CAUTIOUS_FOR_S,
+    CAUTIOUS_WAIT_S,
+    DIRECT_WAIT_S,
     PEER_MARGIN_S,
     PEER_WAIT_S,
     RelayedSource,
@@ -69,6 +77,29 @@
         self.assertEqual(self.source.call_count, 0)
         self.assertEqual(self.relayed.look(1, newest=8).revision, 9)
 
+    def test_after_a_lost_watch_the_store_is_asked_at_once_and_then_for_short(self):
+        with ManualClock() as clock:
+            self.relayed.watch(1, 0.0)
+            clock.advance_s(0.1)
+            self.source.failure = SourceUnavailable("lost")
+            with self.assertRaises(SourceUnavailable):
+                self.relayed.watch(1, 0.0)
+            self.source.failure = None
+            self.source.put(ServerRemoved("a"))
+            waits_s = []
+            for _ in range(2):
+                clock.advance_s(0.1)
+                self.relayed.watch(1, 4.0)
+                waits_s.append(self.source.waits_s[-1])
+            clock.advance_s(CAUTIOUS_FOR_S / 2)
+            self.relayed.watch(1, 4.0)
+            clock.advance_s(CAUTIOUS_FOR_S / 2)
+            self.relayed.watch(1, 4.0)
+        waits_s += self.source.waits_s[-2:]
+        self.assertEqual(
+            waits_s, [0.0, CAUTIOUS_WAIT_S, CAUTIOUS_WAIT_S, DIRECT_WAIT_S]
+        )
+
     def test_news_of_a_reader_costs_no_call(self):
         self.add_reader(self.serve(lambda: FleetNews((), 7)))
         self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
