Keep one lost watch from sending all instances to the store

A reader's lost watch was made good 2.0 s after the store had last answered, when the reader was already telling its peers that it hears nothing. Change: watches wait 1.2 s in place of 1.5 s; a lost history counts as an answer. The time of the last failed call has its name. Tests: test_one_lost_watch_is_made_good_before_peers_give_a_reader_up, test_a_lost_history_is_an_answer_of_the_store.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -25,8 +25,9 @@
 # Peers of any data centre that are asked for the whole state if the store is silent.
 ASKED_PEERS_LIMIT = 2
 # How long a reader's watch waits. A silent connection shows only by the end of that
-# time, and a change must be in force within two seconds.
-DIRECT_WAIT_S = 1.5
+# time, and a change must be in force within two seconds. After a lost watch the next
+# call must be answered before `HEARD_LIMIT_S` is over, or all peers ask the store.
+DIRECT_WAIT_S = 1.2
 # Where one watch was lost, the store may lose others without a word for some seconds:
 # shorter ones show it sooner.
 CAUTIOUS_WAIT_S = 0.5
@@ -67,7 +68,7 @@
         "_log",
         "_metrics",
         "_http",
-        "_asked_at_s",
+        "_failed_at_s",
         "_direct_until_s",
         "_turn",
     )
@@ -85,7 +86,7 @@
         self._log = log
         self._http = urllib3.PoolManager(maxsize=1, retries=False)
         # When the store was last asked directly without success.
-        self._asked_at_s = float("-inf")
+        self._failed_at_s = float("-inf")
         self._direct_until_s = float("-inf")
         self._turn = 0
 
@@ -174,7 +175,7 @@
             news = self._ask_at_once(others, revision)
             if news is not None:
                 return news
-            if monotonic_s() - self._asked_at_s < DIRECT_EVERY_S:
+            if monotonic_s() - self._failed_at_s < DIRECT_EVERY_S:
                 raise unavailable
         news = self._watch_direct(revision, 0.0)
         self._direct_until_s = monotonic_s() + DIRECT_FOR_S
@@ -185,9 +186,9 @@
         now_s = monotonic_s()
         heard_at_s = self._log.heard_at_s
         # Peers may ask a new reader once the store has answered it.
-        if now_s - heard_at_s > HEARD_LIMIT_S or self._asked_at_s > heard_at_s:
+        if now_s - heard_at_s > HEARD_LIMIT_S or self._failed_at_s > heard_at_s:
             return 0.0
-        if now_s - self._asked_at_s < CAUTIOUS_FOR_S:
+        if now_s - self._failed_at_s < CAUTIOUS_FOR_S:
             return CAUTIOUS_WAIT_S
         return DIRECT_WAIT_S
 
@@ -237,9 +238,13 @@
         try:
             news = call()
         except SourceUnavailable:
-            self._asked_at_s = monotonic_s()
+            self._failed_at_s = monotonic_s()
             self._metrics.store_called(is_answered=False)
             raise
+        except HistoryGone:
+            # This is an answer too.
+            self._log.heard()
+            raise
         self._metrics.store_called(is_answered=True)
         self._log.heard()
         return news
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -7,10 +7,12 @@
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.gateway import (
     FleetNews,
+    HistoryGone,
     PeersApplication,
     ServerRemoved,
     SourceUnavailable,
 )
+from berylhaven.gateway._fleet_follower import RETRY_BASE_S
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._news_log import NewsLog
@@ -18,6 +20,7 @@
     CAUTIOUS_FOR_S,
     CAUTIOUS_WAIT_S,
     DIRECT_WAIT_S,
+    HEARD_LIMIT_S,
     PEER_MARGIN_S,
     PEER_WAIT_S,
     RelayedSource,
@@ -25,6 +28,8 @@
 from berylhaven.gateway.tests._gateway_path import FakeSource, free_address
 from berylhaven.http1 import serve
 
+# The adapter gives a watch up so long after its end.
+WATCH_MARGIN_S = 0.3
 # A server's leaving must be believed within this time of the store's answer.
 BELIEF_LIMIT_S = 2.0
 
@@ -100,6 +105,18 @@
             waits_s, [0.0, CAUTIOUS_WAIT_S, CAUTIOUS_WAIT_S, DIRECT_WAIT_S]
         )
 
+    def test_a_lost_history_is_an_answer_of_the_store(self):
+        log = NewsLog()
+        relayed = RelayedSource(self.source, self.members, log, GatewayMetrics())
+        self.source.failure = HistoryGone("forgotten")
+        with self.assertRaises(HistoryGone):
+            relayed.watch(1, 0.0)
+        self.assertLess(monotonic_s() - log.heard_at_s, 1.0)
+
+    def test_one_lost_watch_is_made_good_before_peers_give_a_reader_up(self):
+        lost_after_s = DIRECT_WAIT_S + WATCH_MARGIN_S
+        self.assertLess(lost_after_s + RETRY_BASE_S * 2 + 0.2, HEARD_LIMIT_S)
+
     def test_news_of_a_reader_costs_no_call(self):
         self.add_reader(self.serve(lambda: FleetNews((), 7)))
         self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
