Let no two processes choose the same ports for their fleets

Both chose ports at random among 6,000 and took them seconds later; of 37 ports each, two fleets that start at one time share one in a fifth of the cases (worked out), and a stand-in whose port is taken ends. The output of the stand-in that did not come up was not kept, so that this cause is likely and not shown. Change: each process holds a block of 600 ports by a lock file that ends with it. Test: test_two_processes_never_choose_the_same_port, red before.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import fcntl
 import os
 import random
 import shutil
@@ -14,6 +15,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 import orjson
 import urllib3
@@ -21,6 +23,9 @@
 HOST = "127.0.0.1"
 FIRST_PORT = 26_000
 LAST_PORT = 32_000
+# Enough for the largest fleet of one process; as many processes as there are blocks may
+# run fleets at once.
+BLOCK_PORTS = 600
 START_PATIENCE_S = 60.0
 HTTP_OK = 200
 STOP_PATIENCE_S = 10.0
@@ -28,6 +33,8 @@
 # Ctrl-C reaches only whoever started the fleet, which then stops it in order.
 OWN_GROUP = 0
 DATA_CENTRES_PER_FIRM = 3
+# The open lock files of this process's blocks of ports, by their first port.
+_held_blocks: dict[int, IO[str]] = {}
 
 
 @dataclass(slots=True, frozen=True)
@@ -264,11 +271,30 @@
             self.entries.append(EntryProcess(triple, path, log_path))
 
 
+def _own_block() -> int:
+    """Return the first port of this process's block, taking one at the first call."""
+    if _held_blocks:
+        return next(iter(_held_blocks))
+    for first in range(FIRST_PORT, LAST_PORT - BLOCK_PORTS + 2, BLOCK_PORTS):
+        path = Path(tempfile.gettempdir()) / f"berylhaven-ports-{first}.lock"
+        file = path.open("a")
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            file.close()
+            continue
+        # The lock ends with the process.
+        _held_blocks[first] = file
+        return first
+    raise RuntimeError(f"all blocks of ports up to {LAST_PORT} are in use")
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
 
     They are below the range from which the kernel takes the ports of outgoing
-    connections, so that none of those comes in between.
+    connections, so that none of those comes in between, and of a block that this
+    process keeps, so that no other fleet takes them before they are used.
 
     Parameters
     ----------
@@ -280,7 +306,8 @@
     list of int
         Ports on the loopback address.
     """
-    candidates = list(range(FIRST_PORT, LAST_PORT + 1))
+    first = _own_block()
+    candidates = list(range(first, first + BLOCK_PORTS))
     random.shuffle(candidates)
     ports = []
     for port in candidates:
--- /dev/null
+++ b/standins/tests/test_free_ports.py
@@ -0,0 +1,36 @@
+"""Tests that fleets of several processes do not take one another's ports."""
+
+import subprocess
+import sys
+import unittest
+
+PORT_COUNT = 300
+TAKE = f"""
+from standins.fleet import free_ports
+print(*free_ports({PORT_COUNT}), flush=True)
+input()
+"""
+
+
+class FreePortsTest(unittest.TestCase):
+    def setUp(self):
+        self.processes = []
+        self.addCleanup(self.end)
+
+    def end(self):
+        for process in self.processes:
+            process.communicate(b"\n")
+
+    def take(self):
+        """Return the ports that a process of its own has chosen and not used yet."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", TAKE], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        self.processes.append(process)
+        return set(map(int, process.stdout.readline().split()))
+
+    def test_two_processes_never_choose_the_same_port(self):
+        first, second = self.take(), self.take()
+        self.assertEqual(len(first), PORT_COUNT)
+        self.assertEqual(len(second), PORT_COUNT)
+        self.assertFalse(first & second)
