After a lost history, take the difference from a reader

Instances that were told by the store that its history is gone asked a reader for the whole state, some 100 KB each over a reader's link of 10 Mbit/s, and then read it from the store. Change: they ask the readers for what followed their own revision, for up to a second; only then all is read anew. The whole state comes from the store, and from peers only where the store does not answer.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -156,8 +156,10 @@
             news = self._source.watch(self._revision, WATCH_WAIT_S)
         except HistoryGone:
             self._event_log.write("store", "history gone", revision=self._revision)
-            self._revision = None
-            return 0.0
+            news = self._source.ask_readers(self._revision)
+            if news is None:
+                self._revision = None
+                return 0.0
         except SourceUnavailable as error:
             return self._lost(error)
         self._regained()
@@ -216,7 +218,11 @@
         except HistoryGone:
             # The watch may be waiting on a connection that hears nothing any more.
             self._event_log.write("store", "history gone", revision=self._revision)
-            self._catch_up_wholly()
+            news = self._source.ask_readers(self._revision)
+            if news is None:
+                self._catch_up_wholly()
+            else:
+                self._take_newer(news)
         except SourceUnavailable as error:
             self._event_log.write_failure("store", "not caught up", reason=str(error))
 
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -40,8 +40,8 @@
 HEARD_LIMIT_S = 2.0
 # Without a reader that hears the store, it is asked directly this often.
 DIRECT_EVERY_S = 1.5
-# How long an instance that must read all anew waits for a reader to have done so.
-READERS_PATIENCE_S = 0.5
+# How long an instance that would have to read all anew waits for a reader to do so.
+READERS_PATIENCE_S = 1.0
 READERS_LOOK_EVERY_S = 0.1
 # An instance that had to ask the store itself goes on to do so for this time.
 DIRECT_FOR_S = 4.0
@@ -91,7 +91,7 @@
         self._turn = 0
 
     def read(self, may_be_old: bool = False) -> FleetNews:
-        """Return all that is published, from a reader, the store, or another peer.
+        """Return all that is published, from the store or else from a peer.
 
         Parameters
         ----------
@@ -106,11 +106,8 @@
         Raises
         ------
         SourceUnavailable
-            If none answers.
+            If neither answers.
         """
-        news = self._read_from_readers()
-        if news is not None:
-            return news
         try:
             return self._ask_store(lambda: self._direct.read(may_be_old))
         except SourceUnavailable as unavailable:
@@ -119,20 +116,33 @@
                 raise unavailable
             return news
 
-    def _read_from_readers(self) -> FleetNews | None:
-        """Return the whole state from a reader of this data centre, or None.
+    def ask_readers(self, revision: int) -> FleetNews | None:
+        """Return the changes since a revision whose history the store has lost.
+
+        All instances learn of the loss at about the same time. Readers read all anew,
+        which takes them a moment, and tell the difference.
 
-        Where the store's history is lost, all instances learn of it at about the same
-        time, and readers need a moment to read all anew.
+        Parameters
+        ----------
+        revision : int
+            What this instance knows.
+
+        Returns
+        -------
+        FleetNews or None
+            None if this instance is a reader, or no reader knows more in time.
         """
         end_s = monotonic_s() + READERS_PATIENCE_S
         while True:
             now_s = monotonic_s()
             readers = self._members.speakers(now_s)
-            if not readers or self._members.own in readers:
+            if not readers or self._members.own in readers or now_s >= end_s:
+                return None
+            try:
+                news = self._ask_at_once(readers, revision)
+            except HistoryGone:
                 return None
-            news = self._ask_each(readers)
-            if news is not None or now_s >= end_s:
+            if news is not None and news.revision > revision:
                 return news
             sleep_s(READERS_LOOK_EVERY_S)
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -133,6 +133,17 @@
         self.follower.step()
         self.assertEqual(self.follower.whole().revision, self.source.revision)
 
+    def test_after_a_lost_history_the_difference_comes_from_a_reader(self):
+        news = FleetNews((ServerRemoved("a"),), self.source.revision + 3)
+        self.source.failure = HistoryGone("forgotten")
+        with unittest.mock.patch.object(
+            RelayedSource, "ask_readers", return_value=news
+        ):
+            self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+        self.assertEqual(self.members.own.revision, news.revision)
+        self.assertEqual(self.source.old_allowed, [True])
+
     def test_one_that_is_behind_a_lost_history_reads_all_while_its_watch_waits(self):
         self.source.whole = [configuration(4), entry("b")]
         self.source.revision += 5
