Watch the catalogue after the newest value read, evaluated or not

A failed read also replaced a value that was not evaluated yet.

Change: the watch controller keeps the newest value that it has read, watches after its version, and leaves it in its section until a newer one arrives.

--- a/berylhaven/controllers/_catalogue_watch_controller.py
+++ b/berylhaven/controllers/_catalogue_watch_controller.py
@@ -8,7 +8,7 @@
 )
 from berylhaven.controllers._context import ControllerContext
 from berylhaven.controllers._registry import register_controller
-from berylhaven.discovery import PlatformUnavailable, ReadBudget
+from berylhaven.discovery import ConfigurationValue, PlatformUnavailable, ReadBudget
 from berylhaven.membership import PeerState, watch_holders
 from berylhaven.operations import ComponentLog
 from berylhaven.results import ConfigurationServiceUnavailable
@@ -39,6 +39,9 @@
         self._next_check_at_s = float("-inf")
         self._is_first_step = True
         self._is_available = True
+        # The newest value that a read returned, which the catalogue controller may not
+        # have evaluated yet.
+        self._newest: ConfigurationValue | None = None
 
     def step(self) -> None:
         """Watch if this instance holds a watch; otherwise read if a check is due."""
@@ -62,12 +65,14 @@
             value = service.watch(self._known_revision(), wait_s)
         except PlatformUnavailable as error:
             self._record_unavailable(error)
-            self._writer.write(CatalogueCandidate(None))
+            self._writer.write(CatalogueCandidate(self._newest))
             return
         if not self._is_available:
             self._is_available = True
             LOG.info("The configuration service is available again.")
-        self._writer.write(CatalogueCandidate(value))
+        if value is not None:
+            self._newest = value
+        self._writer.write(CatalogueCandidate(self._newest))
 
     def _record_unavailable(self, error: PlatformUnavailable) -> None:
         # While the service is unavailable, each instance tries it as rarely as a check.
@@ -92,7 +97,7 @@
         return own.peers_address in watch_holders(addresses)
 
     def _known_revision(self) -> int:
-        known = 0
+        known = self._newest.version if self._newest else 0
         for section in (CATALOGUE_SECTION, CATALOGUE_REFUSAL_SECTION):
             reading = self._context.blackboard.read(section)
             known = max(known, reading.value.revision if reading else 0)
