Serve routes of kind download, and the rest of a configuration with unknown values

Change: download is a kind of its own, may run more than once. A rule of any other unknown kind runs once; one with an invalid field keeps its prefix and is refused at once with 503 and Retry-After, so that no shorter prefix takes its requests; invalid services and limits have defaults. Each is logged and counted (berylhaven_gateway configuration_problems). Only an unreadable version, host or prefix still refuses the document. Problems travel with updates of relays.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -42,6 +42,8 @@
 # The platform guarantees that entries which expired during an outage of the store are
 # back within two seconds of its recovery.
 EXPIRED_ENTRY_GRACE_S = 2.0
+# A configuration may have a problem in each of its parts.
+LOGGED_PROBLEMS_LIMIT = 20
 
 
 class FleetFollower:
@@ -378,4 +380,12 @@
             version=configuration.version,
             before=before,
             routes=len(configuration.routes),
+            problems=len(configuration.problems),
         )
+        for problem in configuration.problems[:LOGGED_PROBLEMS_LIMIT] if is_new else ():
+            self._event_log.write(
+                "routes",
+                "configuration part unusable",
+                version=configuration.version,
+                reason=problem,
+            )
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -24,6 +24,9 @@
 RETURN_MARGIN_S = 0.01
 # The Retry-After value while no configuration has been received.
 NOT_READY_RETRY_AFTER_S = 0.3
+# The Retry-After value of a route that could not be decoded: only a newer configuration
+# makes it usable.
+UNUSABLE_ROUTE_RETRY_AFTER_S = 2.0
 # Bodies up to this size are read before a server is chosen, so that another attempt
 # can send them again.
 REPLAYABLE_BODY_LIMIT_BYTES = 1_000_000
@@ -126,6 +129,9 @@
                 f'host "{request.host[:100]}" has no route for "{request.path[:100]}"'
             )
             return self._refuse(request, 404, message)
+        if route.unusable_reason:
+            message = f'route "{route.name}" is unusable: {route.unusable_reason}'
+            return self._refuse(request, 503, message, UNUSABLE_ROUTE_RETRY_AFTER_S)
         self._discard_outdated_splits()
         service = self._routes.service(self._splits.choose(route))
         try:
--- a/berylhaven/gateway/_instance_gauges.py
+++ b/berylhaven/gateway/_instance_gauges.py
@@ -42,6 +42,7 @@
         "_port",
         "_event_log",
         "_version",
+        "_problems",
         "_servers",
         "_instances",
         "_store_answer_age",
@@ -71,6 +72,11 @@
             "configuration_version",
             "Version of the active configuration; 0 without one.",
         )
+        self._problems = metrics.gauge(
+            "configuration_problems",
+            "Parts of the active configuration that are unusable or have default "
+            "values.",
+        )
         self._servers = metrics.gauge(
             "servers", "Backend servers, by service and state."
         )
@@ -96,6 +102,9 @@
         """Set every gauge to its current value."""
         now_s = monotonic_s()
         self._version.set(NO_LABELS, self._routes.version or 0)
+        configuration = self._routes.configuration
+        problem_count = len(configuration.problems) if configuration else 0
+        self._problems.set(NO_LABELS, problem_count)
         self._revision.set(NO_LABELS, self._members.own.revision)
         age_s = now_s - self._update_log.store_answered_at_s
         self._store_answer_age.set(NO_LABELS, round(age_s, 3))
--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/_update_codec.py
@@ -101,6 +101,8 @@
         routes=tuple(_route(route) for route in fields["routes"]),
         services=services,
         caller_limits=CallerLimits(**fields["caller_limits"]),
+        # Instances of earlier releases send none.
+        problems=tuple(fields.get("problems", ())),
     )
 
 
--- a/berylhaven/routes/__init__.py
+++ b/berylhaven/routes/__init__.py
@@ -5,7 +5,12 @@
     RoutingConfiguration,
     ServiceSpec,
 )
-from berylhaven.routes._route import RequestKind, Route, WeightedService
+from berylhaven.routes._route import (
+    RequestKind,
+    Route,
+    WeightedService,
+    unusable_route,
+)
 from berylhaven.routes._route_table import RouteTable
 from berylhaven.routes._split_chooser import SplitChooser
 
@@ -18,4 +23,5 @@
     "ServiceSpec",
     "SplitChooser",
     "WeightedService",
+    "unusable_route",
 ]
--- a/berylhaven/routes/_configuration.py
+++ b/berylhaven/routes/_configuration.py
@@ -43,3 +43,5 @@
     services: dict[str, ServiceSpec]
     # The limits for callers.
     caller_limits: CallerLimits
+    # The parts of the document that could not be used as published, one sentence each.
+    problems: tuple[str, ...] = ()
--- a/berylhaven/routes/_route.py
+++ b/berylhaven/routes/_route.py
@@ -13,6 +13,11 @@
     ONCE_ONLY = "once-only"
     # May run at most once, and has a large body.
     UPLOAD = "upload"
+    # May run more than once, and has a large answer.
+    DOWNLOAD = "download"
+
+
+IDEMPOTENT_KINDS = frozenset({RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD})
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,7 +42,7 @@
     prefix: str
     # How often a request may run.
     kind: RequestKind
-    # The services that share the requests, at least one.
+    # The services that share the requests; empty only if the route is unusable.
     parts: tuple[WeightedService, ...]
     # The timeout of a request, in seconds.
     timeout_s: float
@@ -47,8 +52,46 @@
     latency_objective_s: float
     # The priority under overload; 0 is the highest.
     priority: int
+    # Why requests of the route must be refused; empty if the route is usable.
+    unusable_reason: str = ""
 
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT
+        return self.kind in IDEMPOTENT_KINDS
+
+
+def unusable_route(name: str, host: str, prefix: str, reason: str) -> Route:
+    """Return a route whose requests are refused.
+
+    It keeps its place in the route table, so that its requests are not routed by a
+    shorter prefix.
+
+    Parameters
+    ----------
+    name : str
+        The name of the route.
+    host : str
+        The host of the requests, in lower case.
+    prefix : str
+        The path prefix.
+    reason : str
+        Why its requests are refused.
+
+    Returns
+    -------
+    Route
+        A route without services.
+    """
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=RequestKind.ONCE_ONLY,
+        parts=(),
+        timeout_s=0.0,
+        attempt_limit=1,
+        latency_objective_s=0.0,
+        priority=0,
+        unusable_reason=reason,
+    )
