--- a/berylhaven/gateway/__init__.py
+++ b/berylhaven/gateway/__init__.py
@@ -22,6 +22,7 @@
     parse_gateway_settings,
 )
 from berylhaven.gateway._settings_file import SettingsFile, load_gateway_settings
+from berylhaven.gateway._store_revision import StoreRevision
 
 __all__ = [
     "Change",
@@ -41,6 +42,7 @@
     "ServerRemoved",
     "SettingsFile",
     "SourceUnavailable",
+    "StoreRevision",
     "StoreSettings",
     "load_gateway_settings",
     "parse_gateway_settings",
--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/_attempt_coordinator.py
@@ -152,6 +152,8 @@
         """The time after which the caller may retry, in seconds."""
         if self._no_server is None:
             return MIN_RETRY_AFTER_S
+        if self._no_server.quiet_s:
+            return self._no_server.quiet_s
         excess_s = (
             self._no_server.finish_s - self._choice_request.route.latency_objective_s
         )
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -12,6 +12,7 @@
 from berylhaven.gateway._server_chooser import ChoiceRequest, ServerChooser
 from berylhaven.gateway._server_exchange import ServerAnswer, exchange
 from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway._server_signals import ServerSignals
 from berylhaven.http1 import ConnectionPool
 from berylhaven.results import Outcome
 
@@ -39,12 +40,15 @@
         One sentence with the details.
     finish_s : float
         The shortest estimate of the time to an answer, in seconds.
+    quiet_s : float
+        The time for which all servers want a pause, in seconds.
     """
 
-    def __init__(self, message: str, finish_s: float) -> None:
+    def __init__(self, message: str, finish_s: float, quiet_s: float = 0.0) -> None:
         super().__init__(message)
         self.message = message
         self.finish_s = finish_s
+        self.quiet_s = quiet_s
 
 
 @dataclass(slots=True)
@@ -68,25 +72,29 @@
         The connections to backend servers.
     dialect : Dialect
         The header names of the deployment.
+    signals : ServerSignals
+        Records the headers of answers.
     event_log : EventLog
         Receives a line for each choice and each attempt.
     metrics : GatewayMetrics
         Counts the attempts.
     """
 
-    __slots__ = ("_chooser", "_pool", "_dialect", "_event_log", "_metrics")
+    __slots__ = ("_chooser", "_pool", "_dialect", "_signals", "_event_log", "_metrics")
 
     def __init__(
         self,
         chooser: ServerChooser,
         pool: ConnectionPool,
         dialect: Dialect,
+        signals: ServerSignals,
         event_log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._chooser = chooser
         self._pool = pool
         self._dialect = dialect
+        self._signals = signals
         self._event_log = event_log
         self._metrics = metrics
 
@@ -130,11 +138,12 @@
             tried=len(choice_request.excluded),
         )
         if server is None:
+            problem = "accepts requests now" if choice.quiet_s else "can answer in time"
             message = (
                 f'service "{choice_request.service.name}": none of '
-                f"{choice.candidate_count} servers can answer in time"
+                f"{choice.candidate_count} servers {problem}"
             )
-            raise NoServerAvailable(message, choice.finish_s)
+            raise NoServerAvailable(message, choice.finish_s, choice.quiet_s)
         return server
 
     def send(
@@ -214,16 +223,13 @@
         duration_s: float,
     ) -> None:
         now_s = monotonic_s()
-        report = self._dialect.load_report(answer.fields, now_s)
-        if report is not None:
-            server.record_report(report)
-        elif server.report is None and answer.status < HTTP_STATUS_SERVER_ERROR:
+        is_own_answer = self._signals.record(server, answer.status, answer.fields)
+        if server.report is None and answer.status < HTTP_STATUS_SERVER_ERROR:
             server.reports_load = False
         if not self._dialect.is_not_executed(answer.status, answer.fields):
             server.record_attempt(answer.status >= HTTP_STATUS_SERVER_ERROR, now_s)
             return
-        answering_id = self._dialect.server_id(answer.fields)
-        if answering_id not in (None, server.entry.server_id):
+        if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(now_s)
         server.record_refusal(now_s, FULL_SERVER_BACKOFF_S)
--- a/berylhaven/gateway/_dialect.py
+++ b/berylhaven/gateway/_dialect.py
@@ -31,5 +31,8 @@
     def server_id(self, fields: HeadFields) -> str | None:
         """Return the id of the backend server that sent an answer, or None."""
 
+    def is_server_leaving(self, fields: HeadFields) -> bool:
+        """Return whether an answer says that its server is leaving."""
+
     def load_report(self, fields: HeadFields, now_s: float) -> LoadReport | None:
         """Return the load report of an answer, or None."""
--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -17,6 +17,7 @@
 from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
 from berylhaven.routes import RoutingConfiguration
@@ -77,6 +78,8 @@
         "_random",
         "_event_log",
         "_revision",
+        "_needs_snapshot",
+        "_era_began_at_s",
         "_first_watch_by_s",
         "_failure_count",
         "_outage_began_at_s",
@@ -105,7 +108,11 @@
         self._pool = pool
         self._random = random
         self._event_log = event_log
-        self._revision: int | None = None
+        # None before the first snapshot.
+        self._revision: StoreRevision | None = None
+        self._needs_snapshot = True
+        # When the store's era last rose, on the hub's clock.
+        self._era_began_at_s = float("-inf")
         # Until when the first watch is delayed for peers, on the hub's clock.
         self._first_watch_by_s = float("-inf")
         self._failure_count = 0
@@ -126,12 +133,13 @@
 
     @property
     def is_after_outage(self) -> bool:
-        """Whether the store has recovered from an outage within the grace period."""
-        return monotonic_s() - self._recovered_at_s < EXPIRED_ENTRY_GRACE_S
+        """Whether the store recovered or was restored within the grace period."""
+        recovered_at_s = max(self._recovered_at_s, self._era_began_at_s)
+        return monotonic_s() - recovered_at_s < EXPIRED_ENTRY_GRACE_S
 
     def snapshot(self) -> FleetUpdate:
         """Return a snapshot for a peer that cannot read the store."""
-        changes: list[Change] = [record.entry for record in self._table.records()]
+        changes: list[Change] = [r.reported_entry() for r in self._table.records()]
         if self._routes.configuration is not None:
             changes.append(self._routes.configuration)
         return FleetUpdate(tuple(changes), self._members.own.revision)
@@ -150,17 +158,16 @@
             The time to wait before the next step, in seconds.
         """
         try:
-            if self._revision is None:
-                self._read_snapshot()
-                return 0.0
+            if self._needs_snapshot:
+                return 0.0 if self._read_snapshot() else RETRY_LIMIT_S
             if self._awaits_peers():
                 return PEERS_CHECK_INTERVAL_S
             update = self._source.watch(self._revision, WATCH_WAIT_S)
         except HistoryGone:
-            self._event_log.write("store", "history gone", revision=self._revision)
+            self._event_log.write("store", "history gone", **self._position())
             update = self._source.wait_for_relay(self._revision)
             if update is None:
-                self._revision = None
+                self._needs_snapshot = True
                 return 0.0
         except SourceUnavailable as error:
             return self._record_failure(error)
@@ -175,11 +182,17 @@
         is_alone = not self._members.expects_peers or now_s >= self._first_watch_by_s
         return not is_alone and len(self._members.relays(now_s)) < 2
 
-    def _read_snapshot(self) -> None:
+    def _read_snapshot(self) -> bool:
+        """Apply a snapshot; return False if it is older than the known state."""
         # After a loss of history, a stale snapshot would need the lost history again.
-        is_first = self._members.own.revision == 0
+        is_first = self._revision is None
         update = self._source.read(allow_stale=is_first)
         self._record_recovery()
+        self._needs_snapshot = False
+        if not is_first and update.revision < self._revision:
+            # Newer changes came from a relay while the snapshot was read.
+            return False
+        self._record_era(update.revision)
         difference = self._difference(update)
         self._apply_snapshot(update)
         if is_first:
@@ -190,6 +203,7 @@
         self._set_revision(update.revision)
         if is_first:
             self._first_watch_by_s = monotonic_s() + FIRST_WATCH_DELAY_LIMIT_S
+        return True
 
     def run_catch_up(self) -> None:
         """Remove expired entries after the grace period, and catch up with peers.
@@ -213,14 +227,16 @@
                 behind_since_s = None
                 self._catch_up(newest)
 
-    def _catch_up(self, newest: int) -> None:
-        self._event_log.write("store", "behind", revision=self._revision, newest=newest)
+    def _catch_up(self, newest: StoreRevision) -> None:
+        self._event_log.write(
+            "store", "behind", revision=str(self._revision), newest=str(newest)
+        )
         try:
             update = self._source.fetch(self._revision, newest)
             self._apply_newer(update)
         except HistoryGone:
             # The watch may be waiting on a connection that no longer receives anything.
-            self._event_log.write("store", "history gone", revision=self._revision)
+            self._event_log.write("store", "history gone", **self._position())
             update = self._source.wait_for_relay(self._revision)
             if update is None:
                 self._catch_up_by_snapshot()
@@ -239,11 +255,36 @@
         # Another call may have returned the same changes and later ones.
         if self._revision is None or update.revision <= self._revision:
             return
+        self._record_era(update.revision)
         self._apply_changes(update)
         self._log.add(update)
         self._set_revision(update.revision)
 
-    def _set_revision(self, revision: int) -> None:
+    def _record_era(self, revision: StoreRevision) -> None:
+        """Begin the grace period if the store was restored from an older copy.
+
+        Entries that the copy lacks are written again by their servers, so they are
+        treated like entries that expired during an outage.
+        """
+        if self._revision is None or revision.era <= self._revision.era:
+            return
+        self._era_began_at_s = monotonic_s()
+        self._event_log.write(
+            "store",
+            "restored",
+            era=revision.era,
+            before=self._revision.era,
+            revision=revision.number,
+            revision_before=self._revision.number,
+        )
+
+    def _position(self) -> dict[str, int | None]:
+        """Return the known revision as fields of a log line."""
+        if self._revision is None:
+            return {"era": None, "revision": None}
+        return {"era": self._revision.era, "revision": self._revision.number}
+
+    def _set_revision(self, revision: StoreRevision) -> None:
         if self._revision is None or revision > self._revision:
             self._revision = revision
         self._members.own.revision = self._revision
@@ -253,7 +294,7 @@
         if self._failure_count == 1:
             self._outage_began_at_s = monotonic_s()
             self._event_log.write_failure(
-                "store", "lost", revision=self._revision, reason=error.message
+                "store", "lost", **self._position(), reason=error.message
             )
         longest_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self._failure_count)
         return self._random.uniform(0.5, 1.0) * longest_s
@@ -262,7 +303,7 @@
         if not self._failure_count:
             return
         self._event_log.write(
-            "store", "regained", failures=self._failure_count, revision=self._revision
+            "store", "regained", failures=self._failure_count, **self._position()
         )
         self._failure_count = 0
         self._recovered_at_s = monotonic_s()
@@ -294,7 +335,7 @@
         for change in update.changes:
             self._apply_change(change, update.revision)
 
-    def _apply_change(self, change: Change, revision: int) -> None:
+    def _apply_change(self, change: Change, revision: StoreRevision) -> None:
         if isinstance(change, ServerEntry):
             self._apply_entry(change, revision)
         elif isinstance(change, RoutingConfiguration):
@@ -304,26 +345,31 @@
                 "fleet",
                 "entry unusable",
                 server=change.server_id,
-                revision=revision,
+                revision=revision.number,
                 reason=change.reason,
             )
             self._remove(change.server_id)
         else:
             self._apply_removed(change.server_id)
 
-    def _apply_entry(self, entry: ServerEntry, revision: int) -> None:
+    def _apply_entry(self, entry: ServerEntry, revision: StoreRevision) -> None:
         known = self._table.record(entry.server_id)
+        was_leaving = known is not None and known.is_leaving
         self._expired_server_ids.discard(entry.server_id)
-        self._table.put(entry, monotonic_s())
-        if known is None or known.entry.is_leaving != entry.is_leaving:
+        # The first update of an era lists what the copy has, not what was written.
+        is_restored = self._revision is not None and revision.era > self._revision.era
+        record = self._table.put(entry, monotonic_s(), is_restored)
+        if known is None or was_leaving != record.is_leaving:
             self._event_log.write(
                 "fleet",
-                "server leaving" if entry.is_leaving else "server ready",
+                "server leaving" if record.is_leaving else "server ready",
                 server=entry.server_id,
                 service=entry.service,
                 address=entry.address,
                 data_centre=entry.data_centre,
-                revision=revision,
+                revision=revision.number,
+                era=revision.era,
+                held=is_restored and record.is_quiet(monotonic_s()),
             )
 
     def _apply_removed(self, server_id: str) -> None:
@@ -349,6 +395,8 @@
         The outage was local then, and no entries expired: they expire only while the
         store itself is unavailable.
         """
+        if self._era_began_at_s > self._recovered_at_s:
+            return False
         return any(
             peer.heartbeat_at_s > self._recovered_at_s
             and peer.store_available_s
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -5,6 +5,7 @@
 
 from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._settings import StoreSettings
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.routes import RoutingConfiguration
 
 
@@ -23,7 +24,7 @@
 
 
 class HistoryGone(Exception):
-    """The changes since the requested revision are no longer kept."""
+    """The changes since the requested revision are no longer kept, or never existed."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,7 +55,7 @@
     # In the order in which they were made.
     changes: tuple[Change, ...]
     # The revision after which the next watch continues.
-    revision: int
+    revision: StoreRevision
     # Whether the sender has only just reached the store again after an outage.
     is_after_outage: bool = False
 
@@ -82,15 +83,17 @@
             If the source fails or its answer is invalid.
         """
 
-    def watch(self, revision: int, wait_s: float) -> FleetUpdate:
+    def watch(self, revision: StoreRevision, wait_s: float) -> FleetUpdate:
         """Return the changes after a revision, waiting for the first.
 
+        The update has the era of the revision.
+
         Raises
         ------
         SourceUnavailable
             If the source fails or its answer is invalid.
         HistoryGone
-            If a snapshot must be read.
+            If a snapshot must be read, also because the store is in another era.
         """
 
     def reconfigure(self, settings: StoreSettings) -> None:
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -28,9 +28,11 @@
 from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
 from berylhaven.gateway._server_chooser import ServerChooser
 from berylhaven.gateway._server_probe import ServerProber
+from berylhaven.gateway._server_signals import ServerSignals
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._settings import GatewayInstanceSettings, GatewaySettings
 from berylhaven.gateway._settings_file import SettingsFile
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
 
@@ -39,9 +41,9 @@
 SERVER_IDLE_LIMIT_S = 8.0
 # Instances that are not known yet hold connections too.
 MIN_SHARER_COUNT = 16
-# Until gossip has had time to discover the other instances, this number is assumed: the
-# largest deployment has 220 instances, and after 5 s gossip has found nearly all.
-INITIAL_SHARER_COUNT = 220
+# Until gossip has had time to discover the other instances, the size of the largest
+# deployment is assumed.
+INITIAL_SHARER_COUNT = 730
 DISCOVERY_S = 5.0
 # With fewer connections to a server, a probe and a request could not run concurrently.
 MIN_CONNECTIONS = 2
@@ -160,16 +162,19 @@
         self._started_at_s = monotonic_s()
 
     def _make_forwarder(self, pool: ConnectionPool, dialect: Dialect) -> Forwarder:
+        signals = ServerSignals(dialect, pool, self._event_log)
         chooser = ServerChooser(
             self._settings.instance.data_centre,
             self._table,
-            ServerProber(pool, dialect, self.metrics),
+            ServerProber(pool, signals, self.metrics),
             self._random,
             lambda address: pool.counts(address).open_count > 0,
         )
         return Forwarder(
             self._routes,
-            AttemptRunner(chooser, pool, dialect, self._event_log, self.metrics),
+            AttemptRunner(
+                chooser, pool, dialect, signals, self._event_log, self.metrics
+            ),
             dialect,
             self._settings.retries.allowance,
             self._sharer_count,
@@ -270,12 +275,14 @@
         """
         return self._gossip.answer(body)
 
-    def update_after(self, revision: int | None, wait_s: float) -> FleetUpdate:
+    def update_after(
+        self, revision: StoreRevision | None, wait_s: float
+    ) -> FleetUpdate:
         """Return an update or a snapshot of the store's state for a peer.
 
         Parameters
         ----------
-        revision : int or None
+        revision : StoreRevision or None
             The revision that the peer has; None if it has none.
         wait_s : float
             The longest time to wait for the first change, in seconds.
--- a/berylhaven/gateway/_instance_gauges.py
+++ b/berylhaven/gateway/_instance_gauges.py
@@ -47,6 +47,7 @@
         "_instances",
         "_store_answer_age",
         "_revision",
+        "_era",
         "_pending",
         "_connections",
         "_dropped",
@@ -87,6 +88,9 @@
         self._revision = metrics.gauge(
             "store_revision", "The store's revision up to which all changes are known."
         )
+        self._era = metrics.gauge(
+            "store_era", "The store's era, which rises when it is restored."
+        )
         self._pending = metrics.gauge(
             "requests_pending", "Requests that were read and are not answered yet."
         )
@@ -105,7 +109,8 @@
         configuration = self._routes.configuration
         problem_count = len(configuration.problems) if configuration else 0
         self._problems.set(NO_LABELS, problem_count)
-        self._revision.set(NO_LABELS, self._members.own.revision)
+        self._revision.set(NO_LABELS, self._members.own.revision.number)
+        self._era.set(NO_LABELS, self._members.own.revision.era)
         age_s = now_s - self._update_log.store_answered_at_s
         self._store_answer_age.set(NO_LABELS, round(age_s, 3))
         self._pending.set(NO_LABELS, self._port.pending_count)
@@ -128,6 +133,6 @@
 
 
 def _state(record: ServerRecord) -> str:
-    if record.entry.is_leaving:
+    if record.is_leaving:
         return "leaving"
     return "silent" if record.is_unresponsive else "ready"
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Any
 
+from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
+
 # An instance whose heartbeat has not risen for this time counts as unresponsive and
 # is not given to callers.
 LOCAL_UNRESPONSIVE_AFTER_S = 3.0
@@ -24,6 +26,7 @@
 REMOTE_ROWS_LIMIT = 16
 # The maximum number of rows of the receiver's own data centre in a message to it.
 RETURNED_ROWS_LIMIT = 4
+# Without the era of the store, which may follow.
 ROW_LENGTH = 8
 
 
@@ -44,14 +47,19 @@
     # Whether it accepts callers.
     is_ready: bool
     # The store's revision up to which it has all changes.
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     # For how many whole seconds the store has answered it without an outage.
     store_available_s: int = 0
     # When its heartbeat was last seen to rise, on the hub's clock.
     heartbeat_at_s: float = 0.0
 
     def to_row(self) -> list:
-        """Return the member as a row of a message."""
+        """Return the member as a row of a message.
+
+        The era is left out if the store has none, so that instances of earlier releases
+        accept the row.
+        """
+        era = [self.revision.era] if self.revision.era else []
         return [
             self.peers_address,
             self.callers_address,
@@ -59,8 +67,9 @@
             self.incarnation,
             self.heartbeat,
             int(self.is_ready),
-            self.revision,
+            self.revision.number,
             self.store_available_s,
+            *era,
         ]
 
     def is_newer_than(self, other: "Member") -> bool:
@@ -86,8 +95,10 @@
     ValueError
         If the row is malformed.
     """
-    if not isinstance(row, list) or len(row) != ROW_LENGTH:
-        raise ValueError(f"member row is not a list of {ROW_LENGTH} values")
+    if not isinstance(row, list) or len(row) not in (ROW_LENGTH, ROW_LENGTH + 1):
+        raise ValueError(
+            f"member row is not a list of {ROW_LENGTH} values and the store's era"
+        )
     if not all(isinstance(value, str) for value in row[:3]):
         raise ValueError(
             "addresses and data centre of a member row are not all text: "
@@ -95,11 +106,21 @@
         )
     if not all(type(value) is int and value >= 0 for value in row[3:]):
         raise ValueError(
-            "incarnation, heartbeat, readiness, revision and store availability in the "
-            f"member row of {row[0][:100]!r} are not all non-negative integers: "
+            "incarnation, heartbeat, readiness, revision, store availability and era "
+            f"in the member row of {row[0][:100]!r} are not all non-negative integers: "
             f"{row[3:]!r:.200}"
         )
-    return Member(row[0], row[1], row[2], row[3], row[4], bool(row[5]), *row[6:])
+    era = row[ROW_LENGTH] if len(row) > ROW_LENGTH else 0
+    return Member(
+        peers_address=row[0],
+        callers_address=row[1],
+        data_centre=row[2],
+        incarnation=row[3],
+        heartbeat=row[4],
+        is_ready=bool(row[5]),
+        revision=StoreRevision(era, row[6]),
+        store_available_s=row[7],
+    )
 
 
 class MemberTable:
@@ -272,9 +293,9 @@
         local.sort(key=lambda member: (member.store_available_s == 0, rank(member)))
         return local[:RELAYS_PER_DATA_CENTRE]
 
-    def newest_revision(self, now_s: float) -> int:
+    def newest_revision(self, now_s: float) -> StoreRevision:
         """Return the highest revision of the live instances."""
-        return max((m.revision for m in self.live(now_s)), default=0)
+        return max((m.revision for m in self.live(now_s)), default=NO_REVISION)
 
     def data_centre(self, peers_address: str) -> str | None:
         """Return the data centre of an instance, or None if unknown."""
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -7,6 +7,7 @@
 from berylhaven.gateway._gateway_instance import GatewayInstance
 from berylhaven.gateway._member_gossip import GOSSIP_PATH
 from berylhaven.gateway._relayed_source import UPDATES_PATH
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_codec import encode_update
 from berylhaven.http1 import answer_bytes, answer_status
 
@@ -43,7 +44,7 @@
         query = parse_qs(environ.get("QUERY_STRING", ""))
         try:
             wait_ms = int(query.get("wait_ms", ["0"])[0])
-            revision = int(query["after"][0]) if "after" in query else None
+            revision = _revision(query)
         except ValueError:
             return answer_status(start_response, "400 Bad Request")
         wait_s = min(wait_ms / MILLISECONDS_PER_SECOND, WAIT_LIMIT_S)
@@ -66,3 +67,11 @@
         except ValueError:
             return answer_status(start_response, "400 Bad Request")
         return answer_bytes(start_response, "200 OK", body)
+
+
+def _revision(query: dict[str, list[str]]) -> StoreRevision | None:
+    """Return the revision that a peer has, or None if it has none."""
+    if "after" not in query:
+        return None
+    # Instances of earlier releases send no era.
+    return StoreRevision(int(query.get("era", ["0"])[0]), int(query["after"][0]))
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -15,6 +15,7 @@
 )
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable, rank
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_codec import decode_update
 from berylhaven.gateway._update_log import UpdateLog
 
@@ -118,7 +119,7 @@
                 raise unavailable
             return update
 
-    def wait_for_relay(self, revision: int) -> FleetUpdate | None:
+    def wait_for_relay(self, revision: StoreRevision) -> FleetUpdate | None:
         """Return the changes since a revision whose history the store has lost.
 
         All instances detect the loss at about the same time. Relays read a snapshot,
@@ -126,7 +127,7 @@
 
         Parameters
         ----------
-        revision : int
+        revision : StoreRevision
             The revision that this instance has.
 
         Returns
@@ -163,7 +164,7 @@
                 return update
         return None
 
-    def watch(self, revision: int, wait_s: float) -> FleetUpdate:
+    def watch(self, revision: StoreRevision, wait_s: float) -> FleetUpdate:
         """Return the changes after a revision, waiting for the first.
 
         Raises
@@ -208,7 +209,7 @@
         return DIRECT_WAIT_S
 
     def _fetch_from_relays(
-        self, relays: list[Member], revision: int
+        self, relays: list[Member], revision: StoreRevision
     ) -> FleetUpdate | None:
         """Return the update of the first relay that answers without a wait, or None."""
         for relay in relays:
@@ -218,14 +219,14 @@
                 continue
         return None
 
-    def fetch(self, revision: int, newest: int) -> FleetUpdate:
+    def fetch(self, revision: StoreRevision, newest: StoreRevision) -> FleetUpdate:
         """Return the changes after a revision without waiting.
 
         Parameters
         ----------
-        revision : int
+        revision : StoreRevision
             The revision that this instance has.
-        newest : int
+        newest : StoreRevision
             The revision to reach; the store is queried if no relay has reached it.
 
         Returns
@@ -247,7 +248,7 @@
                 return update
         return self._watch_direct(revision, 0.0)
 
-    def _watch_direct(self, revision: int, wait_s: float) -> FleetUpdate:
+    def _watch_direct(self, revision: StoreRevision, wait_s: float) -> FleetUpdate:
         return self._call_store(lambda: self._direct.watch(revision, wait_s))
 
     def _call_store(self, call: Callable[[], FleetUpdate]) -> FleetUpdate:
@@ -274,11 +275,12 @@
         ]
 
     def _fetch_from_peer(
-        self, peer: Member, revision: int | None, wait_s: float
+        self, peer: Member, revision: StoreRevision | None, wait_s: float
     ) -> FleetUpdate:
         query = {"wait_ms": str(int(wait_s * MILLISECONDS_PER_SECOND))}
         if revision is not None:
-            query["after"] = str(revision)
+            query["after"] = str(revision.number)
+            query["era"] = str(revision.era)
         url = f"http://{peer.peers_address}{UPDATES_PATH}?"
         late = SourceUnavailable(
             f"{peer.peers_address}: no answer within "
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -53,6 +53,8 @@
     finish_s: float
     # The age of the chosen server's load report, in seconds.
     report_age_s: float
+    # If all servers want a pause, the time until the first one may be used, in seconds.
+    quiet_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -120,11 +122,16 @@
             The choice; without a server if none is expected to answer before the
             deadline.
         """
-        candidates = [
+        now_s = monotonic_s()
+        untried = [
             server
             for server in self._table.candidates(request.service.name)
             if server.entry.server_id not in request.excluded
         ]
+        candidates = [server for server in untried if not server.is_quiet(now_s)]
+        if untried and not candidates:
+            quiet_s = min(server.quiet_s(now_s) for server in untried)
+            return Choice(None, len(untried), 0, 0.0, 0.0, quiet_s)
         local, remote = self._order_candidates(candidates)
         compared: list[ServerRecord] = []
         best: ServerRecord | None = None
@@ -152,8 +159,12 @@
         best: ServerRecord | None,
     ) -> Choice:
         now_s = monotonic_s()
-        # A server may have been removed while others were probed.
-        current = self._table.candidates(request.service.name)
+        # While others were probed, a server may have been removed or asked for a pause.
+        current = [
+            server
+            for server in self._table.candidates(request.service.name)
+            if not server.is_quiet(now_s)
+        ]
         if best is not None and best not in current:
             staying = [server for server in compared if server in current]
             best = max(
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -6,10 +6,10 @@
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway._server_signals import ServerSignals
 from berylhaven.http1 import (
     CONNECTION_ERRORS,
     AnswerBodyError,
@@ -38,20 +38,20 @@
     ----------
     pool : ConnectionPool
         The connections to backend servers.
-    dialect : Dialect
-        The header names of the deployment.
+    signals : ServerSignals
+        Records the headers of answers.
     metrics : GatewayMetrics
         Counts the probes.
     """
 
-    __slots__ = ("_pool", "_dialect", "_metrics", "_running_probes")
+    __slots__ = ("_pool", "_signals", "_metrics", "_running_probes")
 
     def __init__(
-        self, pool: ConnectionPool, dialect: Dialect, metrics: GatewayMetrics
+        self, pool: ConnectionPool, signals: ServerSignals, metrics: GatewayMetrics
     ) -> None:
         self._metrics = metrics
         self._pool = pool
-        self._dialect = dialect
+        self._signals = signals
         # Running probes by server id; concurrent requests share them.
         self._running_probes: dict[str, eventlet.greenthread.GreenThread] = {}
 
@@ -143,10 +143,6 @@
             is_reusable = answer.is_complete and answer.keeps_connection
         finally:
             self._pool.release(connection, is_reusable)
-        if self._dialect.server_id(head.fields) not in (None, entry.server_id):
+        if not self._signals.record(server, head.status, head.fields):
             # The address has been reassigned to another server.
             server.record_probe_failure(monotonic_s())
-            return
-        report = self._dialect.load_report(head.fields, monotonic_s())
-        if report is not None:
-            server.record_report(report)
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -1,5 +1,6 @@
 """The state that the gateway keeps of one backend server."""
 
+import dataclasses
 import math
 from dataclasses import dataclass
 
@@ -39,6 +40,10 @@
     # The Unix time of its start in milliseconds; 0 if unknown.
     started_at_ms: int = 0
 
+    def is_older_run(self, other: "ServerEntry") -> bool:
+        """Return whether this run of the server is known to have started earlier."""
+        return 0 < self.started_at_ms < other.started_at_ms
+
     def is_same_run(self, other: "ServerEntry") -> bool:
         """Return whether both entries describe the same run of the server."""
         return (self.address, self.started_at_ms) == (
@@ -60,6 +65,9 @@
 
     __slots__ = (
         "entry",
+        "_says_leaving",
+        "quiet_until_s",
+        "held_until_s",
         "first_seen_at_s",
         "warmup_end_s",
         "in_flight_count",
@@ -75,6 +83,12 @@
 
     def __init__(self, entry: ServerEntry, now_s: float) -> None:
         self.entry = entry
+        # Whether an answer of the server said that it is leaving.
+        self._says_leaving = False
+        # Until when nothing is sent to it because it asked for that.
+        self.quiet_until_s = -math.inf
+        # Until when nothing is sent to it because its run may have ended.
+        self.held_until_s = -math.inf
         # When this run of the server was first listed, on the hub's clock.
         self.first_seen_at_s = now_s
         # When the server reaches its normal speed, on the hub's clock.
@@ -96,8 +110,61 @@
         # Until when other servers are probed first because it was unresponsive.
         self.backoff_until_s = -math.inf
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server accepts no new requests."""
+        return self.entry.is_leaving or self._says_leaving
+
+    def record_leaving(self) -> bool:
+        """Record that the server says it is leaving; return whether that is news."""
+        is_news = not self.is_leaving
+        self._says_leaving = True
+        return is_news
+
+    def reported_entry(self) -> ServerEntry:
+        """Return the entry as peers should see it, leaving if the server said so."""
+        return dataclasses.replace(self.entry, is_leaving=self.is_leaving)
+
+    def is_quiet(self, now_s: float) -> bool:
+        """Return whether nothing may be sent to the server now."""
+        return self.quiet_s(now_s) > 0
+
+    def quiet_s(self, now_s: float) -> float:
+        """Return for how long nothing may be sent to the server, in seconds."""
+        return max(0.0, max(self.quiet_until_s, self.held_until_s) - now_s)
+
+    def hold(self, now_s: float, duration_s: float) -> None:
+        """Send nothing to the server until its entry is written again, or for a time.
+
+        Parameters
+        ----------
+        now_s : float
+            The current time on the hub's clock, in seconds.
+        duration_s : float
+            The time, in seconds.
+        """
+        self.held_until_s = now_s + duration_s
+
+    def end_hold(self, now_s: float) -> None:
+        """Use the server again: its entry was written after the store was restored."""
+        self.held_until_s = min(self.held_until_s, now_s)
+
+    def record_quiet(self, now_s: float, duration_s: float) -> None:
+        """Record that nothing may be sent to the server for a time.
+
+        Parameters
+        ----------
+        now_s : float
+            The current time on the hub's clock, in seconds.
+        duration_s : float
+            The time, in seconds.
+        """
+        self.quiet_until_s = max(self.quiet_until_s, now_s + duration_s)
+
     def update_entry(self, entry: ServerEntry, now_s: float) -> None:
-        """Replace the entry by a newer one of the same server.
+        """Replace the entry by a newer one of the same run of the server.
+
+        A run that was leaving stays so: its entry may be an old copy.
 
         Parameters
         ----------
@@ -108,6 +175,8 @@
         """
         if entry.warmup_left_s != self.entry.warmup_left_s:
             self.warmup_end_s = now_s + entry.warmup_left_s
+        if self.entry.is_leaving and entry.started_at_ms:
+            self._says_leaving = True
         self.entry = entry
 
     def record_report(self, report: LoadReport) -> None:
--- a/berylhaven/gateway/_server_table.py
+++ b/berylhaven/gateway/_server_table.py
@@ -1,16 +1,26 @@
 """The table of the backend servers of all services."""
 
+from collections import OrderedDict
+
 from berylhaven.gateway._server_record import ServerEntry, ServerRecord
 
+# How long a removed server is not used after a restored copy of the store lists it
+# again: the entry of a run that has ended expires within this time.
+RESTORED_ENTRY_HOLD_S = 6.0
+# The number of removed servers whose last state is remembered.
+REMOVED_SERVERS_LIMIT = 4_096
+
 
 class ServerTable:
-    """Records of backend servers by id, and by service those that accept requests."""
+    """Records of backend servers by id and by service."""
 
-    __slots__ = ("_records", "_by_service")
+    __slots__ = ("_records", "_by_service", "_removed")
 
     def __init__(self) -> None:
         self._records: dict[str, ServerRecord] = {}
         self._by_service: dict[str, tuple[ServerRecord, ...]] = {}
+        # The last records of removed servers, the latest removal last.
+        self._removed: OrderedDict[str, ServerRecord] = OrderedDict()
 
     def candidates(self, service: str) -> tuple[ServerRecord, ...]:
         """Return the servers of a service that accept new requests.
@@ -23,20 +33,21 @@
         Returns
         -------
         tuple of ServerRecord
-            The servers, except those that are draining.
+            The servers, except those that are leaving.
         """
-        return self._by_service.get(service, ())
+        servers = self._by_service.get(service, ())
+        return tuple(server for server in servers if not server.is_leaving)
 
     def record(self, server_id: str) -> ServerRecord | None:
         """Return the record of a server, or None."""
         return self._records.get(server_id)
 
     def server_ids(self) -> set[str]:
-        """Return the ids of all servers, including draining ones."""
+        """Return the ids of all servers, including leaving ones."""
         return set(self._records)
 
     def records(self) -> list[ServerRecord]:
-        """Return the records of all servers, including draining ones."""
+        """Return the records of all servers, including leaving ones."""
         return list(self._records.values())
 
     def service_at(self, address: str) -> str | None:
@@ -59,10 +70,12 @@
 
     @property
     def server_count(self) -> int:
-        """The number of servers, including draining ones."""
+        """The number of servers, including leaving ones."""
         return len(self._records)
 
-    def put(self, entry: ServerEntry, now_s: float) -> None:
+    def put(
+        self, entry: ServerEntry, now_s: float, is_restored: bool = False
+    ) -> ServerRecord:
         """Insert or update the entry of a server.
 
         Parameters
@@ -71,24 +84,53 @@
             The entry of a new server, or a newer entry of a listed one.
         now_s : float
             The current time on the hub's clock, in seconds.
+        is_restored : bool
+            Whether the entry comes from an older copy of the store.
+
+        Returns
+        -------
+        ServerRecord
+            The record of the server.
         """
         known = self._records.get(entry.server_id)
-        if known is None or not known.entry.is_same_run(entry):
-            self._records[entry.server_id] = ServerRecord(entry, now_s)
-        else:
+        if known is not None and entry.is_older_run(known.entry):
+            return known
+        if known is not None and known.entry.is_same_run(entry):
             known.update_entry(entry, now_s)
+            if not is_restored:
+                known.end_hold(now_s)
+        else:
+            known = self._insert(entry, now_s, is_restored)
         self._regroup()
+        return known
+
+    def _insert(
+        self, entry: ServerEntry, now_s: float, is_restored: bool
+    ) -> ServerRecord:
+        record = self._records[entry.server_id] = ServerRecord(entry, now_s)
+        removed = self._removed.get(entry.server_id)
+        if removed is None or not removed.entry.is_same_run(entry):
+            return record
+        if removed.is_leaving and entry.started_at_ms:
+            record.record_leaving()
+        record.quiet_until_s = removed.quiet_until_s
+        if is_restored:
+            record.hold(now_s, RESTORED_ENTRY_HOLD_S)
+        return record
 
     def remove(self, server_id: str) -> ServerRecord | None:
         """Remove a server and return its record, or None if it was not listed."""
         record = self._records.pop(server_id, None)
         if record is not None:
+            self._removed[server_id] = record
+            self._removed.move_to_end(server_id)
+            if len(self._removed) > REMOVED_SERVERS_LIMIT:
+                self._removed.popitem(last=False)
             self._regroup()
         return record
 
     def _regroup(self) -> None:
         groups: dict[str, list[ServerRecord]] = {}
         for record in self._records.values():
-            if not record.entry.is_leaving:
-                groups.setdefault(record.entry.service, []).append(record)
+            groups.setdefault(record.entry.service, []).append(record)
         self._by_service = {name: tuple(group) for name, group in groups.items()}
--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/_update_codec.py
@@ -11,6 +11,7 @@
     ServerRemoved,
 )
 from berylhaven.gateway._server_record import ServerEntry
+from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.routes import (
     CallerLimits,
     RequestKind,
@@ -44,7 +45,8 @@
     """
     changes = [[CHANGE_NAMES[type(change)], change] for change in update.changes]
     document = {
-        "revision": update.revision,
+        "revision": update.revision.number,
+        "era": update.revision.era,
         "changes": changes,
         "is_after_outage": update.is_after_outage,
     }
@@ -72,17 +74,20 @@
     document = orjson.loads(body)
     try:
         changes = [_change(name, fields) for name, fields in document["changes"]]
-        revision = document["revision"]
+        number = document["revision"]
+        # Instances of earlier releases send none.
+        era = document.get("era", 0)
         is_after_outage = bool(document["is_after_outage"])
     except (KeyError, TypeError) as error:
         raise ValueError(
             f"malformed update: missing or invalid field: {error}"
         ) from None
-    if type(revision) is not int:
+    if type(number) is not int or type(era) is not int:
         raise ValueError(
-            f"malformed update: revision {revision!r:.200} is not an integer"
+            f"malformed update: revision {number!r:.200} or era {era!r:.200} is not an "
+            "integer"
         )
-    return FleetUpdate(tuple(changes), revision, is_after_outage)
+    return FleetUpdate(tuple(changes), StoreRevision(era, number), is_after_outage)
 
 
 def _change(name: str, fields: dict[str, Any]) -> Change:
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -10,9 +10,11 @@
 from berylhaven.gateway import (
     FleetUpdate,
     GatewayInstance,
+    HistoryGone,
     ServerEntry,
     ServerRemoved,
     SettingsFile,
+    StoreRevision,
     parse_gateway_settings,
 )
 from berylhaven.http1.tests._raw_backend import RawBackend
@@ -58,6 +60,9 @@
     def server_id(self, fields):
         return fields.get("Wordy-Server")
 
+    def is_server_leaving(self, fields):
+        return fields.get("Wordy-Leaving") is not None
+
     def load_report(self, fields, now_s):
         text = fields.get("Wordy-Load")
         if text is None:
@@ -97,11 +102,17 @@
     )
 
 
+def at(number, era=0):
+    """Return a revision of the store."""
+    return StoreRevision(era, number)
+
+
 class FakeSource:
     """A store whose content a test sets."""
 
     def __init__(self, *changes):
-        self.revision = 1
+        self.number = 1
+        self.era = 0
         self.snapshot = list(changes)
         self.changed = eventlet.event.Event()
         self.published = []
@@ -114,9 +125,13 @@
         # The settings of the last reconfiguration.
         self.new_settings = None
 
+    @property
+    def revision(self):
+        return StoreRevision(self.era, self.number)
+
     def put(self, *changes):
         """Publish changes."""
-        self.revision += 1
+        self.number += 1
         self.published.append((self.revision, changes))
         changed, self.changed = self.changed, eventlet.event.Event()
         changed.send()
@@ -135,6 +150,8 @@
         return FleetUpdate(tuple(self.snapshot), self.revision)
 
     def _update_since(self, revision):
+        if revision.era != self.era:
+            raise HistoryGone("another era")
         changes = tuple(c for r, cs in self.published if r > revision for c in cs)
         return FleetUpdate(changes, self.revision)
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -28,7 +28,7 @@
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._update_codec import decode_update, encode_update
 from berylhaven.gateway._update_log import UpdateLog
-from berylhaven.gateway.tests._gateway_path import FakeSource, configuration
+from berylhaven.gateway.tests._gateway_path import FakeSource, at, configuration
 from berylhaven.http1 import ConnectionPool
 
 
@@ -98,8 +98,8 @@
 
     def test_the_first_watch_is_delayed_for_relays(self):
         self.members.expects_peers = True
-        self.members.own.revision = 0
         self.follower._revision = None
+        self.follower._needs_snapshot = True
         self.follower.step()
         calls = self.source.call_count
         self.clock.advance_s(FIRST_WATCH_DELAY_LIMIT_S - 0.1)
@@ -121,7 +121,7 @@
         self.follower.step()
         self.source.failure = None
         self.source.snapshot = [configuration(4), entry("b"), entry("c")]
-        self.source.revision += 5
+        self.source.number += 5
         self.follower.step()
         update = self.log.after(before)
         self.assertEqual(update.revision, self.source.revision)
@@ -134,7 +134,7 @@
         self.assertEqual(self.follower.snapshot().revision, self.source.revision)
 
     def test_after_a_lost_history_the_difference_comes_from_a_relay(self):
-        update = FleetUpdate((ServerRemoved("a"),), self.source.revision + 3)
+        update = FleetUpdate((ServerRemoved("a"),), at(self.source.number + 3))
         self.source.failure = HistoryGone("forgotten")
         with unittest.mock.patch.object(
             RelayedSource, "wait_for_relay", return_value=update
@@ -146,7 +146,7 @@
 
     def test_an_instance_behind_a_lost_history_reads_a_snapshot_during_its_watch(self):
         self.source.snapshot = [configuration(4), entry("b")]
-        self.source.revision += 5
+        self.source.number += 5
         self.source.watch = unittest.mock.Mock(side_effect=HistoryGone("forgotten"))
         self.run_catch_up_loop()
         peer = Member("peer", "peer", "there", 1, 1, True, self.source.revision)
@@ -185,7 +185,7 @@
             eventlet.sleep(0)
 
     def receive_heartbeat(self, store_available_s):
-        peer = Member("peer", "peer", "here", 1, 1, True, 0, store_available_s)
+        peer = Member("peer", "peer", "here", 1, 1, True, at(0), store_available_s)
         self.members.merge(peer, monotonic_s())
 
     def test_a_peer_without_the_outage_proves_that_no_entry_expired(self):
@@ -199,7 +199,9 @@
         self.clock.advance_s(0.2)
         self.assertEqual(self.servers(), ["a", "b"])
         self.members.own.heartbeat += 1
-        self.members.merge(Member("p2", "p2", "here", 1, 1, True, 0, 30), monotonic_s())
+        self.members.merge(
+            Member("p2", "p2", "here", 1, 1, True, at(0), 30), monotonic_s()
+        )
         self.clock.advance_s(0.2)
         self.assertEqual(self.servers(), ["b"])
 
@@ -226,7 +228,7 @@
         self.assertEqual(self.members.own.store_available_s, 2)
 
     def test_expired_entries_are_kept_if_a_peer_reports_the_outage(self):
-        update = FleetUpdate((ServerRemoved("a"),), self.source.revision + 1, True)
+        update = FleetUpdate((ServerRemoved("a"),), at(self.source.number + 1), True)
         self.follower._apply_newer(update)
         self.assertEqual(self.servers(), ["a", "b"])
 
@@ -235,7 +237,7 @@
         self.follower.step()
         self.source.failure = None
         self.source.snapshot = [configuration(5), entry("b"), entry("c")]
-        self.source.revision += 4
+        self.source.number += 4
         self.follower.step()
         self.assertEqual(self.servers(), ["b", "c"])
         self.assertEqual(self.routes.version, 5)
@@ -248,7 +250,7 @@
     def test_an_older_update_changes_nothing(self):
         self.source.put(entry("a", is_leaving=True))
         self.follower.step()
-        old = FleetUpdate((entry("a"),), self.source.revision - 1)
+        old = FleetUpdate((entry("a"),), at(self.source.number - 1))
         self.follower._apply_newer(old)
         self.assertEqual(self.servers(), ["b"])
 
@@ -265,7 +267,7 @@
 class UpdateCodecTest(unittest.TestCase):
     def test_an_update_survives_encoding_and_decoding(self):
         changes = (configuration(7), entry("a"), ServerRemoved("b"))
-        update = FleetUpdate((*changes, InvalidEntry("c", "why")), 12, True)
+        update = FleetUpdate((*changes, InvalidEntry("c", "why")), at(12), True)
         self.assertEqual(decode_update(encode_update(update)), update)
 
     def test_a_malformed_update_is_a_value_error(self):
@@ -284,19 +286,19 @@
 class UpdateLogTest(unittest.TestCase):
     def test_a_peer_gets_the_changes_after_its_revision(self):
         log = UpdateLog()
-        log.reset(5)
-        log.add(FleetUpdate((entry("a"),), 6))
-        log.add(FleetUpdate((entry("b"),), 9))
-        self.assertEqual(log.after(6), FleetUpdate((entry("b"),), 9))
-        self.assertEqual(log.after(9).changes, ())
+        log.reset(at(5))
+        log.add(FleetUpdate((entry("a"),), at(6)))
+        log.add(FleetUpdate((entry("b"),), at(9)))
+        self.assertEqual(log.after(at(6)), FleetUpdate((entry("b"),), at(9)))
+        self.assertEqual(log.after(at(9)).changes, ())
         with self.assertRaises(HistoryGone):
-            log.after(4)
+            log.after(at(4))
 
     def test_a_waiting_peer_is_woken(self):
         log = UpdateLog()
-        log.reset(5)
-        thread = eventlet.spawn(log.wait_after, 5, 5.0)
+        log.reset(at(5))
+        thread = eventlet.spawn(log.wait_after, at(5), 5.0)
         eventlet.sleep(0)
-        log.add(FleetUpdate((entry("a"),), 6))
+        log.add(FleetUpdate((entry("a"),), at(6)))
         with eventlet.Timeout(1.0):
-            self.assertEqual(thread.wait().revision, 6)
+            self.assertEqual(thread.wait().revision, at(6))
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -25,7 +25,7 @@
     RelayedSource,
 )
 from berylhaven.gateway._update_log import UpdateLog
-from berylhaven.gateway.tests._gateway_path import FakeSource, free_address
+from berylhaven.gateway.tests._gateway_path import FakeSource, at, free_address
 from berylhaven.http1 import serve
 
 # The platform adapter gives a watch up this long after its wait.
@@ -66,40 +66,40 @@
         return address
 
     def test_a_single_instance_queries_the_store(self):
-        self.assertEqual(self.relayed.watch(1, 0.0).revision, 1)
+        self.assertEqual(self.relayed.watch(at(1), 0.0).revision, at(1))
         self.assertEqual(self.source.call_count, 1)
 
     def test_the_first_watch_of_a_new_relay_does_not_wait_and_later_ones_do(self):
         for longest_s in (0.1, 1.0):
             with eventlet.Timeout(longest_s):
-                self.relayed.watch(1, 0.2)
+                self.relayed.watch(at(1), 0.2)
         self.assertEqual(self.source.waits_s, [0.0, 0.2])
 
     def test_an_instance_that_is_behind_fetches_from_a_relay_with_the_revision(self):
-        self.source.revision = 9
-        self.add_relay(self.serve(lambda: FleetUpdate((), 7)))
-        self.assertEqual(self.relayed.fetch(1, newest=7).revision, 7)
+        self.source.number = 9
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(7))))
+        self.assertEqual(self.relayed.fetch(at(1), newest=at(7)).revision, at(7))
         self.assertEqual(self.source.call_count, 0)
-        self.assertEqual(self.relayed.fetch(1, newest=8).revision, 9)
+        self.assertEqual(self.relayed.fetch(at(1), newest=at(8)).revision, at(9))
 
     def test_after_a_lost_watch_the_next_is_immediate_and_then_watches_are_short(self):
         with ManualClock() as clock:
-            self.relayed.watch(1, 0.0)
+            self.relayed.watch(at(1), 0.0)
             clock.advance_s(0.1)
             self.source.failure = SourceUnavailable("lost")
             with self.assertRaises(SourceUnavailable):
-                self.relayed.watch(1, 0.0)
+                self.relayed.watch(at(1), 0.0)
             self.source.failure = None
             self.source.put(ServerRemoved("a"))
             waits_s = []
             for _ in range(2):
                 clock.advance_s(0.1)
-                self.relayed.watch(1, 4.0)
+                self.relayed.watch(at(1), 4.0)
                 waits_s.append(self.source.waits_s[-1])
             clock.advance_s(SHORT_DIRECT_WAIT_DURATION_S / 2)
-            self.relayed.watch(1, 4.0)
+            self.relayed.watch(at(1), 4.0)
             clock.advance_s(SHORT_DIRECT_WAIT_DURATION_S / 2)
-            self.relayed.watch(1, 4.0)
+            self.relayed.watch(at(1), 4.0)
         waits_s += self.source.waits_s[-2:]
         self.assertEqual(
             waits_s, [0.0, SHORT_DIRECT_WAIT_S, SHORT_DIRECT_WAIT_S, DIRECT_WAIT_S]
@@ -110,7 +110,7 @@
         relayed = RelayedSource(self.source, self.members, log, GatewayMetrics())
         self.source.failure = HistoryGone("forgotten")
         with self.assertRaises(HistoryGone):
-            relayed.watch(1, 0.0)
+            relayed.watch(at(1), 0.0)
         self.assertLess(monotonic_s() - log.store_answered_at_s, 1.0)
 
     def test_one_lost_watch_is_recovered_before_peers_give_up_a_relay(self):
@@ -118,8 +118,8 @@
         self.assertLess(lost_after_s + RETRY_BASE_S * 2 + 0.2, STORE_ANSWER_AGE_LIMIT_S)
 
     def test_an_update_of_a_relay_needs_no_call_to_the_store(self):
-        self.add_relay(self.serve(lambda: FleetUpdate((), 7)))
-        self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(7))))
+        self.assertEqual(self.relayed.watch(at(1), 1.0).revision, at(7))
         self.assertEqual(self.source.call_count, 0)
 
     def refuse(self):
@@ -128,14 +128,14 @@
     def test_after_a_refusal_of_the_relay_the_store_is_queried_at_once(self):
         self.add_relay(self.serve(self.refuse))
         self.source.put()
-        self.assertEqual(self.relayed.watch(1, 1.0).revision, 2)
+        self.assertEqual(self.relayed.watch(at(1), 1.0).revision, at(2))
         self.assertEqual(self.source.call_count, 1)
 
     def test_after_a_refusal_of_one_relay_the_other_is_queried(self):
         self.add_relay(self.serve(self.refuse))
-        self.add_relay(self.serve(lambda: FleetUpdate((), 7)))
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(7))))
         for _ in range(4):
-            self.assertEqual(self.relayed.watch(1, 1.0).revision, 7)
+            self.assertEqual(self.relayed.watch(at(1), 1.0).revision, at(7))
         self.assertEqual(self.source.call_count, 0)
 
     def test_an_unresponsive_relay_is_given_up_in_time(self):
@@ -144,7 +144,7 @@
         self.add_relay(f"127.0.0.1:{listener.getsockname()[1]}")
         self.source.put()
         started_at_s = monotonic_s()
-        self.assertEqual(self.relayed.watch(1, 1.0).revision, 2)
+        self.assertEqual(self.relayed.watch(at(1), 1.0).revision, at(2))
         self.assertLess(PEER_WAIT_S + PEER_TIMEOUT_MARGIN_S, PROPAGATION_LIMIT_S)
         self.assertLess(monotonic_s() - started_at_s, PROPAGATION_LIMIT_S)
 
@@ -153,32 +153,32 @@
         self.source.failure = SourceUnavailable("down")
         for _ in range(5):
             with self.assertRaises(SourceUnavailable):
-                self.relayed.watch(1, 1.0)
+                self.relayed.watch(at(1), 1.0)
         self.assertEqual(self.source.call_count, 1)
 
     def test_without_the_store_a_start_reads_the_snapshot_of_a_peer(self):
         self.source.failure = SourceUnavailable("down")
-        self.add_relay(self.serve(lambda: FleetUpdate((), 7)))
-        self.assertEqual(self.relayed.read().revision, 7)
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(7))))
+        self.assertEqual(self.relayed.read().revision, at(7))
 
     def test_after_a_lost_history_a_relay_has_time_to_read_a_snapshot(self):
         revisions = [7, 9, 12]
-        self.add_relay(self.serve(lambda: FleetUpdate((), revisions.pop(0))))
-        self.assertEqual(self.relayed.wait_for_relay(9).revision, 12)
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(revisions.pop(0)))))
+        self.assertEqual(self.relayed.wait_for_relay(at(9)).revision, at(12))
         self.assertEqual(self.source.call_count, 0)
 
     def test_the_wait_for_a_relay_without_newer_changes_is_limited(self):
         # Two instances that consider each other a relay would never query the store.
-        self.add_relay(self.serve(lambda: FleetUpdate((), 9)))
-        self.assertIsNone(self.relayed.wait_for_relay(9))
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(9))))
+        self.assertIsNone(self.relayed.wait_for_relay(at(9)))
 
     def test_a_snapshot_of_a_peer_without_newer_changes_is_not_used(self):
-        self.members.own.revision = 9
+        self.members.own.revision = at(9)
         self.source.failure = SourceUnavailable("down")
-        self.add_relay(self.serve(lambda: FleetUpdate((), 9)))
+        self.add_relay(self.serve(lambda: FleetUpdate((), at(9))))
         with self.assertRaises(SourceUnavailable):
             self.relayed.read()
 
     def test_a_relay_itself_queries_the_store_after_a_lost_history(self):
         self.members.own.is_ready = True
-        self.assertIsNone(self.relayed.wait_for_relay(9))
+        self.assertIsNone(self.relayed.wait_for_relay(at(9)))
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -11,6 +11,7 @@
 from berylhaven.http1._head_fields import END_OF_HEAD, HeadFields, read_fields
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
 from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
+from berylhaven.http1._retry_after import RETRY_AFTER, parse_retry_after_s
 from berylhaven.http1._upstream_answer import (
     AnswerBodyError,
     AnswerBodyReader,
@@ -23,6 +24,8 @@
 from berylhaven.http1._wsgi_server import serve
 
 __all__ = [
+    "RETRY_AFTER",
+    "parse_retry_after_s",
     "CALLER_ERROR_ENDS",
     "CONNECTION_ERRORS",
     "MALFORMED_ANSWER_ERRORS",
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -21,6 +21,8 @@
 MILLISECONDS_PER_SECOND = 1_000
 WRITE_PATH = "/items/"
 FORGET_PATH = "/forget"
+COPY_PATH = "/copy"
+RESTORE_PATH = "/restore"
 
 
 class MetadataStoreStandIn:
@@ -36,6 +38,10 @@
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
         self._compacted_revision = 0
+        # Rises with each restore.
+        self.era = 1
+        # The revision, items and events at the last copy.
+        self._copy: tuple[int, dict, list] = (self._revision, {}, [])
 
     @property
     def revision(self) -> int:
@@ -70,6 +76,16 @@
         self._events.clear()
         self._compacted_revision = self._revision
 
+    def make_copy(self) -> None:
+        """Copy the current state for a later `restore`."""
+        self._copy = (self._revision, dict(self._items), list(self._events))
+
+    def restore(self) -> None:
+        """Return to the copied state, which begins a new era."""
+        self._revision, items, events = self._copy
+        self._items, self._events = dict(items), list(events)
+        self.era += 1
+
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Answer one request."""
         path = environ["PATH_INFO"]
@@ -80,6 +96,12 @@
         if path == FORGET_PATH:
             self.compact_history()
             return json_answer(start_response, {"Revision": self._revision})
+        if path == COPY_PATH:
+            self.make_copy()
+            return json_answer(start_response, {"Revision": self._revision})
+        if path == RESTORE_PATH:
+            self.restore()
+            return json_answer(start_response, {"Era": self.era})
         if path.startswith(WRITE_PATH):
             return self._write(environ, path.removeprefix(WRITE_PATH), start_response)
         return self._read(environ, path, start_response)
@@ -91,6 +113,13 @@
             revision = self.put(key, environ["wsgi.input"].read())
         return json_answer(start_response, {"Revision": revision})
 
+    def _answer(
+        self, start_response: Callable, document: dict, status: str = "200 OK"
+    ) -> list[bytes]:
+        """Answer with a JSON object and the era."""
+        headers = (("Store-Era", str(self.era)),)
+        return json_answer(start_response, document, status, headers)
+
     def _read(self, environ: dict, path: str, start_response: Callable) -> list[bytes]:
         self.call_count += 1
         if self.faults.delay_s:
@@ -98,7 +127,7 @@
         if self.faults.refuse_status:
             error = {"Error": "refused"}
             status = f"{self.faults.refuse_status} Refused"
-            return json_answer(start_response, error, status)
+            return self._answer(start_response, error, status)
         query = {
             name: values[0]
             for name, values in parse_qs(
@@ -113,13 +142,13 @@
             return self._answer_range(query, start_response)
         if path == "/kv-watch":
             return self._answer_watch(query, start_response)
-        return json_answer(start_response, {"Error": "no such call"}, "404 Not Found")
+        return self._answer(start_response, {"Error": "no such call"}, "404 Not Found")
 
     def _answer_item(self, query: dict, start_response: Callable) -> list[bytes]:
         item = self._items.get(query.get("Key", ""))
         if item is None:
-            return json_answer(start_response, {"Error": "no item"}, "404 Not Found")
-        return json_answer(start_response, {**item, "At": self._revision})
+            return self._answer(start_response, {"Error": "no item"}, "404 Not Found")
+        return self._answer(start_response, {**item, "At": self._revision})
 
     def _answer_range(self, query: dict, start_response: Callable) -> list[bytes]:
         prefix, after = query.get("PathPrefix", ""), query.get("after", "")
@@ -129,12 +158,12 @@
             "HasMore": len(keys) > PAGE_ITEMS,
             "At": self._revision,
         }
-        return json_answer(start_response, page)
+        return self._answer(start_response, page)
 
     def _answer_watch(self, query: dict, start_response: Callable) -> list[bytes]:
         prefix, after = query.get("PathPrefix", ""), int(query.get("after", 0))
-        if after < self._compacted_revision:
-            return json_answer(start_response, {"Error": "compacted"}, "410 Gone")
+        if not self._compacted_revision <= after <= self._revision:
+            return self._answer(start_response, {"Error": "compacted"}, "410 Gone")
         remaining_s = int(query.get("WaitMs", 0)) / MILLISECONDS_PER_SECOND
         while True:
             events = [
@@ -144,7 +173,7 @@
             ]
             if events or remaining_s <= 0 or self.faults.cut_watches:
                 page = {"events": events, "At": self._revision}
-                return json_answer(start_response, page)
+                return self._answer(start_response, page)
             eventlet.sleep(WATCH_POLL_S)
             remaining_s -= WATCH_POLL_S
 
