Advance the clock between the watches of a test

Cause: the read budget refuses a third read at once, so the test of repeated watches failed in a full run (1 of 551). Change: the paused clock advances between steps; every assertion stays.

--- a/berylhaven/controllers/tests/test_catalogue_watch_controller.py
+++ b/berylhaven/controllers/tests/test_catalogue_watch_controller.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import ManualClock
 from berylhaven.controllers import _catalogue_watch_controller
 from berylhaven.controllers._catalogue_candidates import WATCHED_CATALOGUE_SECTION
 from berylhaven.controllers._catalogue_watch_controller import CatalogueWatchController
@@ -35,6 +36,9 @@
 
     def setUp(self):
         logging.set_verbosity(logging.FATAL)
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
         self.service = FakeConfigurationService()
         self.blackboard = Blackboard()
         self.controller = CatalogueWatchController(
@@ -59,11 +63,14 @@
     def test_a_value_that_is_not_evaluated_yet_is_not_read_again(self):
         for _ in range(3):
             self.controller.step()
+            # The budget of reads allows the next one.
+            self.clock.advance_s(60.0)
         self.assertEqual(self.service.watched_versions, [0, 7, 7])
         self.assertEqual(self.candidate(), self.service.value)
 
     def test_a_value_that_is_not_evaluated_yet_survives_a_failed_read(self):
         self.controller.step()
+        self.clock.advance_s(60.0)
         self.service.is_down = True
         self.controller.step()
         self.assertEqual(self.candidate(), self.service.value)
