Keep servers below the load at which they slow down; wait briefly, then refuse

Change: a new package berylhaven.overload of pure decisions. Crowding learns from answers how much longer requests take on nearly full servers; best_concurrency is the number with the highest throughput (3 of 4 slots at 1.5 and over, all slots where nothing slows down); decide_start sends below it, waits 0.12 of the objective for room in two looks, then refuses; return_after_s spreads the returns over the time in which slots become free. Second attempts do not wait. 2 of 100 requests go beyond the limit, so that a change of the servers is noticed.

--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/_attempt_coordinator.py
@@ -26,9 +26,8 @@
 MIN_HEDGE_DELAY_RATIO = 0.35
 # With less time until the deadline, another attempt could not be answered.
 MIN_REMAINING_S = 0.005
-# Bounds of the Retry-After value, in seconds.
+# The Retry-After value after attempts that did not run.
 MIN_RETRY_AFTER_S = 0.02
-MAX_RETRY_AFTER_S = 1.0
 HTTP_STATUS_SERVER_ERROR = 500
 TIMEOUT_ENDS = frozenset(
     {AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.DEADLINE_BEFORE_SENDING}
@@ -152,12 +151,7 @@
         """The time after which the caller may retry, in seconds."""
         if self._no_server is None:
             return MIN_RETRY_AFTER_S
-        if self._no_server.quiet_s:
-            return self._no_server.quiet_s
-        excess_s = (
-            self._no_server.finish_s - self._choice_request.route.latency_objective_s
-        )
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
+        return self._no_server.return_s
 
     def _wait(self) -> "AttemptResult | BaseException | None":
         """Return the result of the next attempt to end; None when a hedge is due."""
@@ -177,8 +171,9 @@
             return
         server_id = server.entry.server_id
         excluded = self._choice_request.excluded | {server_id}
+        # Only the first attempt may wait for a slot.
         self._choice_request = dataclasses.replace(
-            self._choice_request, excluded=excluded
+            self._choice_request, excluded=excluded, wait_limit_s=0.0
         )
         now_s = monotonic_s()
         if self._choice_request.route.is_idempotent and not self._threads:
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -1,19 +1,32 @@
 """Runs one attempt of a request: chooses a server, sends, records the result."""
 
+import dataclasses
 from dataclasses import dataclass
+from random import Random
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._finish_estimate import expected_finish_s, slowness_ratio
+from berylhaven.gateway._finish_estimate import (
+    MEAN_SLOWNESS_RATIO,
+    expected_finish_s,
+    slowness_ratio,
+    uncrowded_run_s,
+)
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayRequest
-from berylhaven.gateway._server_chooser import ChoiceRequest, ServerChooser
+from berylhaven.gateway._server_chooser import Choice, ChoiceRequest, ServerChooser
 from berylhaven.gateway._server_exchange import ServerAnswer, exchange
 from berylhaven.gateway._server_record import ServerRecord
 from berylhaven.gateway._server_signals import ServerSignals
 from berylhaven.http1 import ConnectionPool
+from berylhaven.overload import (
+    StartDecision,
+    is_crowded,
+    return_after_s,
+    wait_step_s,
+)
 from berylhaven.results import Outcome
 
 # Ends of attempts that don't count as failures of the backend server.
@@ -38,17 +51,14 @@
     ----------
     message : str
         One sentence with the details.
-    finish_s : float
-        The shortest estimate of the time to an answer, in seconds.
-    quiet_s : float
-        The time for which all servers want a pause, in seconds.
+    return_s : float
+        The time after which the caller may come back, in seconds.
     """
 
-    def __init__(self, message: str, finish_s: float, quiet_s: float = 0.0) -> None:
+    def __init__(self, message: str, return_s: float) -> None:
         super().__init__(message)
         self.message = message
-        self.finish_s = finish_s
-        self.quiet_s = quiet_s
+        self.return_s = return_s
 
 
 @dataclass(slots=True)
@@ -74,13 +84,23 @@
         The header names of the deployment.
     signals : ServerSignals
         Records the headers of answers.
+    random : random.Random
+        The source of random numbers.
     event_log : EventLog
         Receives a line for each choice and each attempt.
     metrics : GatewayMetrics
         Counts the attempts.
     """
 
-    __slots__ = ("_chooser", "_pool", "_dialect", "_signals", "_event_log", "_metrics")
+    __slots__ = (
+        "_chooser",
+        "_pool",
+        "_dialect",
+        "_signals",
+        "_random",
+        "_event_log",
+        "_metrics",
+    )
 
     def __init__(
         self,
@@ -88,6 +108,7 @@
         pool: ConnectionPool,
         dialect: Dialect,
         signals: ServerSignals,
+        random: Random,
         event_log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -95,13 +116,14 @@
         self._pool = pool
         self._dialect = dialect
         self._signals = signals
+        self._random = random
         self._event_log = event_log
         self._metrics = metrics
 
     def choose(
         self, request: GatewayRequest, choice_request: ChoiceRequest
     ) -> ServerRecord:
-        """Return the server for an attempt and log the choice.
+        """Return the server for an attempt, after a wait for a slot if necessary.
 
         Parameters
         ----------
@@ -120,7 +142,7 @@
         NoServerAvailable
             If no server is expected to answer in time.
         """
-        choice = self._chooser.choose(choice_request)
+        choice = self._choose_after_wait(choice_request)
         server = choice.server
         self._event_log.write(
             "placement",
@@ -143,9 +165,24 @@
                 f'service "{choice_request.service.name}": none of '
                 f"{choice.candidate_count} servers {problem}"
             )
-            raise NoServerAvailable(message, choice.finish_s, choice.quiet_s)
+            return_s = choice.quiet_s or return_after_s(
+                choice.finish_s, choice.concurrency, self._random.random()
+            )
+            raise NoServerAvailable(message, return_s)
         return server
 
+    def _choose_after_wait(self, choice_request: ChoiceRequest) -> Choice:
+        began_at_s = monotonic_s()
+        choice = self._chooser.choose(choice_request)
+        while choice.decision is StartDecision.WAIT:
+            limit_s = choice_request.wait_limit_s
+            sleep_s(wait_step_s(limit_s, self._random.random()))
+            choice_request = dataclasses.replace(
+                choice_request, waited_s=monotonic_s() - began_at_s
+            )
+            choice = self._chooser.choose(choice_request)
+        return choice
+
     def send(
         self,
         request: GatewayRequest,
@@ -177,6 +214,8 @@
         sent_at_s = monotonic_s()
         expected_s = expected_finish_s(server, choice_request.work, sent_at_s)
         slowness = slowness_ratio(server, sent_at_s)
+        uncrowded_s = uncrowded_run_s(server, choice_request.work, sent_at_s)
+        request_count = server.occupied_count + 1
         connection = self._pool.acquire(
             entry.address, choice_request.route.is_idempotent
         )
@@ -203,6 +242,10 @@
         choice_request.work.record(
             choice_request.work.work_s * duration_s / expected_s, size_bytes
         )
+        if slowness < MEAN_SLOWNESS_RATIO and request_count <= server.slot_count:
+            choice_request.work.crowding.record(
+                is_crowded(request_count, server.slot_count), duration_s / uncrowded_s
+            )
         self._event_log.write(
             "attempt",
             "answered",
--- a/berylhaven/gateway/_finish_estimate.py
+++ b/berylhaven/gateway/_finish_estimate.py
@@ -1,18 +1,15 @@
 """Estimates of a request's time to answer on a backend server, and their utility."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.overload import Crowding, is_crowded
 
 # The assumed work of a request before the first answer, relative to its objective.
 INITIAL_WORK_RATIO = 0.4
 # The weight of one answer in the moving averages of a route.
 WORK_SAMPLE_WEIGHT = 0.05
-# Servers slow down above this share of busy slots, according to the platform's
-# description.
-NEARLY_FULL_RATIO = 0.8
-NEARLY_FULL_SLOWNESS_RATIO = 1.5
 # Time constant: a load report of this age has the weight 1/e, because machines change
 # their speed several times a second.
 REPORT_DECAY_S = 0.15
@@ -40,6 +37,8 @@
     work_s: float
     # The size of request and answer together, in bytes.
     size_bytes: float = 2_000.0
+    # How crowded servers of the service slow down, shared by its routes.
+    crowding: Crowding = field(default_factory=Crowding)
 
     def record(self, work_s: float, size_bytes: int) -> None:
         """Add an answered request to the averages.
@@ -98,13 +97,33 @@
     """
     slots = server.slot_count
     request_count = server.occupied_count + 1
-    run_s = work.work_s * slowness_ratio(server, now_s) * server.warmup_ratio(now_s)
-    if request_count > NEARLY_FULL_RATIO * slots:
-        run_s *= NEARLY_FULL_SLOWNESS_RATIO
+    run_s = uncrowded_run_s(server, work, now_s)
+    if is_crowded(request_count, slots):
+        run_s *= work.crowding.slowdown_ratio
     queued_per_slot = max(0, request_count - slots) / slots
     return run_s * (1 + queued_per_slot)
 
 
+def uncrowded_run_s(server: ServerRecord, work: RouteWork, now_s: float) -> float:
+    """Return the expected run time of a request on a server with free slots.
+
+    Parameters
+    ----------
+    server : ServerRecord
+        The backend server.
+    work : RouteWork
+        The averages of the request's route.
+    now_s : float
+        The current time on the hub's clock, in seconds.
+
+    Returns
+    -------
+    float
+        The time, in seconds.
+    """
+    return work.work_s * slowness_ratio(server, now_s) * server.warmup_ratio(now_s)
+
+
 def expected_utility(
     finish_s: float,
     objective_remaining_s: float,
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -16,6 +16,7 @@
 from berylhaven.gateway._server_chooser import ChoiceRequest
 from berylhaven.gateway._shared_retry_budget import RetryAllowance, SharedRetryBudget
 from berylhaven.http1 import end_to_end_headers
+from berylhaven.overload import Crowding, wait_limit_s
 from berylhaven.results import BodyTooLarge, CallRefused
 from berylhaven.routes import Route, ServiceSpec, SplitChooser
 
@@ -66,6 +67,7 @@
         "_splits_version",
         "_budgets",
         "_work_by_route",
+        "_crowding_by_service",
         "_event_log",
         "_metrics",
     )
@@ -92,6 +94,7 @@
         self._splits_version: int | None = None
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._work_by_route: dict[tuple[str, str], RouteWork] = {}
+        self._crowding_by_service: dict[str, Crowding] = {}
         self._event_log = event_log
 
     def update_allowance(self, allowance: RetryAllowance) -> None:
@@ -152,15 +155,16 @@
         now_s = monotonic_s()
         budget = self._budget(service.name)
         budget.record_request(now_s)
-        wait_limit_s = route.timeout_s
+        time_limit_s = route.timeout_s
         if request.remaining_s is not None:
-            wait_limit_s = min(wait_limit_s, request.remaining_s - RETURN_MARGIN_S)
+            time_limit_s = min(time_limit_s, request.remaining_s - RETURN_MARGIN_S)
         choice_request = ChoiceRequest(
             route,
             service,
             self._work(route, service),
             request.received_at_s,
-            request.received_at_s + wait_limit_s,
+            request.received_at_s + time_limit_s,
+            wait_limit_s=wait_limit_s(route.latency_objective_s),
         )
 
         def try_acquire_retry() -> bool:
@@ -278,7 +282,9 @@
         key = (route.name, service.name)
         work = self._work_by_route.get(key)
         if work is None:
-            work = RouteWork(INITIAL_WORK_RATIO * route.latency_objective_s)
+            crowding = self._crowding_by_service.setdefault(service.name, Crowding())
+            initial_work_s = INITIAL_WORK_RATIO * route.latency_objective_s
+            work = RouteWork(initial_work_s, crowding=crowding)
             self._work_by_route[key] = work
         return work
 
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -173,7 +173,13 @@
         return Forwarder(
             self._routes,
             AttemptRunner(
-                chooser, pool, dialect, signals, self._event_log, self.metrics
+                chooser,
+                pool,
+                dialect,
+                signals,
+                self._random,
+                self._event_log,
+                self.metrics,
             ),
             dialect,
             self._settings.retries.allowance,
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -14,6 +14,12 @@
 from berylhaven.gateway._server_probe import ServerProber
 from berylhaven.gateway._server_record import ServerRecord
 from berylhaven.gateway._server_table import ServerTable
+from berylhaven.overload import (
+    StartDecision,
+    StartOutlook,
+    best_concurrency,
+    decide_start,
+)
 from berylhaven.routes import Route, ServiceSpec
 
 # The number of servers that are probed in one round.
@@ -36,6 +42,9 @@
 REMOTE_PROBE_COUNTS = (0, 0, 1, 2, 2)
 # The initial utility, which stands for no server that can answer in time.
 MIN_UTILITY = 0.0
+# The share of requests that are sent to a full server, so that it is noticed if the
+# servers of a service no longer slow down when they are nearly full.
+TRIAL_SHARE = 0.02
 
 
 @dataclass(slots=True)
@@ -55,6 +64,10 @@
     report_age_s: float
     # If all servers want a pause, the time until the first one may be used, in seconds.
     quiet_s: float = 0.0
+    # What happens to the request.
+    decision: StartDecision = StartDecision.REFUSE
+    # The best concurrency of the best candidate.
+    concurrency: int = 1
 
 
 @dataclass(slots=True)
@@ -73,6 +86,10 @@
     deadline_s: float
     # The ids of servers that were already tried.
     excluded: frozenset[str] = frozenset()
+    # For how long the request has waited for a slot, in seconds.
+    waited_s: float = 0.0
+    # For how long it may wait for a slot in all, in seconds.
+    wait_limit_s: float = 0.0
 
 
 class ServerChooser:
@@ -175,10 +192,31 @@
         if best is None:
             return Choice(None, len(candidates), len(compared), 0.0, 0.0)
         finish_s = expected_finish_s(best, request.work, now_s)
-        if finish_s >= request.deadline_s - now_s or now_s < best.full_until_s:
-            return Choice(None, len(candidates), len(compared), finish_s, 0.0)
+        concurrency = best_concurrency(
+            best.slot_count, request.work.crowding.slowdown_ratio
+        )
+        request_count = best.occupied_count + 1
+        if now_s < best.full_until_s:
+            request_count = max(request_count, concurrency + 1)
+        decision = decide_start(
+            StartOutlook(
+                request_count=request_count,
+                best_concurrency=concurrency,
+                finish_s=finish_s,
+                deadline_remaining_s=request.deadline_s - now_s,
+                waited_s=request.waited_s,
+                wait_limit_s=request.wait_limit_s,
+                is_trial=self._random.random() < TRIAL_SHARE,
+            )
+        )
         return Choice(
-            best, len(candidates), len(compared), finish_s, best.report_age_s(now_s)
+            server=best if decision is StartDecision.SEND else None,
+            candidate_count=len(candidates),
+            compared_count=len(compared),
+            finish_s=finish_s,
+            report_age_s=best.report_age_s(now_s),
+            decision=decision,
+            concurrency=concurrency,
         )
 
     def _order_candidates(
--- /dev/null
+++ b/berylhaven/overload/__init__.py
@@ -0,0 +1,23 @@
+"""Decisions under overload, as functions of values without input or output."""
+
+from berylhaven.overload._crowding import Crowding, best_concurrency, is_crowded
+from berylhaven.overload._return_time import return_after_s
+from berylhaven.overload._start_decision import (
+    StartDecision,
+    StartOutlook,
+    decide_start,
+    wait_limit_s,
+    wait_step_s,
+)
+
+__all__ = [
+    "Crowding",
+    "StartDecision",
+    "StartOutlook",
+    "best_concurrency",
+    "decide_start",
+    "is_crowded",
+    "return_after_s",
+    "wait_limit_s",
+    "wait_step_s",
+]
