Let the soak restore the store from a copy, and let servers ask for a pause

Adds two faults to the gateway soak: the store returns to a copy of itself while the configuration changes, and what was written since is written again; a server refuses with Retry-After. The stand-ins can say that they leave by header.

--- a/bench/gateway_soak/_faults.py
+++ b/bench/gateway_soak/_faults.py
@@ -180,6 +180,26 @@
     context.fleet.compact_store_history()
 
 
+@register_fault("store restored")
+def restore_store(context: SoakContext) -> None:
+    """Return the store to a copy of itself, and write again what was written since."""
+    context.fleet.copy_store()
+    for _ in range(context.source.randint(0, 3)):
+        context.version += 1
+        context.fleet.publish(context.version, 2.0)
+        eventlet.sleep(context.source.uniform(0.0, 0.5))
+    context.fleet.restore_store(context.source.uniform(0.0, 1.0))
+
+
+@register_fault("server wants a pause")
+def refuse_for_a_time(context: SoakContext) -> None:
+    """Make a server refuse requests and state for how long it wants none."""
+    server = context.random_server()
+    context.fleet.set_faults(server, pause_s=round(context.random_duration_s(), 3))
+    eventlet.sleep(context.random_duration_s())
+    context.fleet.set_faults(server, pause_s=0.0)
+
+
 @register_fault("configuration changed")
 def change_configuration(context: SoakContext) -> None:
     """Write several new configurations in quick succession."""
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -1,5 +1,6 @@
 """Starts gateways, a metadata store and backend servers as processes."""
 
+import base64
 import contextlib
 import os
 import shutil
@@ -184,6 +185,30 @@
         """Make the store drop its change history."""
         urllib3.request("POST", f"http://{self.store}/forget")
 
+    def copy_store(self) -> None:
+        """Make the store copy its state for `restore_store`."""
+        urllib3.request("POST", f"http://{self.store}/copy")
+
+    def restore_store(self, pause_s: float) -> None:
+        """Return the store to its copy; what it had lists it again after a pause."""
+        items = []
+        page = {"HasMore": True}
+        while page["HasMore"]:
+            after = items[-1]["Key"] if items else ""
+            query = f"PathPrefix=&after={after}"
+            answer = urllib3.request("GET", f"http://{self.store}/kv-range?{query}")
+            page = orjson.loads(answer.data)
+            items += page.get("items", [])
+            if "items" not in page:
+                # Another fault makes the store refuse reads.
+                return
+        urllib3.request("POST", f"http://{self.store}/restore")
+        time.sleep(pause_s)
+        for item in items:
+            url = f"http://{self.store}/items/{item['Key']}"
+            value = base64.b64decode(item["Value"])
+            urllib3.request("PUT", url, body=value)
+
     def server_info(self, address: str) -> dict:
         """Return a server's id and the start time of its last request."""
         return orjson.loads(urllib3.request("GET", f"http://{address}/self").data)
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -43,8 +43,14 @@
         # lose_share: share of the answers that are dropped after the request has run.
         # lie_share: share of the answers that falsely state that the request did not
         # run; the check of promises must detect them.
+        # pause_s: requests are refused, with this time in Retry-After.
         self.faults = Faults(
-            lose_share=0.0, fail_share=0.0, lie_share=0.0, is_draining=False
+            lose_share=0.0,
+            fail_share=0.0,
+            lie_share=0.0,
+            pause_s=0.0,
+            is_draining=False,
+            says_leaving=False,
         )
         # The number of runs by request id.
         self.runs: dict[str, int] = {}
@@ -65,7 +71,10 @@
         """Return the headers of every answer: load and server id."""
         percent = round(PERCENT * self.slowness_ratio())
         load = f"{self._running},{self._queued},{self.slot_count},{percent}"
-        return (("X-Server-Load", load), ("X-Instance-Id", self.server_id))
+        headers = (("X-Server-Load", load), ("X-Instance-Id", self.server_id))
+        if self.faults.says_leaving:
+            headers = (*headers, ("Server-Leaving", "1"))
+        return headers
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Answer one request."""
@@ -84,6 +93,10 @@
         if target not in (None, self.server_id):
             error = {"error": f"this is {self.server_id}"}
             return json_answer(start_response, error, "421 Misdirected", self.headers())
+        if self.faults.pause_s:
+            pause = ("Retry-After", str(self.faults.pause_s))
+            refusal = (*self.headers(), ("X-Not-Executed", "1"), pause)
+            return json_answer(start_response, {}, "503 Paused", refusal)
         if self._queued >= QUEUE_LIMIT_PER_SLOT * self.slot_count:
             refusal = (*self.headers(), ("X-Not-Executed", "1"))
             return json_answer(start_response, {}, "503 Full", refusal)
