Bound the memory of large answers, and drop an answer once it is written

A caller's idle connection also kept its last answer until the next request, in the frame of its writer.

A reservation ends when nothing refers to its answer. The writer's frame ends after each answer. Weighed against streaming: a streamed answer can neither be sent again nor be withheld when it breaks.

--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -7,6 +7,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
+from berylhaven.gateway._answer_memory import AnswerMemory
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._finish_estimate import (
     MEAN_SLOWNESS_RATIO,
@@ -100,6 +101,7 @@
         "_random",
         "_event_log",
         "_metrics",
+        "_memory",
     )
 
     def __init__(
@@ -119,6 +121,7 @@
         self._random = random
         self._event_log = event_log
         self._metrics = metrics
+        self._memory = AnswerMemory()
 
     def choose(
         self, request: GatewayRequest, choice_request: ChoiceRequest
@@ -228,6 +231,7 @@
                 self._dialect,
                 entry.server_id,
                 choice_request.deadline_s,
+                self._memory,
             )
         except AttemptFailed as failure:
             self._record_failure(request, server, failure, sent_at_s)
--- a/berylhaven/gateway/_caller_connection.py
+++ b/berylhaven/gateway/_caller_connection.py
@@ -260,13 +260,16 @@
                 while not self._pending:
                     self._has_pending = eventlet.event.Event()
                     self._has_pending.wait()
-                pending = self._pending[0]
-                answer = pending.answered.wait()
-                self._write(pending, answer)
+                self._write_next()
         except OSError:
             # The reader fails too, and cancels the pending requests.
             self._shut_down(socket.SHUT_RDWR)
 
+    def _write_next(self) -> None:
+        # In a method of its own, so that an idle connection refers to no answer.
+        pending = self._pending[0]
+        self._write(pending, pending.answered.wait())
+
     def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
         is_last = answer.closes_connection or pending.must_close
         if self._port.is_draining and len(self._pending) == 1:
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -187,7 +187,13 @@
             self._log_answered(
                 request, choice_request, answer.status, len(attempts.failures)
             )
-            return GatewayAnswer(answer.status, answer.reason, headers, answer.body)
+            return GatewayAnswer(
+                answer.status,
+                answer.reason,
+                headers,
+                answer.body,
+                reservation=answer.reservation,
+            )
         return self._answer_failure(request, choice_request, attempts)
 
     def _answer_failure(
--- a/berylhaven/gateway/_request.py
+++ b/berylhaven/gateway/_request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from berylhaven.gateway._answer_memory import Reservation
 from berylhaven.http1 import HeadFields, RequestBody
 
 
@@ -49,6 +50,8 @@
     body: bytes = b""
     # Whether the connection is closed after this answer.
     closes_connection: bool = False
+    # Held as long as the answer is; None without reserved memory.
+    reservation: Reservation | None = None
 
 
 REASON_PHRASES = {
--- a/berylhaven/gateway/_server_exchange.py
+++ b/berylhaven/gateway/_server_exchange.py
@@ -7,6 +7,7 @@
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
+from berylhaven.gateway._answer_memory import AnswerMemory, Reservation
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.http1 import (
@@ -53,6 +54,8 @@
     body: bytes
     # Whether the connection can be used for another request.
     is_reusable: bool
+    # The memory of the body; None if it is small.
+    reservation: Reservation | None
 
 
 def exchange(
@@ -61,6 +64,7 @@
     dialect: Dialect,
     server_id: str,
     deadline_s: float,
+    memory: AnswerMemory,
 ) -> ServerAnswer:
     """Send a request and read the complete answer.
 
@@ -76,6 +80,8 @@
         The id of the backend server that must run the request.
     deadline_s : float
         The deadline of the answer, on the hub's clock.
+    memory : AnswerMemory
+        Bounds the memory of large answers.
 
     Returns
     -------
@@ -87,7 +93,7 @@
     AttemptFailed
         With the stage at which the exchange ended.
     """
-    attempt = _Exchange(connection, request, dialect, server_id, deadline_s)
+    attempt = _Exchange(connection, request, dialect, server_id, deadline_s, memory)
     remaining_s = deadline_s - monotonic_s()
     if remaining_s <= 0:
         raise attempt.timeout_failure()
@@ -114,6 +120,8 @@
         "_dialect",
         "_server_id",
         "_deadline_s",
+        "_memory",
+        "_reservation",
         "_was_sent",
         "_sender",
         "_send_failure",
@@ -126,12 +134,16 @@
         dialect: Dialect,
         server_id: str,
         deadline_s: float,
+        memory: AnswerMemory,
     ) -> None:
         self._connection = connection
         self._request = request
         self._dialect = dialect
         self._server_id = server_id
         self._deadline_s = deadline_s
+        self._memory = memory
+        # The memory of the answer that is being read.
+        self._reservation: Reservation | None = None
         self._was_sent = False
         # Sends a large body while the answer is read.
         self._sender: eventlet.greenthread.GreenThread | None = None
@@ -270,16 +282,20 @@
                 f'reading the answer of server "{self._server_id}" failed: {error}',
             ) from error
         keeps_open = is_framed and head.keeps_connection and self._is_body_sent()
-        return ServerAnswer(head.status, head.reason, head.fields, body, keeps_open)
+        return ServerAnswer(
+            head.status, head.reason, head.fields, body, keeps_open, self._reservation
+        )
 
     def _read_body(self, head: AnswerHead) -> tuple[bytes, bool]:
         """Return the body, and whether its framing determines its end."""
+        self._reservation = None
         reader = self._connection.reader
         if self._request.method == "HEAD" or head.status in BODYLESS_STATUSES:
             return b"", True
         framing = parse_framing(head.fields.pairs, head.version)
         if framing.content_length is None and not framing.is_chunked:
-            return _read_to_end(reader), False
+            return self._read_to_end(reader), False
+        self._reservation = self._memory.reserve(framing.content_length or 0)
         source = AnswerBodyReader(reader, framing)
         pieces = []
         left_bytes = ANSWER_LIMIT_BYTES
@@ -290,22 +306,30 @@
                 raise AnswerBodyError(
                     f"the body exceeds the limit of {ANSWER_LIMIT_BYTES} bytes"
                 )
+            if framing.is_chunked:
+                self._count_piece(piece)
             pieces.append(piece)
         return b"".join(pieces), True
 
+    def _count_piece(self, piece: bytes) -> None:
+        """Count a piece of an answer whose size is not known in advance."""
+        if self._reservation is None:
+            self._reservation = Reservation()
+        self._memory.extend(self._reservation, len(piece))
 
-def _read_to_end(reader: io.BufferedReader) -> bytes:
-    """Read until the server closes the connection; a reset means truncation."""
-    pieces = []
-    left_bytes = ANSWER_LIMIT_BYTES
-    try:
-        while piece := reader.read1(PIECE_BYTES):
-            pieces.append(piece)
-            left_bytes -= len(piece)
-            if left_bytes < 0:
-                raise AnswerBodyError(
-                    f"the body exceeds the limit of {ANSWER_LIMIT_BYTES} bytes"
-                )
-    except OSError as error:
-        raise AnswerBodyError(f"the connection broke: {error}") from None
-    return b"".join(pieces)
+    def _read_to_end(self, reader: io.BufferedReader) -> bytes:
+        """Read until the server closes the connection; a reset means truncation."""
+        pieces = []
+        left_bytes = ANSWER_LIMIT_BYTES
+        try:
+            while piece := reader.read1(PIECE_BYTES):
+                self._count_piece(piece)
+                pieces.append(piece)
+                left_bytes -= len(piece)
+                if left_bytes < 0:
+                    raise AnswerBodyError(
+                        f"the body exceeds the limit of {ANSWER_LIMIT_BYTES} bytes"
+                    )
+        except OSError as error:
+            raise AnswerBodyError(f"the connection broke: {error}") from None
+        return b"".join(pieces)
--- /dev/null
+++ b/berylhaven/gateway/tests/test_answer_memory.py
@@ -0,0 +1,116 @@
+"""Tests of the bound on the memory of large answers."""
+
+import gc
+import unittest
+import unittest.mock
+
+import eventlet
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylhaven.gateway._answer_memory import (
+    SMALL_ANSWER_BYTES,
+    AnswerMemory,
+)
+from berylhaven.gateway.tests._gateway_path import (
+    READS,
+    GatewayPath,
+    configuration,
+    route,
+)
+from berylhaven.http1.tests._raw_backend import answers_raw
+from berylhaven.routes import RequestKind
+
+LARGE_BYTES = 100_000
+
+
+class AnswerMemoryTest(unittest.TestCase):
+    def setUp(self):
+        self.memory = AnswerMemory(3 * LARGE_BYTES)
+
+    def test_an_answer_waits_until_another_one_is_released(self):
+        held = [self.memory.reserve(LARGE_BYTES) for _ in range(3)]
+        thread = eventlet.spawn(self.memory.reserve, LARGE_BYTES)
+        eventlet.sleep(0)
+        self.assertFalse(thread.dead)
+        held.pop()
+        with eventlet.Timeout(1.0):
+            self.assertIsNotNone(thread.wait())
+
+    def test_an_answer_beyond_the_limit_is_read_alone(self):
+        self.assertIsNotNone(self.memory.reserve(10 * LARGE_BYTES))
+
+    def test_a_small_answer_never_waits(self):
+        held = self.memory.reserve(10 * LARGE_BYTES)
+        self.assertIsNone(self.memory.reserve(SMALL_ANSWER_BYTES))
+        del held
+
+    def test_a_cancelled_wait_leaves_nothing_behind(self):
+        held = self.memory.reserve(3 * LARGE_BYTES)
+        with eventlet.Timeout(0.01, False):
+            self.memory.reserve(LARGE_BYTES)
+        del held
+        self.assertEqual(self.memory.reserved_bytes, 0)
+        self.assertIsNotNone(self.memory.reserve(LARGE_BYTES))
+
+    @given(st.lists(st.integers(0, 5 * LARGE_BYTES), max_size=30))
+    def test_the_limit_holds_and_all_answers_get_their_turn(self, sizes):
+        memory = AnswerMemory(3 * LARGE_BYTES)
+        highest = []
+
+        def read(size):
+            reservation = memory.reserve(size)
+            highest.append(memory.reserved_bytes)
+            eventlet.sleep(0)
+            del reservation
+
+        threads = [eventlet.spawn(read, size) for size in sizes]
+        with eventlet.Timeout(5.0):
+            for thread in threads:
+                thread.wait()
+        single = max([size for size in sizes if size > SMALL_ANSWER_BYTES], default=0)
+        self.assertLessEqual(max(highest, default=0), max(3 * LARGE_BYTES, single))
+        self.assertEqual(memory.reserved_bytes, 0)
+
+
+class DownloadMemoryTest(unittest.TestCase):
+    """Large answers on many connections at once, read to the end and then idle."""
+
+    ANSWER_BYTES = 2_000_000
+    LIMIT_BYTES = 5_000_000
+    # What two servers with four slots each accept.
+    CALLER_COUNT = 6
+
+    def setUp(self):
+        routes = [route("/report/", RequestKind.DOWNLOAD, READS)]
+        self.path = GatewayPath(configuration(routes=routes))
+        self.addCleanup(self.path.stop)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {self.ANSWER_BYTES}\r\n\r\n"
+        body = b"x" * self.ANSWER_BYTES
+        self.path.answer_all(READS, answers_raw(head.encode() + body))
+        runner = self.path.instance._forwarder._runner
+        self.memory = AnswerMemory(self.LIMIT_BYTES)
+        self.highest_bytes = 0
+        reserve = self.memory.reserve
+
+        def record(size_bytes):
+            reservation = reserve(size_bytes)
+            self.highest_bytes = max(self.highest_bytes, self.memory.reserved_bytes)
+            return reservation
+
+        runner._memory = unittest.mock.Mock(wraps=self.memory, reserve=record)
+
+    def test_all_answers_arrive_whole_within_the_limit(self):
+        callers = [self.path.connect() for _ in range(self.CALLER_COUNT)]
+        threads = [eventlet.spawn(c.exchange, "/report/1") for c in callers]
+        for thread in threads:
+            answer = thread.wait()
+            self.assertEqual((answer.status, len(answer.body)), (200, 2_000_000))
+        self.assertLessEqual(self.highest_bytes, self.LIMIT_BYTES)
+        self.assertGreater(self.highest_bytes, self.ANSWER_BYTES)
+        del answer, thread, threads
+        gc.collect()
+        eventlet.sleep(0)
+        self.assertEqual(self.memory.reserved_bytes, 0)
+        for caller in callers:
+            caller.close()
