--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -40,6 +40,8 @@
         self.slot_count = slot_count
         self.work_s = work_s
         self.slow_share = slow_share
+        # The path of the health check.
+        self.health_path = HEALTH_PATH
         # lose_share: share of the answers that are dropped after the request has run.
         # lie_share: share of the answers that falsely state that the request did not
         # run; the check of promises must detect them.
@@ -86,7 +88,7 @@
         if path == SELF_PATH:
             document = {"id": self.server_id, "last_run_at_s": self.last_run_at_s}
             return json_answer(start_response, document)
-        if path == HEALTH_PATH:
+        if path == self.health_path:
             status = "503 Draining" if self.faults.is_draining else "200 OK"
             return json_answer(start_response, {}, status, self.headers())
         target = environ.get("HTTP_X_TARGET_INSTANCE")
