Learn slowdown from answers that saw one load, and queue where nothing slows down

Its servers do not slow down when they are full, but the learned slowdown rose over 1.5, because requests sent to a server that looked nearly full found it full and waited in its queue; and a server with all slots taken got nothing, although a queued request would have met its objective.

Change: an answer counts for Crowding only if the server was crowded, or uncrowded, when it was sent and when it was answered, and nothing waited. A server that does not slow down also gets what it answers within the objective from its queue. The slowdown is in the placement lines.

--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -24,7 +24,6 @@
 from berylhaven.http1 import ConnectionPool
 from berylhaven.overload import (
     StartDecision,
-    is_crowded,
     return_after_s,
     wait_step_s,
 )
@@ -158,6 +157,7 @@
             candidates=choice.candidate_count,
             compared=choice.compared_count,
             finish_s=choice.finish_s,
+            slowdown=choice_request.work.crowding.slowdown_ratio,
             report_age_s=choice.report_age_s,
             occupied=server.occupied_count if server else None,
             tried=len(choice_request.excluded),
@@ -246,9 +246,12 @@
         choice_request.work.record(
             choice_request.work.work_s * duration_s / expected_s, size_bytes
         )
-        if slowness < MEAN_SLOWNESS_RATIO and request_count <= server.slot_count:
+        if slowness < MEAN_SLOWNESS_RATIO and server.report is not None:
             choice_request.work.crowding.record(
-                is_crowded(request_count, server.slot_count), duration_s / uncrowded_s
+                request_count,
+                server.reported_count + 1,
+                server.slot_count,
+                duration_s / uncrowded_s,
             )
         self._event_log.write(
             "attempt",
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/_server_chooser.py
@@ -198,11 +198,16 @@
         request_count = best.occupied_count + 1
         if now_s < best.full_until_s:
             request_count = max(request_count, concurrency + 1)
+            finish_s = max(finish_s, request.route.latency_objective_s)
         decision = decide_start(
             StartOutlook(
                 request_count=request_count,
                 best_concurrency=concurrency,
+                slot_count=best.slot_count,
                 finish_s=finish_s,
+                objective_remaining_s=request.received_at_s
+                + request.route.latency_objective_s
+                - now_s,
                 deadline_remaining_s=request.deadline_s - now_s,
                 waited_s=request.waited_s,
                 wait_limit_s=request.wait_limit_s,
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -197,13 +197,21 @@
         """Return the age of the latest report in seconds, infinite without one."""
         return math.inf if self.report is None else now_s - self.report.received_at_s
 
+    @property
+    def reported_count(self) -> int:
+        """Requests at the server, running and queued, by the latest report."""
+        if self.report is None:
+            return 0
+        return self.report.running_count + self.report.queued_count
+
     @property
     def occupied_count(self) -> int:
         """Requests at the server by the latest report and those sent since."""
         if self.report is None:
             return self.in_flight_count
-        reported = self.report.running_count + self.report.queued_count
-        return max(0, reported + self.in_flight_count - self._in_flight_at_report)
+        return max(
+            0, self.reported_count + self.in_flight_count - self._in_flight_at_report
+        )
 
     @property
     def slot_count(self) -> int:
--- a/berylhaven/overload/_crowding.py
+++ b/berylhaven/overload/_crowding.py
@@ -70,16 +70,32 @@
         ratio = self._crowded_ratio / self._uncrowded_ratio
         return min(MAX_SLOWDOWN_RATIO, max(1.0, ratio))
 
-    def record(self, was_crowded: bool, duration_ratio: float) -> None:
-        """Add an answer.
+    def record(
+        self,
+        sent_count: int,
+        answered_count: int,
+        slot_count: int,
+        duration_ratio: float,
+    ) -> None:
+        """Add an answer of a server that was crowded, or uncrowded, all the while.
+
+        What waited in the server's queue says nothing of its speed.
 
         Parameters
         ----------
-        was_crowded : bool
-            Whether the server was crowded when the request was sent.
+        sent_count : int
+            The requests at the server when this one was sent, this one included.
+        answered_count : int
+            The same when it was answered.
+        slot_count : int
+            The number of requests that the server runs concurrently.
         duration_ratio : float
             The time of the answer, relative to the estimate for an uncrowded server.
         """
+        was_crowded = is_crowded(sent_count, slot_count)
+        has_waited = max(sent_count, answered_count) > slot_count
+        if has_waited or was_crowded != is_crowded(answered_count, slot_count):
+            return
         sample = min(duration_ratio, MAX_SAMPLE)
         if was_crowded:
             self._crowded_ratio += SAMPLE_WEIGHT * (sample - self._crowded_ratio)
--- a/berylhaven/overload/_start_decision.py
+++ b/berylhaven/overload/_start_decision.py
@@ -36,8 +36,12 @@
     request_count: int
     # The number of concurrent requests with the highest throughput of the server.
     best_concurrency: int
+    # The number of requests that the server runs concurrently.
+    slot_count: int
     # The expected time to the answer, in seconds.
     finish_s: float
+    # The time until the latency objective passes, in seconds.
+    objective_remaining_s: float
     # The time until the caller's deadline, in seconds.
     deadline_remaining_s: float
     # For how long the request has waited, in seconds.
@@ -47,6 +51,18 @@
     # Whether it is sent beyond the best concurrency to learn how the server reacts.
     is_trial: bool = False
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the server answers no fewer requests a second with this one.
+
+        A server that does not slow down when all its slots are taken may also queue a
+        request, if the answer still meets the objective.
+        """
+        if self.request_count <= self.best_concurrency:
+            return True
+        slows_down = self.best_concurrency < self.slot_count
+        return not slows_down and self.finish_s <= self.objective_remaining_s
+
 
 def wait_limit_s(objective_s: float) -> float:
     """Return how long a request may wait for a slot, in seconds.
@@ -98,7 +114,7 @@
     """
     if outlook.finish_s >= outlook.deadline_remaining_s:
         return StartDecision.REFUSE
-    if outlook.request_count <= outlook.best_concurrency or outlook.is_trial:
+    if outlook.has_room or outlook.is_trial:
         return StartDecision.SEND
     if outlook.waited_s < outlook.wait_limit_s:
         return StartDecision.WAIT
--- a/berylhaven/overload/tests/test_decisions.py
+++ b/berylhaven/overload/tests/test_decisions.py
@@ -32,7 +32,9 @@
     values = {
         "request_count": 3,
         "best_concurrency": 3,
+        "slot_count": 4,
         "finish_s": 0.1,
+        "objective_remaining_s": 0.3,
         "deadline_remaining_s": 1.0,
         "waited_s": 0.0,
         "wait_limit_s": 0.04,
@@ -67,18 +69,23 @@
         for _ in range(400):
             was_crowded = draw.random() < 0.2
             noise = draw.uniform(0.5, 1.5) * 1.4
-            crowding.record(was_crowded, noise * (ratio if was_crowded else 1.0))
+            count = 6 if was_crowded else 2
+            sample = noise * (ratio if was_crowded else 1.0)
+            crowding.record(count, count, 6, sample)
+            # Neither what waited nor what saw the load change is counted.
+            crowding.record(7, 6, 6, 4.0)
+            crowding.record(6, 2, 6, 4.0)
         return crowding.slowdown_ratio
 
     def test_the_slowdown_is_learned_from_answers(self):
         self.assertAlmostEqual(self.learn(1.0), 1.0, delta=0.15)
         self.assertAlmostEqual(self.learn(1.7), 1.7, delta=0.25)
 
-    @given(st.lists(st.tuples(st.booleans(), st.floats(0, 1e9))))
+    @given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 9), st.floats(0, 1e9))))
     def test_the_slowdown_is_bounded(self, samples):
         crowding = Crowding()
-        for was_crowded, ratio in samples:
-            crowding.record(was_crowded, ratio)
+        for sent_count, answered_count, ratio in samples:
+            crowding.record(sent_count, answered_count, 6, ratio)
         self.assertTrue(1.0 <= crowding.slowdown_ratio <= 3.0)
 
 
@@ -96,6 +103,12 @@
         waited = outlook(request_count=4, waited_s=0.04)
         self.assertIs(decide_start(waited), StartDecision.REFUSE)
 
+    def test_a_full_server_that_does_not_slow_down_queues_what_it_answers_in_time(self):
+        full = {"request_count": 7, "best_concurrency": 6, "slot_count": 6}
+        self.assertIs(decide_start(outlook(**full)), StartDecision.SEND)
+        late = outlook(**full, finish_s=0.4, waited_s=0.04)
+        self.assertIs(decide_start(late), StartDecision.REFUSE)
+
     @given(
         st.integers(1, 50),
         st.integers(1, 20),
@@ -108,7 +121,14 @@
         self, count, best, finish_s, deadline_s, waited_s, limit_s
     ):
         decision = decide_start(
-            StartOutlook(count, best, finish_s, deadline_s, waited_s, limit_s)
+            outlook(
+                request_count=count,
+                best_concurrency=best,
+                finish_s=finish_s,
+                deadline_remaining_s=deadline_s,
+                waited_s=waited_s,
+                wait_limit_s=limit_s,
+            )
         )
         if waited_s >= limit_s:
             self.assertIsNot(decision, StartDecision.WAIT)
@@ -174,7 +194,9 @@
             StartOutlook(
                 request_count=request_count,
                 best_concurrency=limit if self.limits_concurrency else 1_000,
+                slot_count=SLOT_COUNT,
                 finish_s=WORK_S * max(1.0, request_count / SLOT_COUNT),
+                objective_remaining_s=OBJECTIVE_S - (now_s - arrived_at_s),
                 deadline_remaining_s=DEADLINE_S - (now_s - arrived_at_s),
                 waited_s=now_s - arrived_at_s,
                 wait_limit_s=limit_s,
