--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -9,14 +9,9 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._answer_memory import AnswerMemory
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._finish_estimate import (
-    MEAN_SLOWNESS_RATIO,
-    expected_finish_s,
-    slowness_ratio,
-    uncrowded_run_s,
-)
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayRequest
+from berylhaven.gateway._sent_request import SentRequest
 from berylhaven.gateway._server_chooser import Choice, ChoiceRequest, ServerChooser
 from berylhaven.gateway._server_exchange import ServerAnswer, exchange
 from berylhaven.gateway._server_record import ServerRecord
@@ -213,14 +208,9 @@
         AttemptFailed
             With the stage at which the attempt ended.
         """
-        entry = server.entry
-        sent_at_s = monotonic_s()
-        expected_s = expected_finish_s(server, choice_request.work, sent_at_s)
-        slowness = slowness_ratio(server, sent_at_s)
-        uncrowded_s = uncrowded_run_s(server, choice_request.work, sent_at_s)
-        request_count = server.occupied_count + 1
+        sent = SentRequest(server, choice_request.work)
         connection = self._pool.acquire(
-            entry.address, choice_request.route.is_idempotent
+            server.entry.address, choice_request.route.is_idempotent
         )
         server.in_flight_count += 1
         answer = None
@@ -229,39 +219,29 @@
                 connection,
                 request,
                 self._dialect,
-                entry.server_id,
+                server.entry.server_id,
                 choice_request.deadline_s,
                 self._memory,
             )
         except AttemptFailed as failure:
-            self._record_failure(request, server, failure, sent_at_s)
+            self._record_failure(request, server, failure, sent.sent_at_s)
             raise
         finally:
             server.in_flight_count -= 1
             self._pool.release(connection, answer is not None and answer.is_reusable)
-        duration_s = monotonic_s() - sent_at_s
+        duration_s = monotonic_s() - sent.sent_at_s
         self._record_answer(request, server, answer, duration_s)
-        size_bytes = request.body.position + len(answer.body)
-        self._metrics.record_attempt(entry.service, "answered", duration_s)
-        choice_request.work.record(
-            choice_request.work.work_s * duration_s / expected_s, size_bytes
-        )
-        if slowness < MEAN_SLOWNESS_RATIO and server.report is not None:
-            choice_request.work.crowding.record(
-                request_count,
-                server.reported_count + 1,
-                server.slot_count,
-                duration_s / uncrowded_s,
-            )
+        self._metrics.record_attempt(server.entry.service, "answered", duration_s)
+        sent.record_duration(duration_s, request.body.position + len(answer.body))
         self._event_log.write(
             "attempt",
             "answered",
             request=request.request_id,
-            server=entry.server_id,
+            server=server.entry.server_id,
             status=answer.status,
             duration_s=duration_s,
-            forecast_s=expected_s,
-            slowness=slowness,
+            forecast_s=sent.expected_s,
+            slowness=sent.slowness,
         )
         return AttemptResult(server, answer)
 
--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -17,6 +17,7 @@
 from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway._store_outages import StoreOutages
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
@@ -30,19 +31,12 @@
 # instances may be starting at once.
 FIRST_WATCH_DELAY_LIMIT_S = 1.5
 PEERS_CHECK_INTERVAL_S = 0.1
-# An outage counts as local only if a peer has had answers of the store since at least
-# this time before the outage was detected here, since the peer may detect it later.
-OUTAGE_DETECTION_MARGIN_S = 3.0
-STORE_AVAILABLE_LIMIT_S = 1_000
 # If a peer has a newer revision for this long, an update was missed here.
 BEHIND_LIMIT_S = 0.5
 BEHIND_CHECK_INTERVAL_S = 0.1
 # The base and the limit of the growing delay after failed calls.
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 0.5
-# The platform guarantees that entries which expired during an outage of the store are
-# back within two seconds of its recovery.
-EXPIRED_ENTRY_GRACE_S = 2.0
 # A configuration may have a problem in each of its parts.
 LOGGED_PROBLEMS_LIMIT = 20
 
@@ -79,11 +73,9 @@
         "_event_log",
         "_revision",
         "_needs_snapshot",
-        "_era_began_at_s",
         "_first_watch_by_s",
         "_failure_count",
-        "_outage_began_at_s",
-        "_recovered_at_s",
+        "_outages",
         "_expired_server_ids",
         "_members",
         "_log",
@@ -111,15 +103,10 @@
         # None before the first snapshot.
         self._revision: StoreRevision | None = None
         self._needs_snapshot = True
-        # When the store's era last rose, on the hub's clock.
-        self._era_began_at_s = float("-inf")
         # Until when the first watch is delayed for peers, on the hub's clock.
         self._first_watch_by_s = float("-inf")
         self._failure_count = 0
-        # When the last outage began, on the hub's clock.
-        self._outage_began_at_s = monotonic_s()
-        # When the store answered again after an outage, on the hub's clock.
-        self._recovered_at_s = float("-inf")
+        self._outages = StoreOutages()
         # Servers whose removal was seen shortly after an outage of the store.
         self._expired_server_ids: set[str] = set()
 
@@ -134,8 +121,7 @@
     @property
     def is_after_outage(self) -> bool:
         """Whether the store recovered or was restored within the grace period."""
-        recovered_at_s = max(self._recovered_at_s, self._era_began_at_s)
-        return monotonic_s() - recovered_at_s < EXPIRED_ENTRY_GRACE_S
+        return self._outages.is_in_grace
 
     def snapshot(self) -> FleetUpdate:
         """Return a snapshot for a peer that cannot read the store."""
@@ -261,14 +247,10 @@
         self._set_revision(update.revision)
 
     def _record_era(self, revision: StoreRevision) -> None:
-        """Begin the grace period if the store was restored from an older copy.
-
-        Entries that the copy lacks are written again by their servers, so they are
-        treated like entries that expired during an outage.
-        """
+        """Begin the grace period if the store was restored from an older copy."""
         if self._revision is None or revision.era <= self._revision.era:
             return
-        self._era_began_at_s = monotonic_s()
+        self._outages.record_restore()
         self._event_log.write(
             "store",
             "restored",
@@ -292,7 +274,7 @@
     def _record_failure(self, error: SourceUnavailable) -> float:
         self._failure_count += 1
         if self._failure_count == 1:
-            self._outage_began_at_s = monotonic_s()
+            self._outages.record_outage()
             self._event_log.write_failure(
                 "store", "lost", **self._position(), reason=error.message
             )
@@ -306,7 +288,7 @@
             "store", "regained", failures=self._failure_count, **self._position()
         )
         self._failure_count = 0
-        self._recovered_at_s = monotonic_s()
+        self._outages.record_recovery()
 
     def _difference(self, update: FleetUpdate) -> FleetUpdate:
         """Return the changes from the known state to a snapshot."""
@@ -331,7 +313,7 @@
 
     def _apply_changes(self, update: FleetUpdate) -> None:
         if update.is_after_outage and not self.is_after_outage:
-            self._recovered_at_s = monotonic_s()
+            self._outages.record_recovery()
         for change in update.changes:
             self._apply_change(change, update.revision)
 
@@ -389,33 +371,17 @@
                 "fleet", "server gone", server=server_id, address=record.entry.address
             )
 
-    def _is_outage_local(self) -> bool:
-        """Return whether a peer had answers of the store during the outage seen here.
-
-        The outage was local then, and no entries expired: they expire only while the
-        store itself is unavailable.
-        """
-        if self._era_began_at_s > self._recovered_at_s:
-            return False
-        return any(
-            peer.heartbeat_at_s > self._recovered_at_s
-            and peer.store_available_s
-            > peer.heartbeat_at_s - self._outage_began_at_s + OUTAGE_DETECTION_MARGIN_S
-            for peer in self._members.live(monotonic_s())
-        )
-
     def _update_store_available(self) -> None:
-        since_s = max(self._outage_began_at_s, self._recovered_at_s)
-        store_available_s = 0.0 if self._failure_count else monotonic_s() - since_s
-        self._members.own.store_available_s = min(
-            STORE_AVAILABLE_LIMIT_S, int(store_available_s)
+        self._members.own.store_available_s = self._outages.available_s(
+            is_failing=bool(self._failure_count)
         )
 
     def _remove_expired(self) -> None:
         """Remove servers whose entries did not come back after the store's recovery."""
         if not self._expired_server_ids:
             return
-        if not self.is_after_outage or self._is_outage_local():
+        live = self._members.live(monotonic_s())
+        if not self.is_after_outage or self._outages.is_local(live):
             for server_id in list(self._expired_server_ids):
                 self._remove(server_id)
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -18,7 +18,6 @@
 )
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._fleet_follower import (
-    EXPIRED_ENTRY_GRACE_S,
     FIRST_WATCH_DELAY_LIMIT_S,
     FleetFollower,
 )
@@ -26,6 +25,7 @@
 from berylhaven.gateway._members import Member, MemberTable
 from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
 from berylhaven.gateway._update_codec import decode_update, encode_update
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import FakeSource, at, configuration
--- a/berylhaven/gateway/tests/test_store_eras.py
+++ b/berylhaven/gateway/tests/test_store_eras.py
@@ -23,9 +23,10 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._fleet_follower import EXPIRED_ENTRY_GRACE_S, FleetFollower
+from berylhaven.gateway._fleet_follower import FleetFollower
 from berylhaven.gateway._members import Member, MemberTable, decode_row
 from berylhaven.gateway._server_table import RESTORED_ENTRY_HOLD_S, ServerTable
+from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
 from berylhaven.gateway._update_codec import decode_update, encode_update
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import at, configuration
