Reject malformed input of peers by a typed error

Cause, by fuzzing with one other value in a sound message: a list in place of the services of an update raised AttributeError and ended the follower's loop (it is restarted after 0.5 s); a length that is no number was answered 500; a server's entry with a field of another type was taken and would have failed every request that considered the server. Change: the codec checks the types of simple fields and tells ValueError; the peers' port answers 400.

--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -57,10 +57,10 @@
         return answer_bytes(start_response, "200 OK", encode_update(update))
 
     def _answer_gossip(self, environ: dict, start_response: Callable) -> list[bytes]:
-        length_bytes = int(environ.get("CONTENT_LENGTH") or 0)
-        if length_bytes > MESSAGE_LIMIT_BYTES:
-            return answer_status(start_response, "413 Content Too Large")
         try:
+            length_bytes = int(environ.get("CONTENT_LENGTH") or 0)
+            if length_bytes > MESSAGE_LIMIT_BYTES:
+                return answer_status(start_response, "413 Content Too Large")
             body = self._instance.answer_gossip(
                 environ["wsgi.input"].read(length_bytes)
             )
--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/_update_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding of fleet updates, for instances that read them from peers."""
 
+import dataclasses
 from typing import Any
 
 import orjson
@@ -27,6 +28,8 @@
     "unusable": InvalidEntry,
     "configuration": RoutingConfiguration,
 }
+# The JSON types of the fields whose types are simple.
+ACCEPTED_TYPES = {str: (str,), int: (int,), bool: (bool,), float: (float, int)}
 CHANGE_NAMES = {change_type: name for name, change_type in CHANGE_TYPES.items()}
 
 
@@ -78,7 +81,7 @@
         # Instances of earlier releases send none.
         era = document.get("era", 0)
         is_after_outage = bool(document["is_after_outage"])
-    except (KeyError, TypeError) as error:
+    except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(
             f"malformed update: missing or invalid field: {error}"
         ) from None
@@ -94,24 +97,38 @@
     change_type = CHANGE_TYPES[name]
     if change_type is RoutingConfiguration:
         return _configuration(fields)
-    return change_type(**fields)
+    return _checked(change_type, fields)
 
 
 def _configuration(fields: dict[str, Any]) -> RoutingConfiguration:
     services = {
-        name: ServiceSpec(**service) for name, service in fields["services"].items()
+        name: _checked(ServiceSpec, service)
+        for name, service in fields["services"].items()
     }
     return RoutingConfiguration(
         version=fields["version"],
         routes=tuple(_route(route) for route in fields["routes"]),
         services=services,
-        caller_limits=CallerLimits(**fields["caller_limits"]),
+        caller_limits=_checked(CallerLimits, fields["caller_limits"]),
         # Instances of earlier releases send none.
         problems=tuple(fields.get("problems", ())),
     )
 
 
 def _route(fields: dict[str, Any]) -> Route:
-    parts = tuple(WeightedService(**part) for part in fields["parts"])
+    parts = tuple(_checked(WeightedService, part) for part in fields["parts"])
     kind = RequestKind(fields["kind"])
-    return Route(**{**fields, "kind": kind, "parts": parts})
+    return _checked(Route, {**fields, "kind": kind, "parts": parts})
+
+
+def _checked(value_type: type, fields: dict[str, Any]) -> Any:
+    """Return a value of a type; raise TypeError if a field is of another type."""
+    value = value_type(**fields)
+    for field in dataclasses.fields(value_type):
+        accepted = ACCEPTED_TYPES.get(field.type)
+        found = getattr(value, field.name)
+        if accepted is not None and type(found) not in accepted:
+            raise TypeError(
+                f"{value_type.__name__}.{field.name} is of type {type(found).__name__}"
+            )
+    return value
--- /dev/null
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -0,0 +1,143 @@
+"""Tests that any bytes from a peer give a value, or a typed error or status."""
+
+import io
+import unittest
+import zlib
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylhaven.gateway import FleetUpdate, PeersApplication, ServerEntry
+from berylhaven.gateway._member_codec import decode_rows
+from berylhaven.gateway._member_gossip import GOSSIP_PATH
+from berylhaven.gateway._members import Member
+from berylhaven.gateway._relayed_source import UPDATES_PATH
+from berylhaven.gateway._update_codec import decode_update, encode_update
+from berylhaven.gateway.tests._gateway_path import at, configuration
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+ENTRY = ServerEntry("a", "reads", "a:80", "here", 4, False)
+UPDATE = orjson.loads(encode_update(FleetUpdate((configuration(3), ENTRY), at(5, 2))))
+ROW = Member("p", "c", "here", 1, 2, True, at(5, era=3), 7).to_row()
+
+
+def places(document, path=()):
+    """Return the paths of all values in a JSON document."""
+    items = ()
+    if isinstance(document, dict):
+        items = document.items()
+    elif isinstance(document, list):
+        items = enumerate(document)
+    found = [path] if path else []
+    for key, value in items:
+        found += places(value, (*path, key))
+    return found
+
+
+def replaced(document, path, value):
+    """Return a copy of a document with another value at a path."""
+    copy = orjson.loads(orjson.dumps(document))
+    parent = copy
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = value
+    return copy
+
+
+class FakeInstance:
+    """Decodes what the application passes on, as an instance does."""
+
+    def answer_gossip(self, body):
+        decode_rows(body)
+        return b"answer"
+
+    def update_after(self, revision, wait_s):
+        return FleetUpdate((), revision or at(1))
+
+
+class PeerInputTest(unittest.TestCase):
+    @given(st.sampled_from(places(UPDATE)), JSON_VALUES)
+    def test_an_update_with_any_one_other_value_is_decoded_or_a_value_error(
+        self, path, value
+    ):
+        body = orjson.dumps(replaced(UPDATE, path, value))
+        try:
+            self.assertIsInstance(decode_update(body), FleetUpdate)
+        except ValueError as error:
+            self.assertTrue(str(error))
+
+    @given(JSON_VALUES)
+    def test_any_json_is_an_update_or_a_value_error(self, document):
+        try:
+            decode_update(orjson.dumps(document))
+        except ValueError as error:
+            self.assertTrue(str(error))
+
+    @given(st.sampled_from(places([ROW])), JSON_VALUES)
+    def test_a_row_with_any_one_other_value_is_decoded_or_a_value_error(
+        self, path, value
+    ):
+        body = zlib.compress(orjson.dumps(replaced([ROW], path, value)))
+        try:
+            self.assertIsInstance(decode_rows(body)[0], Member)
+        except ValueError as error:
+            self.assertTrue(str(error))
+
+    def test_a_list_in_place_of_an_object_is_a_value_error(self):
+        for path in places(UPDATE):
+            for value in ([], {}, None, 7, "x"):
+                with self.subTest(path=path, value=value):
+                    body = orjson.dumps(replaced(UPDATE, path, value))
+                    try:
+                        decode_update(body)
+                    except ValueError as error:
+                        self.assertTrue(str(error))
+
+    def test_a_value_of_another_type_in_an_entry_is_a_value_error(self):
+        # It would raise errors later, whenever the server is considered for a request.
+        entry = ("changes", 1, 1)
+        for name, value in (
+            ("server_id", 7),
+            ("slot_count", "x"),
+            ("is_leaving", 1),
+            ("warmup_left_s", None),
+            ("started_at_ms", 1.5),
+        ):
+            with self.subTest(name), self.assertRaises(ValueError):
+                decode_update(orjson.dumps(replaced(UPDATE, (*entry, name), value)))
+
+    def status(self, **environ):
+        """Return the status of the answer to a request."""
+        statuses = []
+        application = PeersApplication(FakeInstance())
+        application(environ, lambda status, headers: statuses.append(status))
+        return statuses[0][:3]
+
+    @given(
+        st.sampled_from([GOSSIP_PATH, UPDATES_PATH, "/"]),
+        st.text(max_size=20),
+        st.text(max_size=8),
+        st.binary(max_size=50),
+    )
+    def test_any_request_gets_a_status(self, path, query, length, body):
+        status = self.status(
+            PATH_INFO=path,
+            QUERY_STRING=query,
+            CONTENT_LENGTH=length,
+            **{"wsgi.input": io.BytesIO(body)},
+        )
+        self.assertIn(status, ("200", "400", "404", "413"))
+
+    def test_a_query_for_updates_may_hold_any_numbers(self):
+        for query in ("after=9&era=x", "after=" + "9" * 5_000, "after=-1&era=-1"):
+            with self.subTest(query[:20]):
+                status = self.status(PATH_INFO=UPDATES_PATH, QUERY_STRING=query)
+                self.assertIn(status, ("200", "400"))
