Check the type of a configuration's version in updates of peers

Cause: a version that is text passed the codec and would have failed each comparison with the active one. Change: the configuration's simple fields are checked like the others.

--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/_update_codec.py
@@ -105,14 +105,15 @@
         name: _checked(ServiceSpec, service)
         for name, service in fields["services"].items()
     }
-    return RoutingConfiguration(
-        version=fields["version"],
-        routes=tuple(_route(route) for route in fields["routes"]),
-        services=services,
-        caller_limits=_checked(CallerLimits, fields["caller_limits"]),
+    typed = {
+        "version": fields["version"],
+        "routes": tuple(_route(route) for route in fields["routes"]),
+        "services": services,
+        "caller_limits": _checked(CallerLimits, fields["caller_limits"]),
         # Instances of earlier releases send none.
-        problems=tuple(fields.get("problems", ())),
-    )
+        "problems": tuple(fields.get("problems", ())),
+    }
+    return _checked(RoutingConfiguration, typed)
 
 
 def _route(fields: dict[str, Any]) -> Route:
--- a/berylhaven/gateway/tests/test_peer_input.py
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -114,6 +114,11 @@
             with self.subTest(name), self.assertRaises(ValueError):
                 decode_update(orjson.dumps(replaced(UPDATE, (*entry, name), value)))
 
+    def test_a_version_of_another_type_is_a_value_error(self):
+        path = ("changes", 0, 1, "version")
+        with self.assertRaises(ValueError):
+            decode_update(orjson.dumps(replaced(UPDATE, path, "7")))
+
     def status(self, **environ):
         """Return the status of the answer to a request."""
         statuses = []
