Log the revisions of an instance that is behind as numbers

Cause: read in the diff: the line held the value class's text, which logs summary cannot compare. Result: test_fleet_follower passes.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -215,7 +215,7 @@
 
     def _catch_up(self, newest: StoreRevision) -> None:
         self._event_log.write(
-            "store", "behind", revision=str(self._revision), newest=str(newest)
+            "store", "behind", **self._position(), newest=newest.number
         )
         try:
             update = self._source.fetch(self._revision, newest)
