Log the heartbeats of instances that become live or unresponsive

The lines could not tell a row with the same heartbeat, which was accepted once more, from a higher heartbeat that had been on its way. They now name the incarnation and heartbeat of each instance that they name.

--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -199,7 +199,12 @@
         """Write one line for all instances, since a whole fleet may start at once."""
         if not addresses:
             return
-        named = ",".join(sorted(addresses)[:NAMED_PEERS_LIMIT])
+        named = sorted(addresses)[:NAMED_PEERS_LIMIT]
         self._event_log.write(
-            "members", event, count=len(addresses), live=live_count, peers=named
+            "members",
+            event,
+            count=len(addresses),
+            live=live_count,
+            peers=",".join(named),
+            heartbeats=",".join(map(self._members.heartbeat_text, named)),
         )
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -297,6 +297,11 @@
         """Return the highest revision of the live instances."""
         return max((m.revision for m in self.live(now_s)), default=NO_REVISION)
 
+    def heartbeat_text(self, peers_address: str) -> str:
+        """Return the known incarnation and heartbeat of an instance for a log line."""
+        member = self._others.get(peers_address)
+        return f"{member.incarnation}.{member.heartbeat}" if member else "evicted"
+
     def data_centre(self, peers_address: str) -> str | None:
         """Return the data centre of an instance, or None if unknown."""
         member = self._others.get(peers_address)
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -220,6 +220,22 @@
         self.assertEqual(ready_names[0], ready_names[1])
         self.assertEqual(len(ready_names[0]), 4)
 
+    def test_log_lines_of_members_state_their_incarnation_and_heartbeat(self):
+        lines = []
+        table = MemberTable(member("one"))
+        event_log = unittest.mock.Mock()
+        event_log.write = lambda *words, **fields: lines.append((*words, fields))
+        with ManualClock() as clock:
+            gossip = MemberGossip(table, (), random.Random(1), event_log)
+            table.merge(member("two", heartbeat=7, incarnation=3), monotonic_s())
+            gossip._log_changes()
+            clock.advance_s(LOCAL_UNRESPONSIVE_AFTER_S + 1.0)
+            gossip._log_changes()
+        events = [(event, fields["heartbeats"]) for _, event, fields in lines]
+        self.assertEqual(
+            events, [("instances heard", "3.7"), ("instances silent", "3.7")]
+        )
+
     def test_malformed_messages_are_rejected(self):
         _, gossip = self.gossip("one")
         for text in (b"", b"{}", b"[]", b"[[1]]", b'[["a","b","c",1,1,1,1]]'):
