Show that peers revive an instance without power

The test switches off one of twenty gossiping instances and looks at which others name it to callers.

Nothing in the tree kept an instance off for longer than its time limit beside three or more others that gossip, and looked at what they name: tests of the table merged rows into one table only, and the fleet test had no loss.

--- /dev/null
+++ b/berylhaven/gateway/tests/test_member_loss.py
@@ -0,0 +1,33 @@
+"""Tests of how the other instances forget one that is off."""
+
+import unittest
+
+from berylhaven.clock import ManualClock
+from berylhaven.gateway._member_gossip import GOSSIP_INTERVAL_S
+from berylhaven.gateway.tests._gossip_fleet import GossipFleet
+
+# Callers must not be sent to an instance that has been off for longer.
+NAMED_LIMIT_S = 6.0
+
+
+class MemberLossTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
+
+    def fleet(self, count):
+        fleet = GossipFleet(self.clock, count)
+        fleet.run_for(10.0)
+        return fleet
+
+    def assert_not_named_for(self, fleet, address, duration_s):
+        for _ in range(round(duration_s / GOSSIP_INTERVAL_S)):
+            self.assertEqual(fleet.naming(address), [])
+            fleet.run_for(GOSSIP_INTERVAL_S)
+
+    def test_an_instance_without_power_is_not_revived_by_rows_of_its_peers(self):
+        fleet = self.fleet(20)
+        fleet.stop("b5:peers")
+        fleet.run_for(NAMED_LIMIT_S)
+        self.assert_not_named_for(fleet, "b5:peers", 80.0)
