Send the age of a heartbeat, so that delays of gossip do not add to time limits

Cause: a heartbeat counted from its receipt, at every instance that forwarded it anew, and instances of other data centres were named for 8 s after that. Rows now travel with the age of their heartbeat, which rises on its way, and no instance is named whose heartbeat is over 5 s old. With that an old row stays old also where it is unknown: at an instance that has just started, or after an eviction.

Limits on true ages must be longer than limits on receipts.

--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -7,7 +7,7 @@
 
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._member_codec import decode_rows, encode_rows
+from berylhaven.gateway._member_codec import decode_members, encode_members
 from berylhaven.gateway._members import Member, MemberTable
 
 GOSSIP_PATH = "/v1/members"
@@ -124,7 +124,7 @@
         return peer.peers_address if peer else None
 
     def _exchange(self, address: str) -> None:
-        body = encode_rows(self._rows(address))
+        body = encode_members(self._reported(address), monotonic_s())
         try:
             with eventlet.Timeout(
                 EXCHANGE_TIMEOUT_S, TimeoutError("no answer within the time limit")
@@ -160,7 +160,7 @@
             If the message is malformed.
         """
         now_s = monotonic_s()
-        members = decode_rows(body)
+        members = decode_members(body)
         for member in members:
             self._members.merge(member, now_s)
         return members[0]
@@ -179,19 +179,19 @@
             Encoded rows.
         """
         sender = self.merge(body)
-        rows = self._rows(sender.peers_address)
+        reported = self._reported(sender.peers_address)
         newer = self._members.newer_state(sender)
         if newer is not None:
-            rows.append(newer.to_row())
-        return encode_rows(rows)
+            reported.append(newer)
+        return encode_members(reported, monotonic_s())
 
-    def _rows(self, address: str) -> list[list]:
-        """Return the rows of this instance's message to an instance."""
+    def _reported(self, address: str) -> list[Member]:
+        """Return the members of this instance's message to an instance."""
         now_s = monotonic_s()
         if self._members.is_local(address):
-            return self._members.local_rows(now_s, self._random)
+            return self._members.reported_to_local(now_s, self._random)
         data_centre = self._members.data_centre(address)
-        return self._members.remote_rows(now_s, self._random, data_centre)
+        return self._members.reported_to_remote(now_s, self._random, data_centre)
 
     def _log_changes(self) -> None:
         now_s = monotonic_s()
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -9,9 +9,11 @@
 
 # An instance whose heartbeat has not risen for this time counts as unresponsive and
 # is not given to callers.
-LOCAL_UNRESPONSIVE_AFTER_S = 3.0
+LOCAL_UNRESPONSIVE_AFTER_S = 4.5
 # Heartbeats of other data centres arrive less often.
-REMOTE_UNRESPONSIVE_AFTER_S = 8.0
+REMOTE_UNRESPONSIVE_AFTER_S = 15.0
+# An instance whose heartbeat is older is not given to callers, however far away it is.
+LOCATE_HEARTBEAT_LIMIT_S = 5.0
 # Members without a new heartbeat for this time are evicted.
 EVICT_AFTER_S = 60.0
 # If the share of live members among those with a heartbeat within ISOLATION_WINDOW_S
@@ -50,7 +52,9 @@
     revision: StoreRevision = NO_REVISION
     # For how many whole seconds the store has answered it without an outage.
     store_available_s: int = 0
-    # When its heartbeat was last seen to rise, on the hub's clock.
+    # How old its heartbeat was when this state was received, in seconds.
+    age_s: float = 0.0
+    # When it had this heartbeat, on the hub's clock.
     heartbeat_at_s: float = 0.0
     # Whether an exchange with it has failed since.
     is_unreachable: bool = False
@@ -90,7 +94,7 @@
     Returns
     -------
     Member
-        Without the time of the heartbeat.
+        Without the age of the heartbeat.
 
     Raises
     ------
@@ -176,7 +180,7 @@
         known = self._others.get(member.peers_address)
         if known is not None and not member.is_newer_than(known):
             return False
-        member.heartbeat_at_s = now_s
+        member.heartbeat_at_s = now_s - member.age_s
         self._others[member.peers_address] = member
         self._peak_count = max(self._peak_count, len(self._others) + 1)
         return known is None
@@ -223,7 +227,11 @@
         If most members become unresponsive at once, this instance is more likely to be
         isolated than all of them to have failed, and callers may still reach them.
         """
-        live = self.live(now_s)
+        live = [
+            member
+            for member in self.live(now_s)
+            if now_s - member.heartbeat_at_s <= LOCATE_HEARTBEAT_LIMIT_S
+        ]
         known = [
             m
             for m in self._others.values()
@@ -234,8 +242,8 @@
         members = [m for m in live if m.is_ready]
         return [self.own, *members] if self.own.is_ready else members
 
-    def local_rows(self, now_s: float, random: Random) -> list[list]:
-        """Return the rows of a message to an instance of this data centre.
+    def reported_to_local(self, now_s: float, random: Random) -> list[Member]:
+        """Return the members in a message to an instance of this data centre.
 
         Parameters
         ----------
@@ -246,17 +254,16 @@
 
         Returns
         -------
-        list of list
+        list of Member
             This instance, all live local ones, and a sample of the remote ones.
         """
         local, remote = self._local_and_remote(now_s)
-        reported = [self.own, *local, *_sample(remote, REMOTE_ROWS_LIMIT, random)]
-        return [member.to_row() for member in reported]
+        return [self.own, *local, *_sample(remote, REMOTE_ROWS_LIMIT, random)]
 
-    def remote_rows(
+    def reported_to_remote(
         self, now_s: float, random: Random, data_centre: str | None
-    ) -> list[list]:
-        """Return the rows of a message to another data centre, where traffic is costly.
+    ) -> list[Member]:
+        """Return the members in a message to another data centre, which is costly.
 
         Parameters
         ----------
@@ -269,17 +276,18 @@
 
         Returns
         -------
-        list of list
+        list of Member
             This instance, a sample of the local ones, and a few of the receiver's data
             centre, by which an instance that has just started finds its local peers.
         """
         local, remote = self._local_and_remote(now_s)
         theirs = [member for member in remote if member.data_centre == data_centre]
         reported = [self.own, *_sample(local, REMOTE_ROWS_LIMIT - 1, random)]
-        reported += _sample(theirs, RETURNED_ROWS_LIMIT, random)
-        return [member.to_row() for member in reported]
+        return reported + _sample(theirs, RETURNED_ROWS_LIMIT, random)
 
     def _local_and_remote(self, now_s: float) -> tuple[list[Member], list[Member]]:
+        """Return the live members by place, for a message of this moment."""
+        self.own.heartbeat_at_s = now_s
         local: list[Member] = []
         remote: list[Member] = []
         for member in self.live(now_s):
