Name no instance with an old heartbeat, also when most became unresponsive

When under a third of the members were live, all with a heartbeat within 20 s were given to callers, since the instance might be isolated itself. If three quarters of the instances lose power, callers are sent to them for 20 s.

The new test of a fleet of 20, of which 15 stop, failed with all 15 named.

The rule goes. An instance that is isolated itself names only itself and whom it still hears of; what it no longer hears of it cannot vouch for. The test that asked for the opposite is replaced by one that fixes the time after which members are not named, and one for members of other data centres.

--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -16,10 +16,6 @@
 LOCATE_HEARTBEAT_LIMIT_S = 5.0
 # Members without a new heartbeat for this time are evicted.
 EVICT_AFTER_S = 60.0
-# If the share of live members among those with a heartbeat within ISOLATION_WINDOW_S
-# is smaller than this, the instance assumes that it is isolated itself.
-ISOLATION_LIVE_RATIO = 0.34
-ISOLATION_WINDOW_S = 20.0
 # Relays read the store and gossip with other data centres. Two of them, so that
 # updates are still passed on while one of them is isolated.
 RELAYS_PER_DATA_CENTRE = 2
@@ -222,24 +218,13 @@
         return [m for m in self._others.values() if self._is_live(m, now_s)]
 
     def ready(self, now_s: float) -> list[Member]:
-        """Return the instances that accept callers, this one included.
-
-        If most members become unresponsive at once, this instance is more likely to be
-        isolated than all of them to have failed, and callers may still reach them.
-        """
-        live = [
+        """Return the instances that accept callers, this one included."""
+        members = [
             member
             for member in self.live(now_s)
-            if now_s - member.heartbeat_at_s <= LOCATE_HEARTBEAT_LIMIT_S
-        ]
-        known = [
-            m
-            for m in self._others.values()
-            if not m.is_unreachable and now_s - m.heartbeat_at_s <= ISOLATION_WINDOW_S
+            if member.is_ready
+            and now_s - member.heartbeat_at_s <= LOCATE_HEARTBEAT_LIMIT_S
         ]
-        if len(live) < ISOLATION_LIVE_RATIO * len(known):
-            live = known
-        members = [m for m in live if m.is_ready]
         return [self.own, *members] if self.own.is_ready else members
 
     def reported_to_local(self, now_s: float, random: Random) -> list[Member]:
--- a/berylhaven/gateway/tests/test_member_loss.py
+++ b/berylhaven/gateway/tests/test_member_loss.py
@@ -32,6 +32,16 @@
         fleet.run_for(NAMED_LIMIT_S)
         self.assert_not_named_for(fleet, "b5:peers", 80.0)
 
+    def test_most_instances_without_power_are_not_named_by_the_others(self):
+        fleet = self.fleet(20)
+        stopped = list(fleet.gossips)[5:]
+        for address in stopped:
+            fleet.stop(address)
+        fleet.run_for(NAMED_LIMIT_S)
+        for address in stopped:
+            with self.subTest(address):
+                self.assertEqual(fleet.naming(address), [])
+
     def test_a_restart_after_the_wall_clock_went_back_is_soon_named_by_all(self):
         fleet = self.fleet(20)
         fleet.stop("b5:peers")
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -20,8 +20,8 @@
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import (
     EVICT_AFTER_S,
-    ISOLATION_WINDOW_S,
     LOCAL_UNRESPONSIVE_AFTER_S,
+    LOCATE_HEARTBEAT_LIMIT_S,
     RELAYS_PER_DATA_CENTRE,
     REMOTE_ROWS_LIMIT,
     Member,
@@ -98,13 +98,20 @@
         self.table.mark_unreachable("a:peers")
         self.assertEqual(self.ready_names(0.5), ["b", "c", "d", "own"])
 
-    def test_members_that_all_become_unresponsive_at_once_are_still_given_to_callers(
+    def test_members_that_all_become_unresponsive_at_once_are_not_given_to_callers(
         self,
     ):
         for name in "abcd":
             self.table.merge(member(name), 0.0)
-        self.assertEqual(len(self.ready_names(LOCAL_UNRESPONSIVE_AFTER_S + 1.0)), 5)
-        self.assertEqual(self.ready_names(ISOLATION_WINDOW_S + 1.0), ["own"])
+        self.assertEqual(len(self.ready_names(LOCAL_UNRESPONSIVE_AFTER_S - 0.1)), 5)
+        self.assertEqual(self.ready_names(LOCAL_UNRESPONSIVE_AFTER_S + 0.1), ["own"])
+
+    def test_a_remote_member_is_given_to_callers_no_longer_than_a_heartbeat_is_fresh(
+        self,
+    ):
+        self.table.merge(member("a", data_centre="there"), 0.0)
+        self.assertEqual(self.ready_names(LOCATE_HEARTBEAT_LIMIT_S), ["a", "own"])
+        self.assertEqual(self.ready_names(LOCATE_HEARTBEAT_LIMIT_S + 0.1), ["own"])
 
     def test_the_peak_count_does_not_fall_with_a_partition(self):
         for name in "abc":
