Log which instance sent an update, and how old its answer of the store was

The lines of an instance show versions that are always 2.5 to 3.5 s old, but not whether the store, a relay or the instance itself is late. Each update with changes is now logged with its sender and the age of the sender's latest answer of the store, which relays add to their answers; earlier releases ignore it.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -241,6 +241,16 @@
         # Another call may have returned the same changes and later ones.
         if self._revision is None or update.revision <= self._revision:
             return
+        if update.changes:
+            self._event_log.write(
+                "store",
+                "update",
+                sender=update.sender or "store",
+                changes=len(update.changes),
+                era=update.revision.era,
+                revision=update.revision.number,
+                store_answer_age_s=update.store_answer_age_s,
+            )
         self._record_era(update.revision)
         self._apply_changes(update)
         self._log.add(update)
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -58,6 +58,10 @@
     revision: StoreRevision
     # Whether the sender has only just reached the store again after an outage.
     is_after_outage: bool = False
+    # The address of the peer that sent it; empty if the store did.
+    sender: str = ""
+    # How old the sender's latest answer of the store was, in seconds.
+    store_answer_age_s: float = 0.0
 
 
 class FleetSource(Protocol):
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -315,8 +315,11 @@
         update = self._update_log.wait_after(revision, wait_s)
         if not update.changes:
             self._check_store_answer_age()
-        is_after_outage = self._follower.is_after_outage
-        return dataclasses.replace(update, is_after_outage=is_after_outage)
+        return dataclasses.replace(
+            update,
+            is_after_outage=self._follower.is_after_outage,
+            store_answer_age_s=monotonic_s() - self._update_log.store_answered_at_s,
+        )
 
     def _check_store_answer_age(self) -> None:
         age_s = monotonic_s() - self._update_log.store_answered_at_s
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -299,6 +299,6 @@
             message = f"{peer.peers_address}: status {answer.status}"
             raise SourceUnavailable(message)
         try:
-            return decode_update(answer.data)
+            return decode_update(answer.data, peer.peers_address)
         except ValueError as error:
             raise SourceUnavailable(f"{peer.peers_address}: {error}") from None
--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/_update_codec.py
@@ -52,17 +52,20 @@
         "era": update.revision.era,
         "changes": changes,
         "is_after_outage": update.is_after_outage,
+        "store_answer_age_s": round(update.store_answer_age_s, 3),
     }
     return orjson.dumps(document)
 
 
-def decode_update(body: bytes) -> FleetUpdate:
+def decode_update(body: bytes, sender: str = "") -> FleetUpdate:
     """Decode an update of a peer.
 
     Parameters
     ----------
     body : bytes
         One object.
+    sender : str
+        The peer's address.
 
     Returns
     -------
@@ -81,6 +84,7 @@
         # Instances of earlier releases send none.
         era = document.get("era", 0)
         is_after_outage = bool(document["is_after_outage"])
+        store_answer_age_s = document.get("store_answer_age_s", 0.0)
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(
             f"malformed update: missing or invalid field: {error}"
@@ -90,7 +94,18 @@
             f"malformed update: revision {number!r:.200} or era {era!r:.200} is not an "
             "integer"
         )
-    return FleetUpdate(tuple(changes), StoreRevision(era, number), is_after_outage)
+    if type(store_answer_age_s) not in (float, int):
+        raise ValueError(
+            f"malformed update: store answer age {store_answer_age_s!r:.200} is not a "
+            "number"
+        )
+    return FleetUpdate(
+        tuple(changes),
+        StoreRevision(era, number),
+        is_after_outage,
+        sender,
+        store_answer_age_s,
+    )
 
 
 def _change(name: str, fields: dict[str, Any]) -> Change:
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -270,6 +270,11 @@
         update = FleetUpdate((*changes, InvalidEntry("c", "why")), at(12), True)
         self.assertEqual(decode_update(encode_update(update)), update)
 
+    def test_an_update_states_its_sender_and_how_old_its_answer_of_the_store_was(self):
+        body = encode_update(FleetUpdate((), at(12), store_answer_age_s=1.25))
+        decoded = decode_update(body, "peer:1")
+        self.assertEqual((decoded.sender, decoded.store_answer_age_s), ("peer:1", 1.25))
+
     def test_a_malformed_update_is_a_value_error(self):
         for body in (
             b"",
@@ -278,6 +283,8 @@
             b'{"revision":1,"changes":[["what",{}]],"is_after_outage":false}',
             b'{"revision":1,"changes":[["server",{}]],"is_after_outage":false}',
             b'{"revision":"1","changes":[],"is_after_outage":false}',
+            b'{"revision":1,"changes":[],"is_after_outage":false,'
+            b'"store_answer_age_s":"1"}',
         ):
             with self.subTest(body), self.assertRaises(ValueError):
                 decode_update(body)
