Count messages that a paused instance reads late as old

Cause: a message that reached a frozen instance before its sender lost power is read when the instance goes on. Its rows count as of that moment, and are newer than what the others have, so that the whole fleet takes the sender for live again.

Ruled out: the clock of the frozen instance. It finds local members silent at once after it goes on (13.137 s, front-buc-c-1), so its clock had counted the time.

The gossip loop now records its steps with PauseWatch, which the entry role uses for requests read late. After a pause of over 1.2 s the ages in messages rise by it; an answer to an own exchange is as old as that exchange at most. Locate answers name members up to 4.5 s instead of 5 s, since a shorter pause is not noticed. The new test of a fleet failed before (two woken instances named the one that was off).

--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -5,7 +5,7 @@
 import eventlet
 import urllib3
 
-from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.clock import PauseWatch, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._member_codec import decode_members, encode_members
 from berylhaven.gateway._members import Member, MemberTable
@@ -17,6 +17,8 @@
 # is costly.
 REMOTE_EXCHANGE_EVERY = 3
 EXCHANGE_TIMEOUT_S = 0.4
+# A longer time between two exchanges is evidence that the process was paused.
+GOSSIP_PAUSE_THRESHOLD_S = 1.2
 # The maximum number of instances named in a log line.
 NAMED_PEERS_LIMIT = 8
 # Of this number of exchanges, one goes to a seed, so that a seed that did not know the
@@ -47,6 +49,7 @@
         "_http",
         "_exchange_count",
         "_known_live",
+        "_pause_watch",
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         self._http = urllib3.PoolManager(num_pools=64, maxsize=1, retries=False)
         self._exchange_count = 0
         self._known_live: set[str] = set()
+        self._pause_watch = PauseWatch(GOSSIP_PAUSE_THRESHOLD_S)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds.
@@ -84,6 +88,7 @@
     def step(self) -> None:
         """Increment the heartbeat and exchange tables with one instance."""
         now_s = monotonic_s()
+        self._pause_watch.tick()
         self._members.own.heartbeat += 1
         self._members.evict_unresponsive(now_s)
         self._exchange_count += 1
@@ -124,7 +129,8 @@
         return peer.peers_address if peer else None
 
     def _exchange(self, address: str) -> None:
-        body = encode_members(self._reported(address), monotonic_s())
+        sent_at_s = monotonic_s()
+        body = encode_members(self._reported(address), sent_at_s)
         try:
             with eventlet.Timeout(
                 EXCHANGE_TIMEOUT_S, TimeoutError("no answer within the time limit")
@@ -132,7 +138,7 @@
                 answer = self._http.request(
                     "POST", f"http://{address}{GOSSIP_PATH}", body=body
                 )
-            self.merge(answer.data)
+            self.merge(answer.data, monotonic_s() - sent_at_s)
         except TimeoutError:
             return
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
@@ -141,13 +147,15 @@
                 "members", "talk failed", peer=address, reason=str(error)
             )
 
-    def merge(self, body: bytes) -> Member:
+    def merge(self, body: bytes, unread_s: float) -> Member:
         """Merge a peer's message into the table.
 
         Parameters
         ----------
         body : bytes
             Encoded rows, the sender's first.
+        unread_s : float
+            The longest time since the message was sent, in seconds.
 
         Returns
         -------
@@ -162,6 +170,7 @@
         now_s = monotonic_s()
         members = decode_members(body)
         for member in members:
+            member.age_s += unread_s
             self._members.merge(member, now_s)
         return members[0]
 
@@ -178,7 +187,8 @@
         bytes
             Encoded rows.
         """
-        sender = self.merge(body)
+        unread_s = self._pause_watch.possible_unread_s(monotonic_s())
+        sender = self.merge(body, unread_s)
         reported = self._reported(sender.peers_address)
         newer = self._members.newer_state(sender)
         if newer is not None:
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -13,7 +13,7 @@
 # Heartbeats of other data centres arrive less often.
 REMOTE_UNRESPONSIVE_AFTER_S = 15.0
 # An instance whose heartbeat is older is not given to callers, however far away it is.
-LOCATE_HEARTBEAT_LIMIT_S = 5.0
+LOCATE_HEARTBEAT_LIMIT_S = 4.5
 # Members without a new heartbeat for this time are evicted.
 EVICT_AFTER_S = 60.0
 # Relays read the store and gossip with other data centres. Two of them, so that
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -37,6 +37,8 @@
             f"{DATA_CENTRES[n % 3]}{n // 3}:peers": DATA_CENTRES[n % 3]
             for n in range(count)
         }
+        # The messages that frozen instances have not read, by address.
+        self._unread: dict[str, list[bytes]] = {}
         for address in self._data_centres:
             self.start(address)
 
@@ -55,6 +57,15 @@
         """Switch an instance off, so that it answers nothing."""
         del self.gossips[address]
 
+    def freeze(self, address: str) -> None:
+        """Let an instance stand still; messages to it stay unread."""
+        self._unread[address] = []
+
+    def wake(self, address: str) -> None:
+        """Let a frozen instance go on, which reads what has arrived meanwhile."""
+        for body in self._unread.pop(address):
+            self.gossips[address].answer(body)
+
     def run_for(self, duration_s: float) -> None:
         """Let all instances gossip at their interval, in another order each time."""
         for _ in range(round(duration_s / GOSSIP_INTERVAL_S)):
@@ -62,7 +73,8 @@
             self._random.shuffle(addresses)
             for address in addresses:
                 self.clock.advance_s(GOSSIP_INTERVAL_S / len(addresses))
-                self.gossips[address].step()
+                if address not in self._unread:
+                    self.gossips[address].step()
 
     def naming(self, address: str) -> list[str]:
         """Return the instances whose locate answers may name an instance."""
@@ -78,6 +90,9 @@
             receiver = url.removeprefix("http://").removesuffix(GOSSIP_PATH)
             if receiver not in self.gossips:
                 raise urllib3.exceptions.ConnectTimeoutError("no answer")
+            if receiver in self._unread:
+                self._unread[receiver].append(body)
+                raise urllib3.exceptions.ReadTimeoutError(None, url, "no answer")
             answer = self.gossips[receiver].answer(body)
             self.byte_count += len(body) + len(answer)
             if self._data_centres[sender] != self._data_centres[receiver]:
--- a/berylhaven/gateway/tests/test_member_loss.py
+++ b/berylhaven/gateway/tests/test_member_loss.py
@@ -42,6 +42,18 @@
             with self.subTest(address):
                 self.assertEqual(fleet.naming(address), [])
 
+    def test_an_instance_without_power_is_not_revived_by_messages_read_late(self):
+        fleet = self.fleet(20)
+        frozen = ["a1:peers", "b1:peers", "b2:peers"]
+        for address in frozen:
+            fleet.freeze(address)
+        fleet.run_for(3.0)
+        fleet.stop("b5:peers")
+        fleet.run_for(NAMED_LIMIT_S)
+        for address in frozen:
+            fleet.wake(address)
+        self.assert_not_named_for(fleet, "b5:peers", 10.0)
+
     def test_a_restart_after_the_wall_clock_went_back_is_soon_named_by_all(self):
         fleet = self.fleet(20)
         fleet.stop("b5:peers")
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -212,7 +212,7 @@
                     monotonic_s(),
                 )
             )
-            first.merge(answer)
+            first.merge(answer, unread_s=0.0)
             now_s = monotonic_s()
             ready_names = [
                 sorted(m.peers_address for m in table.ready(now_s))
