Send the newest configuration only, compressed, in updates of relays

Cause: every superseded version was passed on as plain JSON. One version of 50 routes has 11.5 KB; at five a second a relay has to send about 1.5 MB/s to half of a data centre of 54 instances, over a link of 10 Mbit/s.

Followers and relays now keep only the newest configuration of an update, also where a restored store lists an older one last. Updates are compressed for peers that accept it, so that instances of earlier releases get them as before.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -12,6 +12,7 @@
     InvalidEntry,
     ServerRemoved,
     SourceUnavailable,
+    without_superseded,
 )
 from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import RelayedSource
@@ -324,7 +325,7 @@
     def _apply_changes(self, update: FleetUpdate) -> None:
         if update.is_after_outage and not self.is_after_outage:
             self._outages.record_recovery()
-        for change in update.changes:
+        for change in without_superseded(update.changes):
             self._apply_change(change, update.revision)
 
     def _apply_change(self, change: Change, revision: StoreRevision) -> None:
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/_fleet_source.py
@@ -1,5 +1,6 @@
 """The types of what the gateway reads from the platform."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -64,6 +65,29 @@
     store_answer_age_s: float = 0.0
 
 
+def without_superseded(changes: Iterable[Change]) -> tuple[Change, ...]:
+    """Return changes without the configurations that a newer one replaces.
+
+    Parameters
+    ----------
+    changes : iterable of Change
+        In the order in which they were made.
+
+    Returns
+    -------
+    tuple of Change
+        With at most one configuration. A restored store may list an older version last.
+    """
+    changes = tuple(changes)
+    configurations = [c for c in changes if isinstance(c, RoutingConfiguration)]
+    newest = max(configurations, key=lambda c: c.version, default=None)
+    return tuple(
+        change
+        for change in changes
+        if change is newest or not isinstance(change, RoutingConfiguration)
+    )
+
+
 class FleetSource(Protocol):
     """The source of routes and backend servers."""
 
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -1,12 +1,14 @@
 """The WSGI application for requests of other instances."""
 
+import zlib
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from berylhaven.gateway._fleet_source import HistoryGone, SourceUnavailable
 from berylhaven.gateway._gateway_instance import GatewayInstance
+from berylhaven.gateway._member_codec import COMPRESSION_LEVEL
 from berylhaven.gateway._member_gossip import GOSSIP_PATH
-from berylhaven.gateway._relayed_source import UPDATES_PATH
+from berylhaven.gateway._relayed_source import UPDATE_ENCODING, UPDATES_PATH
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_codec import encode_update
 from berylhaven.http1 import answer_bytes, answer_status
@@ -54,7 +56,16 @@
             return answer_status(start_response, "410 Gone")
         except SourceUnavailable:
             return answer_status(start_response, "503 Service Unavailable")
-        return answer_bytes(start_response, "200 OK", encode_update(update))
+        body = encode_update(update)
+        # Instances of earlier releases accept no compression.
+        if environ.get("HTTP_ACCEPT_ENCODING") != UPDATE_ENCODING:
+            return answer_bytes(start_response, "200 OK", body)
+        return answer_bytes(
+            start_response,
+            "200 OK",
+            zlib.compress(body, COMPRESSION_LEVEL),
+            content_encoding=UPDATE_ENCODING,
+        )
 
     def _answer_gossip(self, environ: dict, start_response: Callable) -> list[bytes]:
         try:
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -20,6 +20,9 @@
 from berylhaven.gateway._update_log import UpdateLog
 
 UPDATES_PATH = "/v1/news"
+# A relay sends each configuration to its whole data centre, over a link that may be
+# narrow.
+UPDATE_ENCODING = "deflate"
 HTTP_STATUS_GONE = 410
 HTTP_STATUS_OK = 200
 MILLISECONDS_PER_SECOND = 1_000
@@ -288,7 +291,11 @@
         )
         try:
             with eventlet.Timeout(wait_s + PEER_TIMEOUT_MARGIN_S, late):
-                answer = self._http.request("GET", url + urllib.parse.urlencode(query))
+                answer = self._http.request(
+                    "GET",
+                    url + urllib.parse.urlencode(query),
+                    headers={"Accept-Encoding": UPDATE_ENCODING},
+                )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise SourceUnavailable(f"{peer.peers_address}: {error}") from error
         if answer.status == HTTP_STATUS_GONE:
--- a/berylhaven/gateway/_update_log.py
+++ b/berylhaven/gateway/_update_log.py
@@ -6,7 +6,11 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._fleet_source import FleetUpdate, HistoryGone
+from berylhaven.gateway._fleet_source import (
+    FleetUpdate,
+    HistoryGone,
+    without_superseded,
+)
 from berylhaven.gateway._store_revision import StoreRevision
 
 # Updates that are kept; a peer that is further behind reads a snapshot.
@@ -98,7 +102,9 @@
         if not self._covers(revision):
             raise HistoryGone(f"changes after revision {revision} are no longer kept")
         newer = [update for update in self._updates if update.revision > revision]
-        changes = tuple(change for update in newer for change in update.changes)
+        changes = without_superseded(
+            change for update in newer for change in update.changes
+        )
         return FleetUpdate(changes, max(self.revision, revision))
 
     def _covers(self, revision: StoreRevision) -> bool:
--- a/berylhaven/http1/_wsgi_answer.py
+++ b/berylhaven/http1/_wsgi_answer.py
@@ -7,7 +7,11 @@
 
 
 def answer_bytes(
-    start_response: Callable, status: str, body: bytes, content_type: str = JSON
+    start_response: Callable,
+    status: str,
+    body: bytes,
+    content_type: str = JSON,
+    content_encoding: str | None = None,
 ) -> list[bytes]:
     """Answer a request with a body held in memory.
 
@@ -21,6 +25,8 @@
         The body.
     content_type : str
         The media type of the body.
+    content_encoding : str or None
+        The encoding in which the body is held; None for none.
 
     Returns
     -------
@@ -28,6 +34,8 @@
         The body as a WSGI iterable.
     """
     headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    if content_encoding is not None:
+        headers.append(("Content-Encoding", content_encoding))
     start_response(status, headers)
     return [body]
 
