--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -63,6 +63,9 @@
     def is_server_leaving(self, fields):
         return fields.get("Wordy-Leaving") is not None
 
+    def request_limit(self, fields):
+        return fields.get("Wordy-Limit")
+
     def load_report(self, fields, now_s):
         text = fields.get("Wordy-Load")
         if text is None:
--- a/berylhaven/gateway/tests/test_server_signals.py
+++ b/berylhaven/gateway/tests/test_server_signals.py
@@ -25,6 +25,16 @@
     b"HTTP/1.1 200 OK\r\nWordy-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"
 )
 
+# A server may get this times its limit, and some requests more, in a window.
+LIMIT_EXCESS_RATIO = 1.5
+LIMIT_SLACK_COUNT = 5
+LIMIT_WINDOW_S = 4.0
+
+
+def limited(limit_per_s):
+    lines = ["HTTP/1.1 200 OK", f"Wordy-Limit: {limit_per_s}", "Content-Length: 2"]
+    return answers_raw("\r\n".join([*lines, "", "ok"]).encode())
+
 
 def refusal(retry_after):
     lines = ["HTTP/1.1 503 Full", "Wordy-Not-Run: 1", "Content-Length: 0"]
@@ -76,6 +86,14 @@
         self.assertEqual(self.counts(ORDERS), [1, 1])
         self.assertGreater(float(answer.headers["retry-after"]), 25)
 
+    def test_a_server_gets_no_more_requests_than_the_limit_that_it_names(self):
+        limit_per_s = 1.0
+        self.path.answer_all(READS, limited(limit_per_s))
+        self.exchange("/read/1", 40)
+        allowed = LIMIT_EXCESS_RATIO * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK_COUNT
+        for count in self.counts(READS):
+            self.assertLessEqual(count, allowed)
+
     def test_after_the_pause_the_server_is_used_again(self):
         self.path.answer_all(ORDERS, refusal("0.2"))
         with self.path.connect() as caller:
