Notice sooner that a relay has lost the store

Callers saw: the same late versions, at instances whose two relays were off and without the store.

Cause: a relay waited up to 1.5 s for a watch that the store had silently dropped, also while versions came every 0.2 s, and a peer whose request it held learned of the loss only at the end of that wait. After two watches in a row with changes the next is expected soon and waits 0.5 s; the second failure ends the waits of peers at once.

Both new tests failed before.

--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -289,6 +289,9 @@
             self._event_log.write_failure(
                 "store", "lost", **self._position(), reason=error.message
             )
+        if self.is_store_unavailable:
+            # Peers should turn to another source at once.
+            self._log.end_waits()
         longest_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self._failure_count)
         return self._random.uniform(0.5, 1.0) * longest_s
 
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -15,7 +15,7 @@
 )
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import Member, MemberTable, rank
-from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 from berylhaven.gateway._update_codec import decode_update
 from berylhaven.gateway._update_log import UpdateLog
 
@@ -38,6 +38,9 @@
 # watches unanswered in that time, and shorter ones detect that sooner.
 SHORT_DIRECT_WAIT_S = 0.5
 SHORT_DIRECT_WAIT_DURATION_S = 3.0
+# After so many watches with changes in a row the next change is expected soon, and a
+# shorter watch detects sooner that the store does not answer.
+FREQUENT_CHANGE_COUNT = 2
 # How long a relay holds a request for an update. An isolated relay is detected only at
 # the end of that time, after which the store itself is queried at once.
 PEER_WAIT_S = 0.8
@@ -77,6 +80,8 @@
         "_failed_at_s",
         "_direct_until_s",
         "_turn",
+        "_changed_watch_count",
+        "_watched_revision",
     )
 
     def __init__(
@@ -95,6 +100,9 @@
         self._failed_at_s = float("-inf")
         self._direct_until_s = float("-inf")
         self._turn = 0
+        # The number of the latest direct watches in a row that returned changes.
+        self._changed_watch_count = 0
+        self._watched_revision = NO_REVISION
 
     def read(self, allow_stale: bool = False) -> FleetUpdate:
         """Return a snapshot, from the store or else from a peer.
@@ -207,7 +215,8 @@
             or self._failed_at_s > store_answered_at_s
         ):
             return 0.0
-        if now_s - self._failed_at_s < SHORT_DIRECT_WAIT_DURATION_S:
+        has_failed = now_s - self._failed_at_s < SHORT_DIRECT_WAIT_DURATION_S
+        if has_failed or self._changed_watch_count >= FREQUENT_CHANGE_COUNT:
             return SHORT_DIRECT_WAIT_S
         return DIRECT_WAIT_S
 
@@ -252,7 +261,11 @@
         return self._watch_direct(revision, 0.0)
 
     def _watch_direct(self, revision: StoreRevision, wait_s: float) -> FleetUpdate:
-        return self._call_store(lambda: self._direct.watch(revision, wait_s))
+        update = self._call_store(lambda: self._direct.watch(revision, wait_s))
+        has_changed = bool(update.changes) and update.revision > self._watched_revision
+        self._changed_watch_count = self._changed_watch_count + 1 if has_changed else 0
+        self._watched_revision = update.revision
+        return update
 
     def _call_store(self, call: Callable[[], FleetUpdate]) -> FleetUpdate:
         """Make a call to the store and record its result."""
--- a/berylhaven/gateway/_update_log.py
+++ b/berylhaven/gateway/_update_log.py
@@ -144,6 +144,10 @@
             update = self.after(revision)
         return update
 
+    def end_waits(self) -> None:
+        """Let waiting peers go on without changes, since none can be told of now."""
+        self._wake()
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send()
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -263,6 +263,18 @@
             self.clock.advance_s(0.3)
         self.assertEqual(self.servers(), ["b"])
 
+    def test_peers_that_wait_learn_at_once_that_the_store_is_unavailable(self):
+        waiting = eventlet.spawn(self.log.wait_after, self.log.revision, 4.0)
+        eventlet.sleep(0)
+        self.source.failure = SourceUnavailable("silent")
+        self.follower.step()
+        self.clock.advance_s(0.0)
+        self.assertFalse(waiting.dead)
+        self.follower.step()
+        self.clock.advance_s(0.0)
+        self.assertTrue(self.follower.is_store_unavailable)
+        self.assertTrue(waiting.dead)
+
 
 class UpdateCodecTest(unittest.TestCase):
     def test_an_update_survives_encoding_and_decoding(self):
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -105,6 +105,19 @@
             waits_s, [0.0, SHORT_DIRECT_WAIT_S, SHORT_DIRECT_WAIT_S, DIRECT_WAIT_S]
         )
 
+    def test_while_changes_are_frequent_a_watch_detects_a_silent_store_sooner(self):
+        waits_s = []
+        for has_change in (True, True, True, False):
+            if has_change:
+                self.source.put(ServerRemoved("a"))
+            after = at(self.source.number - has_change)
+            self.relayed.watch(after, 0.0)
+            waits_s.append(self.relayed._direct_wait_s())
+        self.assertEqual(
+            waits_s,
+            [DIRECT_WAIT_S, SHORT_DIRECT_WAIT_S, SHORT_DIRECT_WAIT_S, DIRECT_WAIT_S],
+        )
+
     def test_a_lost_history_counts_as_an_answer_of_the_store(self):
         log = UpdateLog()
         relayed = RelayedSource(self.source, self.members, log, GatewayMetrics())
