Repeat a lost watch of a relay at the store, not at another relay

Callers saw: requests refused with 404 by an instance that had no update for 2.45 s, one relay of which was off and the other without the store (front-buc-c-41).

Cause: a relay that lost a watch counted as no relay any more, so that its next watch went to another one, which was off as well and took 1.05 s to be given up. Only a second failure at the store tells peers to go elsewhere; it came at about 8.0 s, after the loss at 6.88 s. Class: a failure that is noticed late because its check waits for another part that may have failed too.

A lost direct watch is now repeated at the store once. Instances that read the store only since no relay answered keep to their interval, as before.

The new test failed before.

--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -79,6 +79,7 @@
         "_http",
         "_failed_at_s",
         "_direct_until_s",
+        "_repeats_direct",
         "_turn",
         "_changed_watch_count",
         "_watched_revision",
@@ -99,6 +100,8 @@
         # When a direct call to the store last failed, on the hub's clock.
         self._failed_at_s = float("-inf")
         self._direct_until_s = float("-inf")
+        # Whether the latest direct watch was lost and is repeated at the store.
+        self._repeats_direct = False
         self._turn = 0
         # The number of the latest direct watches in a row that returned changes.
         self._changed_watch_count = 0
@@ -188,8 +191,8 @@
         now_s = monotonic_s()
         relays = self._members.relays(now_s)
         is_relay = not relays or self._members.own in relays
-        if is_relay or now_s < self._direct_until_s:
-            return self._watch_direct(revision, min(wait_s, self._direct_wait_s()))
+        if is_relay or self._repeats_direct or now_s < self._direct_until_s:
+            return self._watch_as_reader(revision, wait_s)
         self._turn += 1
         relay = relays[self._turn % len(relays)]
         try:
@@ -205,6 +208,20 @@
         self._direct_until_s = monotonic_s() + DIRECT_DURATION_S
         return update
 
+    def _watch_as_reader(self, revision: StoreRevision, wait_s: float) -> FleetUpdate:
+        """Watch the store directly, and repeat the watch there if it is lost.
+
+        Peers are told that the store is unavailable once a second watch is lost. That
+        must not wait for another relay, which may have failed too.
+        """
+        try:
+            update = self._watch_direct(revision, min(wait_s, self._direct_wait_s()))
+        except SourceUnavailable:
+            self._repeats_direct = not self._repeats_direct
+            raise
+        self._repeats_direct = False
+        return update
+
     def _direct_wait_s(self) -> float:
         """Return how long a direct watch of the store may wait, in seconds."""
         now_s = monotonic_s()
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -105,6 +105,22 @@
             waits_s, [0.0, SHORT_DIRECT_WAIT_S, SHORT_DIRECT_WAIT_S, DIRECT_WAIT_S]
         )
 
+    def test_a_lost_watch_of_a_relay_is_repeated_at_the_store_and_not_at_a_peer(self):
+        with eventlet.Timeout(PROPAGATION_LIMIT_S):
+            self.relayed.watch(at(1), 0.0)
+            self.source.failure = SourceUnavailable("lost")
+            with self.assertRaises(SourceUnavailable):
+                self.relayed.watch(at(1), 0.0)
+            # The instance is no relay any more, and the new one is silent.
+            listener = eventlet.listen(("127.0.0.1", 0))
+            self.addCleanup(listener.close)
+            self.add_relay(f"127.0.0.1:{listener.getsockname()[1]}")
+            started_at_s = monotonic_s()
+            with self.assertRaises(SourceUnavailable):
+                self.relayed.watch(at(1), 1.0)
+        self.assertEqual(self.source.call_count, 3)
+        self.assertLess(monotonic_s() - started_at_s, PEER_WAIT_S)
+
     def test_while_changes_are_frequent_a_watch_detects_a_silent_store_sooner(self):
         waits_s = []
         for has_change in (True, True, True, False):
