--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -1,18 +1,16 @@
 """The membership table: the instances that are known by gossip."""
 
 import zlib
-from dataclasses import dataclass
 from random import Random
-from typing import Any
 
+from berylhaven.gateway._member import Member
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 
-# An instance whose heartbeat has not risen for this time counts as unresponsive and
-# is not given to callers.
+# An instance of this data centre whose heartbeat is older counts as unresponsive.
 LOCAL_UNRESPONSIVE_AFTER_S = 4.5
 # Heartbeats of other data centres arrive less often.
 REMOTE_UNRESPONSIVE_AFTER_S = 15.0
-# An instance whose heartbeat is older is not given to callers, however far away it is.
+# An instance of any data centre whose heartbeat is older is not given to callers.
 LOCATE_HEARTBEAT_LIMIT_S = 4.5
 # Members without a new heartbeat for this time are evicted.
 EVICT_AFTER_S = 60.0
@@ -24,105 +22,6 @@
 REMOTE_ROWS_LIMIT = 16
 # The maximum number of rows of the receiver's own data centre in a message to it.
 RETURNED_ROWS_LIMIT = 4
-# Without the era of the store, which may follow.
-ROW_LENGTH = 8
-
-
-@dataclass(slots=True)
-class Member:
-    """The known state of one instance."""
-
-    # HOST:PORT for the other instances; it identifies the instance.
-    peers_address: str
-    # HOST:PORT for callers.
-    callers_address: str
-    # Its data centre.
-    data_centre: str
-    # Higher after each start of its process.
-    incarnation: int
-    # Incremented with each gossip round and each urgent notification.
-    heartbeat: int
-    # Whether it accepts callers.
-    is_ready: bool
-    # The store's revision up to which it has all changes.
-    revision: StoreRevision = NO_REVISION
-    # For how many whole seconds the store has answered it without an outage.
-    store_available_s: int = 0
-    # How old its heartbeat was when this state was received, in seconds.
-    age_s: float = 0.0
-    # When it had this heartbeat, on the hub's clock.
-    heartbeat_at_s: float = 0.0
-    # Whether an exchange with it has failed since.
-    is_unreachable: bool = False
-
-    def to_row(self) -> list:
-        """Return the member as a row of a message.
-
-        The era is left out if the store has none, so that instances of earlier releases
-        accept the row.
-        """
-        era = [self.revision.era] if self.revision.era else []
-        return [
-            self.peers_address,
-            self.callers_address,
-            self.data_centre,
-            self.incarnation,
-            self.heartbeat,
-            int(self.is_ready),
-            self.revision.number,
-            self.store_available_s,
-            *era,
-        ]
-
-    def is_newer_than(self, other: "Member") -> bool:
-        """Return whether this is a later state of the same instance."""
-        return (self.incarnation, self.heartbeat) > (other.incarnation, other.heartbeat)
-
-
-def decode_row(row: Any) -> Member:
-    """Decode a row of a message.
-
-    Parameters
-    ----------
-    row : object
-        As decoded from JSON.
-
-    Returns
-    -------
-    Member
-        Without the age of the heartbeat.
-
-    Raises
-    ------
-    ValueError
-        If the row is malformed.
-    """
-    if not isinstance(row, list) or len(row) not in (ROW_LENGTH, ROW_LENGTH + 1):
-        raise ValueError(
-            f"member row is not a list of {ROW_LENGTH} values and the store's era"
-        )
-    if not all(isinstance(value, str) for value in row[:3]):
-        raise ValueError(
-            "addresses and data centre of a member row are not all text: "
-            f"{row[:3]!r:.200}"
-        )
-    if not all(type(value) is int and value >= 0 for value in row[3:]):
-        raise ValueError(
-            "incarnation, heartbeat, readiness, revision, store availability and era "
-            f"in the member row of {row[0][:100]!r} are not all non-negative integers: "
-            f"{row[3:]!r:.200}"
-        )
-    era = row[ROW_LENGTH] if len(row) > ROW_LENGTH else 0
-    return Member(
-        peers_address=row[0],
-        callers_address=row[1],
-        data_centre=row[2],
-        incarnation=row[3],
-        heartbeat=row[4],
-        is_ready=bool(row[5]),
-        revision=StoreRevision(era, row[6]),
-        store_available_s=row[7],
-    )
 
 
 class MemberTable:
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -14,7 +14,11 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._members import Member, MemberTable, rank
+from berylhaven.gateway._member import Member
+from berylhaven.gateway._members import (
+    MemberTable,
+    rank,
+)
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 from berylhaven.gateway._update_codec import decode_update
 from berylhaven.gateway._update_log import UpdateLog
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -7,12 +7,15 @@
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
+from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_gossip import (
     GOSSIP_INTERVAL_S,
     GOSSIP_PATH,
     MemberGossip,
 )
-from berylhaven.gateway._members import Member, MemberTable
+from berylhaven.gateway._members import (
+    MemberTable,
+)
 
 DATA_CENTRES = ("a", "b", "c")
 
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -12,6 +12,7 @@
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._locate import locate
+from berylhaven.gateway._member import Member, decode_row
 from berylhaven.gateway._member_codec import (
     TEXT_LIMIT_BYTES,
     decode_members,
@@ -24,9 +25,7 @@
     LOCATE_HEARTBEAT_LIMIT_S,
     RELAYS_PER_DATA_CENTRE,
     REMOTE_ROWS_LIMIT,
-    Member,
     MemberTable,
-    decode_row,
 )
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
 
