--- a/berylhaven/gateway/_server_limits.py
+++ b/berylhaven/gateway/_server_limits.py
@@ -48,7 +48,9 @@
             The time on the hub's clock.
         """
         if text is None:
-            if server.limit is not None and (server.limits_probes or not is_probe):
+            if server.limit is not None and (
+                server.names_limit_in_probes or not is_probe
+            ):
                 self._end(server)
             return
         limit_per_s = parse_limit_per_s(text)
@@ -60,7 +62,7 @@
                 value=text[:100],
             )
             return
-        server.limits_probes = server.limits_probes or is_probe
+        server.names_limit_in_probes = server.names_limit_in_probes or is_probe
         sharer_count = self._sharer_count()
         interval_s = turn_interval_s(limit_per_s, sharer_count)
         before_per_s = server.limit.limit_per_s if server.limit else None
@@ -82,7 +84,7 @@
 
     def _end(self, server: ServerRecord) -> None:
         server.limit = None
-        server.limits_probes = False
+        server.names_limit_in_probes = False
         self._event_log.write(
             "fleet",
             "server names no limit",
--- a/berylhaven/gateway/_server_record.py
+++ b/berylhaven/gateway/_server_record.py
@@ -70,7 +70,7 @@
         "quiet_until_s",
         "held_until_s",
         "limit",
-        "limits_probes",
+        "names_limit_in_probes",
         "first_seen_at_s",
         "warmup_end_s",
         "in_flight_count",
@@ -95,7 +95,7 @@
         # This instance's share of the limit that the server names; None without one.
         self.limit: LimitShare | None = None
         # Whether its answers to probes name the limit too.
-        self.limits_probes = False
+        self.names_limit_in_probes = False
         # When this run of the server was first listed, on the hub's clock.
         self.first_seen_at_s = now_s
         # When the server reaches its normal speed, on the hub's clock.
--- a/berylhaven/gateway/_server_table.py
+++ b/berylhaven/gateway/_server_table.py
@@ -115,7 +115,7 @@
             record.record_leaving()
         record.quiet_until_s = removed.quiet_until_s
         record.limit = removed.limit
-        record.limits_probes = removed.limits_probes
+        record.names_limit_in_probes = removed.names_limit_in_probes
         if is_restored:
             record.hold(now_s, RESTORED_ENTRY_HOLD_S)
         return record
