--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/_fleet_follower.py
@@ -14,9 +14,7 @@
     SourceUnavailable,
     without_superseded,
 )
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._server_table import ServerTable
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -25,9 +25,7 @@
 from berylhaven.gateway._locate import Location, locate
 from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_gossip import MemberGossip
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
 from berylhaven.gateway._server_chooser import ServerChooser
 from berylhaven.gateway._server_limits import ServerLimits
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/_relayed_source.py
@@ -15,10 +15,7 @@
 )
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import (
-    MemberTable,
-    rank,
-)
+from berylhaven.gateway._members import MemberTable, rank
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 from berylhaven.gateway._update_codec import decode_update
 from berylhaven.gateway._update_log import UpdateLog
@@ -109,6 +106,7 @@
         self._turn = 0
         # The number of the latest direct watches in a row that returned changes.
         self._changed_watch_count = 0
+        # The revision of the latest direct watch.
         self._watched_revision = NO_REVISION
 
     def read(self, allow_stale: bool = False) -> FleetUpdate:
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -13,9 +13,7 @@
     GOSSIP_PATH,
     MemberGossip,
 )
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 
 DATA_CENTRES = ("a", "b", "c")
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -23,9 +23,7 @@
 )
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import RelayedSource
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -15,9 +15,7 @@
 from berylhaven.gateway._fleet_follower import RETRY_BASE_S
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import (
     DIRECT_WAIT_S,
     PEER_TIMEOUT_MARGIN_S,
--- a/berylhaven/gateway/tests/test_store_eras.py
+++ b/berylhaven/gateway/tests/test_store_eras.py
@@ -25,9 +25,7 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._fleet_follower import FleetFollower
 from berylhaven.gateway._member import Member, decode_row
-from berylhaven.gateway._members import (
-    MemberTable,
-)
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._server_table import RESTORED_ENTRY_HOLD_S, ServerTable
 from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
 from berylhaven.gateway._update_codec import decode_update, encode_update
