--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -54,7 +54,8 @@
         """Merge the state of an instance if it is newer than the known one.
 
         A state of this instance that is newer than its own comes from an earlier run
-        with a higher incarnation: the wall clock was set back. This run outbids it.
+        with a higher incarnation: the wall clock was set back. This run takes a higher
+        one still.
 
         Parameters
         ----------
