Hold requests under which servers end, on all instances

Cause: nothing connects one send of a request with the next. Each client attempt has an id of its own, and the choice of a server excludes only those tried for this id; what one instance sees fail is not known to the others.

Change: a request has a fingerprint of host, method, target, credentials and body. When a connection breaks under it and a health check finds the server gone, the end of that run counts as a strike; a complete answer makes strikes within 10 s before it void, and an end counts only for the request under which most servers ended. From three strikes on the request is refused at once, for 300 s, doubled with each further one. Strikes are pushed to six instances, which push on what is new to them, and gossip compares digests, so that instances that start or were cut off learn them as well. A suspect gets no hedge.

--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/_attempt_coordinator.py
@@ -17,6 +17,7 @@
 )
 from berylhaven.gateway._finish_estimate import expected_finish_s
 from berylhaven.gateway._request import GatewayRequest
+from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ChoiceRequest
 from berylhaven.gateway._server_record import ServerRecord
 
@@ -54,9 +55,12 @@
         The input of the server choices.
     try_acquire_retry : callable
         Spends one retry of the shared budget; returns whether one was left.
+    quarantine : RequestQuarantine
+        Tells whether the request may be sent again.
     """
 
     __slots__ = (
+        "_quarantine",
         "_runner",
         "_request",
         "_choice_request",
@@ -77,7 +81,9 @@
         request: GatewayRequest,
         choice_request: ChoiceRequest,
         try_acquire_retry: Callable[[], bool],
+        quarantine: RequestQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._runner = runner
         self._request = request
         self._choice_request = choice_request
@@ -200,6 +206,9 @@
     def _hedge(self) -> None:
         """Send a delayed idempotent request to a second server if the budget allows."""
         self._hedge_at_s = math.inf
+        # A suspect may cost a second server while the first one still runs it.
+        if self._quarantine.is_suspect(self._request):
+            return
         if self._can_attempt() and self._try_acquire_retry():
             self._start_attempt()
 
@@ -208,6 +217,8 @@
             return False
         if self._choice_request.deadline_s - monotonic_s() < MIN_REMAINING_S:
             return False
+        if self._quarantine.hold(self._request):
+            return False
         return self._request.body.is_replayable
 
     def _is_worth_retrying(self, result: AttemptResult) -> bool:
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -11,6 +11,7 @@
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayRequest
+from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._sent_request import SentRequest
 from berylhaven.gateway._server_chooser import Choice, ChoiceRequest, ServerChooser
 from berylhaven.gateway._server_exchange import ServerAnswer, exchange
@@ -85,9 +86,12 @@
         Receives a line for each choice and each attempt.
     metrics : GatewayMetrics
         Counts the attempts.
+    quarantine : RequestQuarantine
+        Records the attempts that ended with their server.
     """
 
     __slots__ = (
+        "_quarantine",
         "_chooser",
         "_pool",
         "_dialect",
@@ -107,7 +111,9 @@
         random: Random,
         event_log: EventLog,
         metrics: GatewayMetrics,
+        quarantine: RequestQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._chooser = chooser
         self._pool = pool
         self._dialect = dialect
@@ -225,6 +231,9 @@
             )
         except AttemptFailed as failure:
             self._record_failure(request, server, failure, sent.sent_at_s)
+            self._quarantine.record_failure(
+                request, server, failure.end, choice_request.service.health_path
+            )
             raise
         finally:
             server.in_flight_count -= 1
@@ -258,6 +267,7 @@
             server.reports_load = False
         if not self._dialect.is_not_executed(answer.status, answer.fields):
             server.record_attempt(answer.status >= HTTP_STATUS_SERVER_ERROR, now_s)
+            self._quarantine.record_answer(request, answer.status)
             return
         if not is_own_answer:
             # The address has been reassigned to another server.
--- a/berylhaven/gateway/_caller_connection.py
+++ b/berylhaven/gateway/_caller_connection.py
@@ -205,6 +205,7 @@
             request_id=self._port.dialect.request_id(fields) or "",
             received_at_s=received_at_s,
             remaining_s=self._port.dialect.remaining_s(fields),
+            caller_host=self._caller_host(),
         )
         must_close = fields.has_token("connection", "close") or (
             version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
@@ -223,6 +224,13 @@
         self._await_body(body, pending)
         self._await_pipeline_slot()
 
+    def _caller_host(self) -> str:
+        try:
+            return self._socket.getpeername()[0]
+        except OSError:
+            # The caller has left; the next read or write ends the connection.
+            return ""
+
     def _await_body(self, body: RequestBody, pending: PendingAnswer) -> None:
         """Wait until a body has been read completely or its request is answered."""
         while not body.is_ended and not pending.answered.ready():
--- /dev/null
+++ b/berylhaven/gateway/_evidence_codec.py
@@ -0,0 +1,91 @@
+"""Messages with crash evidence, as compressed JSON."""
+
+import math
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+import orjson
+
+from berylhaven.gateway._member_codec import COMPRESSION_LEVEL, decompress
+from berylhaven.quarantine import FINGERPRINT_LENGTH, Answered, Observation, Strike
+
+# The unit of the ages in a message.
+AGE_UNIT_S = 0.1
+# The most observations of a message.
+ROWS_LIMIT = 4_000
+# The longest text that identifies a server run or a request.
+TEXT_LIMIT = 128
+STRIKE_LENGTH = 4
+ANSWERED_LENGTH = 2
+
+
+def encode_observations(
+    observations: Iterable[tuple[Observation, float]], now_s: float
+) -> bytes:
+    """Encode observations as a message.
+
+    Parameters
+    ----------
+    observations : iterable of tuple of Observation and float
+        What was observed, and when on the hub's clock.
+    now_s : float
+        The time on the hub's clock.
+
+    Returns
+    -------
+    bytes
+        Rows with the age last.
+    """
+    rows = []
+    for observation, occurred_at_s in observations:
+        # Rounded up, so that an age never falls on its way.
+        age = math.ceil((now_s - occurred_at_s) / AGE_UNIT_S)
+        if isinstance(observation, Strike):
+            run, request_id = observation.server_run, observation.request_id
+            rows.append([observation.fingerprint, run, request_id, age])
+        else:
+            rows.append([observation.fingerprint, age])
+    return zlib.compress(orjson.dumps(rows[:ROWS_LIMIT]), COMPRESSION_LEVEL)
+
+
+def decode_observations(body: bytes, now_s: float) -> list[tuple[Observation, float]]:
+    """Decode the observations of a message.
+
+    Parameters
+    ----------
+    body : bytes
+        As returned by `encode_observations`.
+    now_s : float
+        The time on the hub's clock.
+
+    Returns
+    -------
+    list of tuple of Observation and float
+        What was observed, and when on the hub's clock.
+
+    Raises
+    ------
+    ValueError
+        If the message is malformed or too long.
+    """
+    rows, _ = decompress(body)
+    if not isinstance(rows, list) or len(rows) > ROWS_LIMIT:
+        raise ValueError(f"crash evidence is not a list of at most {ROWS_LIMIT} rows")
+    return [_decode_row(row, now_s) for row in rows]
+
+
+def _decode_row(row: Any, now_s: float) -> tuple[Observation, float]:
+    if not isinstance(row, list) or len(row) not in (ANSWERED_LENGTH, STRIKE_LENGTH):
+        raise ValueError(f"row of crash evidence is no such list: {row!r:.200}")
+    *texts, age = row
+    if not all(isinstance(text, str) and len(text) <= TEXT_LIMIT for text in texts):
+        raise ValueError(f"row of crash evidence has no valid texts: {row!r:.200}")
+    if len(texts[0]) != FINGERPRINT_LENGTH:
+        raise ValueError(f"fingerprint of crash evidence is {texts[0]!r:.200}")
+    if type(age) is not int or age < 0:
+        raise ValueError(
+            f"age in crash evidence is {age!r:.100}, not a non-negative integer"
+        )
+    observation = Strike(*texts) if len(texts) > 1 else Answered(texts[0])
+    return observation, now_s - age * AGE_UNIT_S
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -13,10 +13,12 @@
 from berylhaven.gateway._finish_estimate import INITIAL_WORK_RATIO, RouteWork
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
+from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ChoiceRequest
 from berylhaven.gateway._shared_retry_budget import RetryAllowance, SharedRetryBudget
 from berylhaven.http1 import end_to_end_headers
 from berylhaven.overload import Crowding, wait_limit_s
+from berylhaven.quarantine import Hold, request_fingerprint
 from berylhaven.results import BodyTooLarge, CallRefused
 from berylhaven.routes import Route, ServiceSpec, SplitChooser
 
@@ -55,9 +57,12 @@
         Receives a line for each answered or refused request.
     metrics : GatewayMetrics
         Counts the requests.
+    quarantine : RequestQuarantine
+        Tells which requests are not sent to servers.
     """
 
     __slots__ = (
+        "_quarantine",
         "_routes",
         "_runner",
         "_dialect",
@@ -82,7 +87,9 @@
         random: Random,
         event_log: EventLog,
         metrics: GatewayMetrics,
+        quarantine: RequestQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._metrics = metrics
         self._routes = routes
         self._runner = runner
@@ -147,8 +154,32 @@
             request.body.buffer_first_part(REPLAYABLE_BODY_LIMIT_BYTES)
         except CallRefused as refusal:
             return self._refuse(request, refusal.code.status, refusal.message)
+        request.fingerprint = request_fingerprint(
+            request.host,
+            request.method,
+            request.target,
+            request.fields.get("authorization", ""),
+            request.body.first_part,
+            request.body.content_length,
+        )
+        hold = self._quarantine.hold(request)
+        if hold is not None:
+            return self._refuse_held(request, service, hold)
         return self._send(request, route, service)
 
+    def _refuse_held(
+        self, request: GatewayRequest, service: ServiceSpec, hold: Hold
+    ) -> GatewayAnswer:
+        """Refuse a request under which servers end; it is not sent to any."""
+        self._quarantine.record_refusal(service.name)
+        message = (
+            f"{hold.run_count} servers have ended while they ran this request "
+            f"(fingerprint {request.fingerprint}), the last one {hold.age_s:.0f} s ago"
+        )
+        # A request that comes again with its id may have run.
+        status = 502 if self._quarantine.has_run(request) else 503
+        return self._refuse(request, status, message, hold.remaining_s)
+
     def _send(
         self, request: GatewayRequest, route: Route, service: ServiceSpec
     ) -> GatewayAnswer:
@@ -172,7 +203,7 @@
             return budget.try_acquire(self._instance_count(), monotonic_s())
 
         attempts = AttemptCoordinator(
-            self._runner, request, choice_request, try_acquire_retry
+            self._runner, request, choice_request, try_acquire_retry, self._quarantine
         )
         try:
             result = attempts.run()
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -13,6 +13,7 @@
 from berylhaven.gateway._attempt_runner import AttemptRunner
 from berylhaven.gateway._callers_port import CallersPort
 from berylhaven.gateway._dialect import Dialect
+from berylhaven.gateway._evidence_spread import EvidenceSpread
 from berylhaven.gateway._fleet_follower import FleetFollower
 from berylhaven.gateway._fleet_source import (
     FleetSource,
@@ -27,7 +28,9 @@
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
+from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ServerChooser
+from berylhaven.gateway._server_end_check import ServerEndCheck
 from berylhaven.gateway._server_limits import ServerLimits
 from berylhaven.gateway._server_probe import ServerProber
 from berylhaven.gateway._server_signals import ServerSignals
@@ -37,6 +40,7 @@
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
+from berylhaven.quarantine import CrashEvidence
 
 # Backend servers close connections after ten idle seconds; this instance closes them
 # before that.
@@ -96,6 +100,8 @@
         "_port",
         "_members",
         "_gossip",
+        "_evidence",
+        "_evidence_spread",
         "_threads",
         "_drain_began_at_s",
         "_is_leaving",
@@ -131,6 +137,10 @@
             self._random,
             SERVER_IDLE_LIMIT_S,
         )
+        self._evidence = CrashEvidence()
+        self._evidence_spread = EvidenceSpread(
+            self._evidence, self._members, self._random, event_log
+        )
         self._forwarder = self._make_forwarder(pool, dialect)
         self._port = CallersPort(
             self._forwarder.answer, self._routes, dialect, event_log
@@ -147,7 +157,11 @@
             event_log,
         )
         self._gossip = MemberGossip(
-            self._members, settings.instance.seed_peers, self._random, event_log
+            self._members,
+            settings.instance.seed_peers,
+            self._random,
+            event_log,
+            self._evidence_spread.synchronise,
         )
         InstanceGauges(
             self.metrics,
@@ -173,6 +187,13 @@
             self._random,
             lambda address: pool.counts(address).open_count > 0,
         )
+        quarantine = RequestQuarantine(
+            self._evidence,
+            self._evidence_spread,
+            ServerEndCheck(pool, dialect),
+            self._event_log,
+            self.metrics,
+        )
         return Forwarder(
             self._routes,
             AttemptRunner(
@@ -183,6 +204,7 @@
                 self._random,
                 self._event_log,
                 self.metrics,
+                quarantine,
             ),
             dialect,
             self._settings.retries.allowance,
@@ -190,6 +212,7 @@
             self._random,
             self._event_log,
             self.metrics,
+            quarantine,
         )
 
     @property
@@ -210,6 +233,9 @@
                 self._keep_running, "catching up", self._follower.run_catch_up
             ),
             eventlet.spawn(self._keep_running, "gossip", self._gossip.run),
+            eventlet.spawn(
+                self._keep_running, "crash evidence", self._evidence_spread.run
+            ),
         ]
         self._event_log.write(
             "instance",
@@ -284,6 +310,28 @@
         """
         return self._gossip.answer(body)
 
+    def answer_evidence(self, body: bytes, is_complete: bool) -> bytes:
+        """Answer a peer's message with crash evidence.
+
+        Parameters
+        ----------
+        body : bytes
+            The message.
+        is_complete : bool
+            Whether the peer asks for the evidence of this instance.
+
+        Returns
+        -------
+        bytes
+            The answer.
+
+        Raises
+        ------
+        ValueError
+            If the message is malformed.
+        """
+        return self._evidence_spread.answer(body, is_complete)
+
     def update_after(
         self, revision: StoreRevision | None, wait_s: float
     ) -> FleetUpdate:
--- a/berylhaven/gateway/_member.py
+++ b/berylhaven/gateway/_member.py
@@ -35,6 +35,9 @@
     heartbeat_at_s: float = 0.0
     # Whether an exchange with it has failed since.
     is_unreachable: bool = False
+    # The digest of its crash evidence; None if unknown. Only the sender of a message
+    # tells its own.
+    evidence_digest: int | None = None
 
     def to_row(self) -> list:
         """Return the member as a row of a message.
--- a/berylhaven/gateway/_member_codec.py
+++ b/berylhaven/gateway/_member_codec.py
@@ -1,4 +1,4 @@
-"""Gossip messages: rows of members and ages of heartbeats as compressed JSON."""
+"""Gossip messages: members, ages of heartbeats and a digest as compressed JSON."""
 
 import math
 import zlib
@@ -31,15 +31,16 @@
     Returns
     -------
     bytes
-        The rows and the ages of the heartbeats, each as compressed JSON. Instances of
-        earlier releases ignore what follows the rows.
+        The rows, the ages of the heartbeats and the digest of the sender's crash
+        evidence, each as compressed JSON. Instances of earlier releases ignore what
+        follows the parts that they know.
     """
     rows = [member.to_row() for member in members]
     # Rounded up, so that an age never falls on its way.
     ages = [
         math.ceil((now_s - member.heartbeat_at_s) / AGE_UNIT_S) for member in members
     ]
-    return _compress(rows) + _compress(ages)
+    return _compress(rows) + _compress(ages) + _compress([members[0].evidence_digest])
 
 
 def decode_members(body: bytes) -> list[Member]:
@@ -60,7 +61,7 @@
     ValueError
         If the message is malformed or too long.
     """
-    rows, rest = _decompress(body)
+    rows, rest = decompress(body)
     if not isinstance(rows, list) or not 0 < len(rows) <= ROWS_LIMIT:
         raise ValueError(
             f"gossip message is not a list of 1 to {ROWS_LIMIT} member rows"
@@ -68,10 +69,21 @@
     members = [decode_row(row) for row in rows]
     # Instances of earlier releases send no ages.
     if rest:
-        _set_ages(members, _decompress(rest)[0])
+        ages, rest = decompress(rest)
+        _set_ages(members, ages)
+    if rest:
+        members[0].evidence_digest = _evidence_digest(decompress(rest)[0])
     return members
 
 
+def _evidence_digest(values: Any) -> int | None:
+    if not isinstance(values, list) or len(values) != 1:
+        raise ValueError(f"digest of crash evidence is no list of one: {values!r:.100}")
+    if type(values[0]) not in (int, type(None)):
+        raise ValueError(f"digest of crash evidence is {values[0]!r:.100}")
+    return values[0]
+
+
 def _set_ages(members: list[Member], ages: Any) -> None:
     if not isinstance(ages, list) or len(ages) != len(members):
         raise ValueError(
@@ -90,8 +102,24 @@
     return zlib.compress(orjson.dumps(values), COMPRESSION_LEVEL)
 
 
-def _decompress(body: bytes) -> tuple[Any, bytes]:
-    """Return the values at the beginning of a message, and the bytes after them."""
+def decompress(body: bytes) -> tuple[Any, bytes]:
+    """Decode the first part of a message.
+
+    Parameters
+    ----------
+    body : bytes
+        Compressed JSON, and what follows it.
+
+    Returns
+    -------
+    tuple of object and bytes
+        The decoded values, and the bytes after them.
+
+    Raises
+    ------
+    ValueError
+        If the first part is malformed or too long.
+    """
     inflater = zlib.decompressobj()
     try:
         text = inflater.decompress(body, TEXT_LIMIT_BYTES)
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -1,5 +1,6 @@
 """Gossip: exchanges of member tables with other instances."""
 
+from collections.abc import Callable
 from random import Random
 
 import eventlet
@@ -40,10 +41,13 @@
         The source of random numbers.
     event_log : EventLog
         Receives the instances that become live or unresponsive.
+    synchronise : callable or None
+        Gets the address of an instance whose crash evidence differs.
     """
 
     __slots__ = (
         "_members",
+        "_synchronise",
         "_seeds",
         "_random",
         "_event_log",
@@ -59,8 +63,10 @@
         seeds: tuple[str, ...],
         random: Random,
         event_log: EventLog,
+        synchronise: Callable[[str], None] | None = None,
     ) -> None:
         self._members = members
+        self._synchronise = synchronise
         self.set_seeds(seeds)
         self._random = random
         self._event_log = event_log
@@ -139,7 +145,7 @@
                 answer = self._http.request(
                     "POST", f"http://{address}{GOSSIP_PATH}", body=body
                 )
-            self.merge(answer.data, monotonic_s() - sent_at_s)
+            peer = self.merge(answer.data, monotonic_s() - sent_at_s)
         except TimeoutError:
             return
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
@@ -147,6 +153,15 @@
             self._event_log.write(
                 "members", "talk failed", peer=address, reason=str(error)
             )
+        else:
+            self._compare_evidence(peer)
+
+    def _compare_evidence(self, peer: Member) -> None:
+        own_digest = self._members.own.evidence_digest
+        # Instances of earlier releases have no digest.
+        is_known = peer.evidence_digest is not None and own_digest is not None
+        if is_known and peer.evidence_digest != own_digest and self._synchronise:
+            self._synchronise(peer.peers_address)
 
     def merge(self, body: bytes, unread_s: float) -> Member:
         """Merge a peer's message into the table.
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
+from berylhaven.gateway._evidence_spread import EVIDENCE_PATH, EVIDENCE_QUERY
 from berylhaven.gateway._fleet_source import HistoryGone, SourceUnavailable
 from berylhaven.gateway._gateway_instance import GatewayInstance
 from berylhaven.gateway._member_codec import COMPRESSION_LEVEL
@@ -38,6 +39,8 @@
         path = environ["PATH_INFO"]
         if path == GOSSIP_PATH:
             return self._answer_gossip(environ, start_response)
+        if path == EVIDENCE_PATH:
+            return self._answer_evidence(environ, start_response)
         if path == UPDATES_PATH:
             return self._answer_update(environ, start_response)
         return answer_status(start_response, "404 Not Found")
@@ -68,16 +71,29 @@
         )
 
     def _answer_gossip(self, environ: dict, start_response: Callable) -> list[bytes]:
-        try:
-            length_bytes = int(environ.get("CONTENT_LENGTH") or 0)
-            if length_bytes > MESSAGE_LIMIT_BYTES:
-                return answer_status(start_response, "413 Content Too Large")
-            body = self._instance.answer_gossip(
-                environ["wsgi.input"].read(length_bytes)
-            )
-        except ValueError:
-            return answer_status(start_response, "400 Bad Request")
-        return answer_bytes(start_response, "200 OK", body)
+        return _answer_message(environ, start_response, self._instance.answer_gossip)
+
+    def _answer_evidence(self, environ: dict, start_response: Callable) -> list[bytes]:
+        is_complete = environ.get("QUERY_STRING", "") == EVIDENCE_QUERY
+        return _answer_message(
+            environ,
+            start_response,
+            lambda body: self._instance.answer_evidence(body, is_complete),
+        )
+
+
+def _answer_message(
+    environ: dict, start_response: Callable, answer: Callable[[bytes], bytes]
+) -> list[bytes]:
+    """Answer a message of a peer; one that is malformed changes nothing."""
+    try:
+        length_bytes = int(environ.get("CONTENT_LENGTH") or 0)
+        if length_bytes > MESSAGE_LIMIT_BYTES:
+            return answer_status(start_response, "413 Content Too Large")
+        body = answer(environ["wsgi.input"].read(length_bytes))
+    except ValueError:
+        return answer_status(start_response, "400 Bad Request")
+    return answer_bytes(start_response, "200 OK", body)
 
 
 def _revision(query: dict[str, list[str]]) -> StoreRevision | None:
--- a/berylhaven/gateway/_request.py
+++ b/berylhaven/gateway/_request.py
@@ -24,6 +24,11 @@
     received_at_s: float
     # How long the caller waits for the answer, in seconds; None if not specified.
     remaining_s: float | None
+    # The host of the caller's address, or an empty string.
+    caller_host: str = ""
+    # Identifies the request when it comes again with another id; empty until its body
+    # was read.
+    fingerprint: str = ""
 
     @property
     def path(self) -> str:
--- /dev/null
+++ b/berylhaven/gateway/_request_quarantine.py
@@ -0,0 +1,170 @@
+"""Holds requests under which servers end, by the evidence of all instances."""
+
+import eventlet
+
+from berylhaven.attempts import AttemptEnd
+from berylhaven.clock import monotonic_s
+from berylhaven.event_log import EventLog
+from berylhaven.gateway._evidence_codec import TEXT_LIMIT
+from berylhaven.gateway._evidence_spread import EvidenceSpread
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._request import GatewayRequest
+from berylhaven.gateway._server_end_check import ServerEndCheck
+from berylhaven.gateway._server_record import ServerEntry, ServerRecord
+from berylhaven.quarantine import CrashEvidence, Hold, Strike
+
+# Ends of attempts after which the server is checked: a connection broke while the
+# request was there.
+BROKEN_ENDS = frozenset(
+    {
+        AttemptEnd.BROKEN_WHILE_SENDING,
+        AttemptEnd.BROKEN_BEFORE_HEAD,
+        AttemptEnd.CUT_BEFORE_BODY,
+    }
+)
+HTTP_STATUS_SERVER_ERROR = 500
+
+
+class RequestQuarantine:
+    """Collects evidence from attempts, and tells which requests are held.
+
+    Parameters
+    ----------
+    evidence : CrashEvidence
+        The evidence of all instances.
+    spread : EvidenceSpread
+        Tells news to the other instances.
+    check : ServerEndCheck
+        Finds out whether a server has ended.
+    event_log : EventLog
+        Receives a line for each server that ended under a request.
+    metrics : GatewayMetrics
+        Counts strikes and refusals.
+    """
+
+    __slots__ = (
+        "_evidence",
+        "_spread",
+        "_check",
+        "_event_log",
+        "_strikes",
+        "_refusals",
+        "_held",
+    )
+
+    def __init__(
+        self,
+        evidence: CrashEvidence,
+        spread: EvidenceSpread,
+        check: ServerEndCheck,
+        event_log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._evidence = evidence
+        self._spread = spread
+        self._check = check
+        self._event_log = event_log
+        self._strikes = metrics.counter(
+            "server_ends_under_requests_total",
+            "Requests that were at a server when it ended, by service.",
+        )
+        self._refusals = metrics.counter(
+            "quarantine_refusals_total",
+            "Requests that were refused because servers end under them, by service.",
+        )
+        self._held = metrics.gauge(
+            "quarantined_requests", "Requests that are held, by fingerprint."
+        )
+        metrics.add_refresher(self._refresh)
+
+    def hold(self, request: GatewayRequest) -> Hold | None:
+        """Return the hold of a request, or None if it may be sent."""
+        return self._evidence.hold(request.fingerprint, monotonic_s())
+
+    def is_suspect(self, request: GatewayRequest) -> bool:
+        """Return whether a server has ended under a request."""
+        return self._evidence.is_suspect(request.fingerprint)
+
+    def has_run(self, request: GatewayRequest) -> bool:
+        """Return whether a request with this very id was at a server that ended."""
+        return self._evidence.has_run(request.fingerprint, _short_id(request))
+
+    def record_refusal(self, service: str) -> None:
+        """Count a request that was refused because it is held."""
+        self._refusals.inc({"service": service})
+
+    def record_answer(self, request: GatewayRequest, status: int) -> None:
+        """Record a complete answer of a server.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+        status : int
+            The status of the answer. A server error does not clear the request.
+        """
+        if status < HTTP_STATUS_SERVER_ERROR:
+            now_s = monotonic_s()
+            news = self._evidence.record_answer(request.fingerprint, now_s)
+            self._spread.push(news, now_s)
+
+    def record_failure(
+        self,
+        request: GatewayRequest,
+        server: ServerRecord,
+        end: AttemptEnd,
+        health_path: str,
+    ) -> None:
+        """Check the server after a failed attempt if its connection broke.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+        server : ServerRecord
+            The server.
+        end : AttemptEnd
+            The end of the attempt.
+        health_path : str
+            The path of the server's health check.
+        """
+        # A server that is leaving is expected to end.
+        if end in BROKEN_ENDS and not server.is_leaving:
+            eventlet.spawn(
+                self._record_broken, request, server.entry, monotonic_s(), health_path
+            )
+
+    def _record_broken(
+        self,
+        request: GatewayRequest,
+        entry: ServerEntry,
+        broken_at_s: float,
+        health_path: str,
+    ) -> None:
+        if not self._check.has_ended(entry, health_path):
+            return
+        run = f"{entry.server_id}/{entry.started_at_ms}"[:TEXT_LIMIT]
+        strike = Strike(request.fingerprint, run, _short_id(request))
+        news = self._evidence.merge(strike, broken_at_s)
+        self._spread.push(news, broken_at_s)
+        self._strikes.inc({"service": entry.service})
+        hold = self.hold(request)
+        self._event_log.write_failure(
+            "quarantine",
+            "server ended under request",
+            request=request.request_id,
+            fingerprint=request.fingerprint,
+            caller=request.caller_host,
+            server=entry.server_id,
+            service=entry.service,
+            is_counted=strike in news,
+            ended_servers=hold.run_count if hold else None,
+            held_s=hold.remaining_s if hold else None,
+        )
+
+    def _refresh(self) -> None:
+        self._held.set({}, self._evidence.held_count(monotonic_s()))
+
+
+def _short_id(request: GatewayRequest) -> str:
+    return request.request_id[:TEXT_LIMIT]
--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -1,4 +1,4 @@
-"""Gateway instances with a peers' port each, between callers and raw backend servers."""
+"""Gateway instances with peers' ports, between callers and raw backend servers."""
 
 import socket
 
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -3,17 +3,23 @@
 import random
 import types
 
+import eventlet
 import urllib3
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
+from berylhaven.gateway._evidence_spread import (
+    EVIDENCE_PATH,
+    EVIDENCE_QUERY,
+    EvidenceSpread,
+)
 from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_gossip import (
     GOSSIP_INTERVAL_S,
-    GOSSIP_PATH,
     MemberGossip,
 )
 from berylhaven.gateway._members import MemberTable
+from berylhaven.quarantine import CrashEvidence
 
 DATA_CENTRES = ("a", "b", "c")
 
@@ -34,12 +40,14 @@
         self.byte_count = self.remote_byte_count = 0
         self._random = random.Random(1)
         self.gossips: dict[str, MemberGossip] = {}
+        self.evidence: dict[str, CrashEvidence] = {}
+        self.spreads: dict[str, EvidenceSpread] = {}
         self._data_centres = {
             f"{DATA_CENTRES[n % 3]}{n // 3}:peers": DATA_CENTRES[n % 3]
             for n in range(count)
         }
         # The messages that frozen instances have not read, by address.
-        self._unread: dict[str, list[bytes]] = {}
+        self._unread: dict[str, list[tuple[str, bytes]]] = {}
         for address in self._data_centres:
             self.start(address)
 
@@ -50,13 +58,25 @@
         own = Member(address, f"{name}:callers", data_centre, incarnation, 0, True)
         seeds = tuple(f"{centre}0:peers" for centre in DATA_CENTRES)
         source = random.Random(self._random.random())
-        gossip = MemberGossip(MemberTable(own), seeds, source, EventLog(1, 0, 0))
-        gossip._http = types.SimpleNamespace(request=self._request_of(address))
+        members, event_log = MemberTable(own), EventLog(1, 0, 0)
+        evidence = self.evidence[address] = CrashEvidence()
+        spread = EvidenceSpread(evidence, members, source, event_log)
+        gossip = MemberGossip(members, seeds, source, event_log, spread.synchronise)
+        http = types.SimpleNamespace(request=self._request_of(address))
+        gossip._http = spread._http = http
         self.gossips[address] = gossip
+        self.spreads[address] = spread
 
     def stop(self, address: str) -> None:
         """Switch an instance off, so that it answers nothing."""
-        del self.gossips[address]
+        del self.gossips[address], self.evidence[address], self.spreads[address]
+
+    def push_evidence(self) -> None:
+        """Let all instances push their news once, and read what was pushed."""
+        for address, spread in list(self.spreads.items()):
+            if address not in self._unread:
+                spread.step()
+        eventlet.sleep(0)
 
     def freeze(self, address: str) -> None:
         """Let an instance stand still; messages to it stay unread."""
@@ -64,8 +84,8 @@
 
     def wake(self, address: str) -> None:
         """Let a frozen instance go on, which reads what has arrived meanwhile."""
-        for body in self._unread.pop(address):
-            self.gossips[address].answer(body)
+        for path, body in self._unread.pop(address):
+            self._answer(address, path, body)
 
     def run_for(self, duration_s: float) -> None:
         """Let all instances gossip at their interval, in another order each time."""
@@ -76,6 +96,7 @@
                 self.clock.advance_s(GOSSIP_INTERVAL_S / len(addresses))
                 if address not in self._unread:
                     self.gossips[address].step()
+                    eventlet.sleep(0)
 
     def naming(self, address: str) -> list[str]:
         """Return the instances whose locate answers may name an instance."""
@@ -88,16 +109,22 @@
 
     def _request_of(self, sender: str):
         def request(method: str, url: str, body: bytes) -> types.SimpleNamespace:
-            receiver = url.removeprefix("http://").removesuffix(GOSSIP_PATH)
+            receiver, _, path = url.removeprefix("http://").partition("/")
             if receiver not in self.gossips:
                 raise urllib3.exceptions.ConnectTimeoutError("no answer")
             if receiver in self._unread:
-                self._unread[receiver].append(body)
+                self._unread[receiver].append((path, body))
                 raise urllib3.exceptions.ReadTimeoutError(None, url, "no answer")
-            answer = self.gossips[receiver].answer(body)
+            answer = self._answer(receiver, path, body)
             self.byte_count += len(body) + len(answer)
             if self._data_centres[sender] != self._data_centres[receiver]:
                 self.remote_byte_count += len(body) + len(answer)
-            return types.SimpleNamespace(data=answer)
+            return types.SimpleNamespace(data=answer, status=200)
 
         return request
+
+    def _answer(self, receiver: str, path: str, body: bytes) -> bytes:
+        if path.startswith(EVIDENCE_PATH.strip("/")):
+            is_complete = path.endswith(EVIDENCE_QUERY)
+            return self.spreads[receiver].answer(body, is_complete)
+        return self.gossips[receiver].answer(body)
--- /dev/null
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -0,0 +1,101 @@
+"""Tests of how all instances learn under which requests servers end."""
+
+import unittest
+import unittest.mock
+
+from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.gateway._evidence_spread import PUSH_INTERVAL_S, EvidenceSpread
+from berylhaven.gateway._member_codec import decode_members, encode_members
+from berylhaven.gateway.tests._gossip_fleet import GossipFleet
+from berylhaven.quarantine import Strike
+
+# The platform's bound: later sends after the third end of a server count.
+SPREAD_LIMIT_S = 3.0
+
+
+class EvidenceSpreadTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.addCleanup(self.clock.__exit__, None, None, None)
+
+    def strike(self, fleet, addresses, fingerprint="f" * 32):
+        """Let one server end at each of some instances."""
+        for address in addresses:
+            now_s = monotonic_s()
+            strike = Strike(fingerprint, f"run-{address}", address)
+            news = fleet.evidence[address].merge(strike, now_s)
+            fleet.spreads[address].push(news, now_s)
+
+    def holding_count(self, fleet, fingerprint="f" * 32):
+        now_s = monotonic_s()
+        return sum(
+            evidence.hold(fingerprint, now_s) is not None
+            for evidence in fleet.evidence.values()
+        )
+
+    def test_all_of_hundreds_hold_a_request_within_the_limit(self):
+        for count in (20, 120):
+            with self.subTest(count=count):
+                fleet = GossipFleet(self.clock, count)
+                fleet.run_for(10.0)
+                self.strike(fleet, ["a0:peers", "b1:peers", "c2:peers"])
+                began_at_s = monotonic_s()
+                while self.holding_count(fleet) < count:
+                    for _ in range(5):
+                        fleet.push_evidence()
+                        self.clock.advance_s(PUSH_INTERVAL_S)
+                    fleet.run_for(0.5)
+                    self.assertLessEqual(monotonic_s() - began_at_s, SPREAD_LIMIT_S)
+
+    def test_an_instance_that_starts_or_was_frozen_learns_what_it_missed(self):
+        fleet = GossipFleet(self.clock, 12)
+        fleet.run_for(10.0)
+        fleet.freeze("a2:peers")
+        fleet.stop("b2:peers")
+        self.strike(fleet, ["a0:peers", "b1:peers", "c2:peers"])
+        for _ in range(10):
+            fleet.push_evidence()
+            self.clock.advance_s(PUSH_INTERVAL_S)
+        fleet.start("b2:peers", incarnation=2)
+        fleet.wake("a2:peers")
+        fleet.run_for(SPREAD_LIMIT_S)
+        self.assertEqual(self.holding_count(fleet), 12)
+
+    def test_an_answer_ends_the_hold_on_all_instances(self):
+        fleet = GossipFleet(self.clock, 12)
+        fleet.run_for(10.0)
+        self.strike(fleet, ["a0:peers", "b1:peers", "c2:peers"])
+        fleet.push_evidence()
+        now_s = monotonic_s()
+        news = fleet.evidence["a1:peers"].record_answer("f" * 32, now_s)
+        fleet.spreads["a1:peers"].push(news, now_s)
+        for _ in range(10):
+            fleet.push_evidence()
+        fleet.run_for(SPREAD_LIMIT_S)
+        self.assertEqual(self.holding_count(fleet), 0)
+
+    def test_instances_that_know_the_same_exchange_no_evidence(self):
+        fleet = GossipFleet(self.clock, 12)
+        fleet.run_for(10.0)
+        self.strike(fleet, ["a0:peers"])
+        for _ in range(10):
+            fleet.push_evidence()
+        fleet.run_for(5.0)
+        with unittest.mock.patch.object(EvidenceSpread, "_exchange_all") as exchange:
+            fleet.run_for(5.0)
+        exchange.assert_not_called()
+
+    def test_a_message_without_digest_is_read_and_one_with_digest_is_compatible(self):
+        fleet = GossipFleet(self.clock, 2)
+        own = fleet.gossips["a0:peers"]._members.own
+        own.evidence_digest = 17
+        body = encode_members([own], monotonic_s())
+        self.assertEqual(decode_members(body)[0].evidence_digest, 17)
+        own.evidence_digest = None
+        body = encode_members([own], monotonic_s())
+        self.assertIsNone(decode_members(body)[0].evidence_digest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/berylhaven/gateway/tests/test_peer_input.py
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -9,12 +9,17 @@
 from hypothesis import strategies as st
 
 from berylhaven.gateway import FleetUpdate, PeersApplication, ServerEntry
+from berylhaven.gateway._evidence_codec import (
+    decode_observations,
+    encode_observations,
+)
 from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_codec import decode_members
 from berylhaven.gateway._member_gossip import GOSSIP_PATH
 from berylhaven.gateway._relayed_source import UPDATES_PATH
 from berylhaven.gateway._update_codec import decode_update, encode_update
 from berylhaven.gateway.tests._gateway_path import at, configuration
+from berylhaven.quarantine import Answered, Strike
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=5),
@@ -26,6 +31,8 @@
 )
 ENTRY = ServerEntry("a", "reads", "a:80", "here", 4, False)
 UPDATE = orjson.loads(encode_update(FleetUpdate((configuration(3), ENTRY), at(5, 2))))
+OBSERVATIONS = [(Strike("f" * 32, "run", "id"), 1.0), (Answered("e" * 32), 2.0)]
+EVIDENCE = orjson.loads(zlib.decompress(encode_observations(OBSERVATIONS, 3.0)))
 ROW = Member("p", "c", "here", 1, 2, True, at(5, era=3), 7).to_row()
 
 
@@ -59,6 +66,10 @@
         decode_members(body)
         return b"answer"
 
+    def answer_evidence(self, body, is_complete):
+        decode_observations(body, 0.0)
+        return b"answer"
+
     def update_after(self, revision, wait_s):
         return FleetUpdate((), revision or at(1))
 
@@ -91,6 +102,21 @@
         except ValueError as error:
             self.assertTrue(str(error))
 
+    @given(st.sampled_from(places(EVIDENCE)), JSON_VALUES)
+    def test_evidence_with_any_one_other_value_is_decoded_or_a_value_error(
+        self, path, value
+    ):
+        body = zlib.compress(orjson.dumps(replaced(EVIDENCE, path, value)))
+        try:
+            self.assertIsInstance(decode_observations(body, 3.0), list)
+        except ValueError as error:
+            self.assertTrue(str(error))
+
+    def test_evidence_keeps_its_content_and_age(self):
+        decoded = decode_observations(encode_observations(OBSERVATIONS, 3.0), 13.0)
+        self.assertEqual([o for o, _ in decoded], [o for o, _ in OBSERVATIONS])
+        self.assertEqual([at_s for _, at_s in decoded], [11.0, 12.0])
+
     def test_a_list_in_place_of_an_object_is_a_value_error(self):
         for path in places(UPDATE):
             for value in ([], {}, None, 7, "x"):
--- a/berylhaven/http1/_request_body.py
+++ b/berylhaven/http1/_request_body.py
@@ -78,6 +78,11 @@
             return self._chunks.is_ended
         return self.position == self.content_length
 
+    @property
+    def first_part(self) -> bytes:
+        """The part that was read into memory, as long as it is kept."""
+        return self._first_part or b""
+
     @property
     def is_replayable(self) -> bool:
         """Whether the whole body is in memory, so that it can be sent again."""
--- /dev/null
+++ b/berylhaven/quarantine/__init__.py
@@ -0,0 +1,23 @@
+"""Decides which requests are no longer sent because servers end under them."""
+
+from berylhaven.quarantine._crash_evidence import (
+    Answered,
+    CrashEvidence,
+    Hold,
+    Observation,
+    Strike,
+)
+from berylhaven.quarantine._request_fingerprint import (
+    FINGERPRINT_LENGTH,
+    request_fingerprint,
+)
+
+__all__ = [
+    "FINGERPRINT_LENGTH",
+    "Answered",
+    "CrashEvidence",
+    "Hold",
+    "Observation",
+    "Strike",
+    "request_fingerprint",
+]
