Let the soak send requests that end their servers, and end servers by itself

Stand-in servers end when they run a request whose path has the mark, or on request, and start again under another id after 0.3 to 1.5 s; the proxy before them resets connections meanwhile. The soak sends such requests in series and checks the platform's bound: at most three sends later than 3 s after the third end.

--- a/bench/gateway_soak/_faults.py
+++ b/bench/gateway_soak/_faults.py
@@ -1,16 +1,21 @@
 """The faults of a soak: functions that inject a fault and remove it again."""
 
+import contextlib
 import random
+import secrets
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import eventlet
+import urllib3
 
 from standins.gateway_fleet import (
     GRACE_S,
     ORDERS,
     READS,
+    ROUTES_HOST,
+    SERVERS_PER_SERVICE,
     GatewayFleet,
     GatewayProcess,
     wait_until,
@@ -200,6 +205,36 @@
     context.fleet.set_faults(server, pause_s=0.0)
 
 
+@register_fault("servers ended")
+def end_servers(context: SoakContext) -> None:
+    """End several servers at once, with the requests that they run."""
+    count = context.source.randint(1, SERVERS_PER_SERVICE)
+    service = context.source.choice((READS, ORDERS))
+    for address in context.source.sample(context.fleet.servers[service], count):
+        context.fleet.end_server(address)
+
+
+@register_fault("request that ends its servers")
+def send_crashing_request(context: SoakContext) -> None:
+    """Send a request that ends each server that runs it, again and again."""
+    kind = context.source.choice(("read", "order"))
+    path = f"/{kind}/crash-{secrets.token_hex(4)}"
+    for _ in range(context.source.randint(6, 30)):
+        gateway = context.source.choice(context.fleet.gateways)
+        headers = {"Host": ROUTES_HOST, "X-Request-Id": secrets.token_hex(8)}
+        headers["X-Deadline-Ms"] = "1000"
+        # The gateway may be stopped or paused by another fault.
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            urllib3.request(
+                "GET" if kind == "read" else "POST",
+                f"http://{gateway.address()}{path}",
+                headers=headers,
+                timeout=1.0,
+                retries=False,
+            )
+        eventlet.sleep(context.source.uniform(0.05, 0.4))
+
+
 @register_fault("configuration changed")
 def change_configuration(context: SoakContext) -> None:
     """Write several new configurations in quick succession."""
--- a/bench/gateway_soak/_recovery_checks.py
+++ b/bench/gateway_soak/_recovery_checks.py
@@ -16,6 +16,10 @@
 # The bounds hold again after this time without faults.
 RECOVERY_TIME_S = 3.0
 OBSERVATION_S = 2.0
+# The platform's bounds on sends of a request under which three servers have ended.
+ENDS_ALLOWED = 3
+EVIDENCE_BOUND_S = 3.0
+LATE_SENDS_ALLOWED = 3
 # The share of requests that must be served after the recovery.
 MINIMUM_SERVED_RATIO = 0.95
 HTTP_STATUS_OK = 200
@@ -38,6 +42,7 @@
     """
     eventlet.sleep(RECOVERY_TIME_S)
     broken = _check_service(callers)
+    broken += _check_crashing_requests(context)
     broken += _check_configuration(context)
     broken += _check_draining(context)
     return broken
@@ -57,6 +62,19 @@
     return []
 
 
+def _check_crashing_requests(context: SoakContext) -> list[str]:
+    """Check that requests that end servers are no longer sent after the third end."""
+    broken = []
+    for path, starts_s in context.fleet.crashing_runs().items():
+        if len(starts_s) < ENDS_ALLOWED:
+            continue
+        bound_s = starts_s[ENDS_ALLOWED - 1] + EVIDENCE_BOUND_S
+        late_count = sum(start_s > bound_s for start_s in starts_s)
+        if late_count > LATE_SENDS_ALLOWED:
+            broken.append(f"{path} was sent {late_count} times after three servers")
+    return broken
+
+
 def _check_configuration(context: SoakContext) -> list[str]:
     """Add a route and check that every gateway serves it within the bound."""
     context.version += 1
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -34,7 +34,11 @@
         # data in that direction until it is cleared, as a network partition does. An
         # increase of reset_count resets the open connections; an increase of
         # silence_count makes them unresponsive for good, while new connections work.
-        self.faults = Faults(delay_s=0.0, held_way="", reset_count=0, silence_count=0)
+        # is_down resets the open connections and each new one, as if the target's
+        # process had ended.
+        self.faults = Faults(
+            delay_s=0.0, held_way="", reset_count=0, silence_count=0, is_down=False
+        )
         self._connections: set[_ProxiedConnection] = set()
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
@@ -60,6 +64,8 @@
                 connection.reset()
             if self.faults.silence_count > before["silence_count"]:
                 connection.silence()
+            if self.faults.is_down:
+                connection.reset()
 
     def serve(self, listener: socket.socket) -> None:
         """Accept connections until the process ends."""
@@ -69,6 +75,8 @@
 
     def _handle_connection(self, caller: socket.socket) -> None:
         try:
+            if self.faults.is_down:
+                raise ConnectionResetError("the target counts as ended")
             target = eventlet.connect(self._target)
         except OSError:
             # The caller sees a reset, as it would without the proxy.
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -139,6 +139,7 @@
             "--data_centre=here",
             f"--work_s={self.work_s}",
             f"--registered_address={registered}",
+            f"--proxy_control={self.proxies[-1] if self.has_proxies else ''}",
         )
 
     def _start_standin(self, module: str, *arguments: str) -> None:
@@ -213,6 +214,20 @@
         """Return a server's id and the start time of its last request."""
         return orjson.loads(urllib3.request("GET", f"http://{address}/self").data)
 
+    def end_server(self, address: str) -> None:
+        """End a server without warning; it starts again under another id."""
+        urllib3.request("POST", f"http://{address}/end")
+
+    def crashing_runs(self) -> dict[str, list[float]]:
+        """Return the starts of the runs of crashing requests, in order, by path."""
+        found: dict[str, list[float]] = {}
+        for addresses in self.servers.values():
+            for address in addresses:
+                runs = self.server_info(address)["crashing_runs"]
+                for path, starts_s in runs.items():
+                    found[path] = sorted(found.get(path, []) + starts_s)
+        return found
+
     def mark_draining(self, service: str, address: str) -> None:
         """Set a server's state in the store to draining: it accepts no new requests."""
         server_id = self.server_info(address)["id"]
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -9,6 +9,7 @@
 import eventlet.semaphore
 import eventlet.wsgi
 import fire
+import orjson
 import urllib3
 
 from standins._program import (
@@ -23,11 +24,18 @@
 HEALTH_PATH = "/health"
 RUNS_PATH = "/runs"
 SELF_PATH = "/self"
+END_PATH = "/end"
 QUEUE_LIMIT_PER_SLOT = 2
 PERCENT = 100
 # The interval at which the speed of the simulated machine may change.
 SPEED_CHANGE_INTERVAL_S = 0.15
 SLOW_RATIO = 5.0
+# A request whose path has this ends the server that runs it.
+CRASH_MARK = "/crash"
+# How long a server that ended is away before it starts again under another id.
+AWAY_RANGE_S = (0.3, 1.5)
+# The time from the start of a crashing request to the end of the server.
+CRASH_DELAY_RANGE_S = (0.01, 0.08)
 
 
 class RouteServerStandIn:
@@ -36,6 +44,13 @@
     def __init__(
         self, server_id: str, slot_count: int, work_s: float, slow_share: float
     ) -> None:
+        # Called with the time away when the server ends, to close its connections, and
+        # when it starts again, to list it.
+        self.on_end: Callable[[], None] = lambda: None
+        self.on_start: Callable[[str], None] = lambda old_server_id: None
+        self._is_away = False
+        # The start of each run of a crashing request on the monotonic clock, by path.
+        self.crashing_runs: dict[str, list[float]] = {}
         self.server_id = server_id
         self.slot_count = slot_count
         self.work_s = work_s
@@ -86,8 +101,15 @@
         if path == RUNS_PATH:
             return json_answer(start_response, self.runs)
         if path == SELF_PATH:
-            document = {"id": self.server_id, "last_run_at_s": self.last_run_at_s}
+            document = {
+                "id": self.server_id,
+                "last_run_at_s": self.last_run_at_s,
+                "crashing_runs": self.crashing_runs,
+            }
             return json_answer(start_response, document)
+        if path == END_PATH:
+            self.end()
+            return json_answer(start_response, {})
         if path == self.health_path:
             status = "503 Draining" if self.faults.is_draining else "200 OK"
             return json_answer(start_response, {}, status, self.headers())
@@ -104,6 +126,24 @@
             return json_answer(start_response, {}, "503 Full", refusal)
         return self._run(environ, start_response)
 
+    def _crash(self, path: str) -> None:
+        self.crashing_runs.setdefault(path, []).append(time.monotonic())
+        eventlet.sleep(random.uniform(*CRASH_DELAY_RANGE_S))
+        self.end()
+        raise ConnectionResetError("the server has ended")
+
+    def end(self) -> None:
+        """End this run of the server; another one starts after some time."""
+        if not self._is_away:
+            self._is_away = True
+            self.on_end()
+            eventlet.spawn_after(random.uniform(*AWAY_RANGE_S), self._start_again)
+
+    def _start_again(self) -> None:
+        old_server_id, self.server_id = self.server_id, new_server_id()
+        self._is_away = False
+        self.on_start(old_server_id)
+
     def _run(self, environ: dict, start_response: Callable) -> list[bytes]:
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         body = environ["wsgi.input"].read()
@@ -116,6 +156,8 @@
         self.last_run_at_s = time.monotonic()
         try:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            if CRASH_MARK in environ["PATH_INFO"]:
+                self._crash(environ["PATH_INFO"])
             eventlet.sleep(self.work_s * self.slowness_ratio())
         finally:
             self._running -= 1
@@ -143,16 +185,40 @@
     work_s: float = 0.05,
     slow_share: float = 0.25,
     registered_address: str = "",
+    proxy_control: str = "",
 ) -> None:
     """Register the server in the store and serve requests."""
-    server_id = f"i-{secrets.token_hex(4)}"
-    stand_in = RouteServerStandIn(server_id, slot_count, work_s, slow_share)
+    stand_in = RouteServerStandIn(new_server_id(), slot_count, work_s, slow_share)
     # With a registered address, callers reach the server through the proxy there.
     address = registered_address or f"{host}:{port}"
     value = server_value(service, address, data_centre, slot_count)
-    urllib3.request("PUT", f"http://{store}/items/servers/{server_id}", body=value)
+
+    def item_url(server_id: str) -> str:
+        """Return the URL of a server's entry in the store."""
+        return f"http://{store}/items/servers/{server_id}"
+
+    def set_down(is_down: bool) -> None:
+        """Close or open the proxy through which callers reach the server."""
+        body = orjson.dumps({"is_down": is_down})
+        urllib3.request("POST", f"http://{proxy_control}/faults", body=body)
+
+    def start_again(old_server_id: str) -> None:
+        """List the new run of the server instead of the old one."""
+        set_down(False)
+        urllib3.request("DELETE", item_url(old_server_id))
+        urllib3.request("PUT", item_url(stand_in.server_id), body=value)
+
+    if proxy_control:
+        stand_in.on_end = lambda: set_down(True)
+        stand_in.on_start = start_again
+    urllib3.request("PUT", item_url(stand_in.server_id), body=value)
     serve_forever(host, port, stand_in)
 
 
+def new_server_id() -> str:
+    """Return the id of a new run of a server."""
+    return f"i-{secrets.token_hex(4)}"
+
+
 if __name__ == "__main__":
     fire.Fire(run)
