Try a held request once in the fleet, and blame no request that shares its ends

Cause: a hold ended after 300 s only, and nobody sends what is held, so that no answer can clear it. Requests that met the same ends were all blamed, and servers that end at the same moment counted one by one.

Change: a request is not blamed for an end that another one, with as many ends or more, met as well; ends within 50 ms count once; a held request is tried again 10 s, 300 s, 1 h and 1 day after its last end, at one instance that all mostly agree on.

--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/_attempt_coordinator.py
@@ -217,7 +217,7 @@
             return False
         if self._choice_request.deadline_s - monotonic_s() < MIN_REMAINING_S:
             return False
-        if self._quarantine.hold(self._request):
+        if self._quarantine.is_held(self._request):
             return False
         return self._request.body.is_replayable
 
--- a/berylhaven/gateway/_evidence_codec.py
+++ b/berylhaven/gateway/_evidence_codec.py
@@ -11,7 +11,7 @@
 from berylhaven.quarantine import FINGERPRINT_LENGTH, Answered, Observation, Strike
 
 # The unit of the ages in a message.
-AGE_UNIT_S = 0.1
+AGE_UNIT_S = 0.001
 # The most observations of a message.
 ROWS_LIMIT = 4_000
 # The longest text that identifies a server run or a request.
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -30,6 +30,8 @@
 # The Retry-After value of a route that could not be decoded: only a newer configuration
 # makes it usable.
 UNUSABLE_ROUTE_RETRY_AFTER_S = 2.0
+# The least Retry-After value of a request that is held and may be tried elsewhere.
+MIN_HELD_RETRY_AFTER_S = 1.0
 # Bodies up to this size are read before a server is chosen, so that another attempt
 # can send them again.
 REPLAYABLE_BODY_LIMIT_BYTES = 1_000_000
@@ -162,7 +164,7 @@
             request.body.first_part,
             request.body.content_length,
         )
-        hold = self._quarantine.hold(request)
+        hold = self._quarantine.admit(request)
         if hold is not None:
             return self._refuse_held(request, service, hold)
         return self._send(request, route, service)
@@ -178,7 +180,8 @@
         )
         # A request that comes again with its id may have run.
         status = 502 if self._quarantine.has_run(request) else 503
-        return self._refuse(request, status, message, hold.remaining_s)
+        return_s = max(hold.remaining_s, MIN_HELD_RETRY_AFTER_S)
+        return self._refuse(request, status, message, return_s)
 
     def _send(
         self, request: GatewayRequest, route: Route, service: ServiceSpec
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -192,6 +192,7 @@
             self._evidence_spread,
             ServerEndCheck(pool, dialect),
             self._event_log,
+            self._members,
             self.metrics,
         )
         return Forwarder(
--- a/berylhaven/gateway/_request_quarantine.py
+++ b/berylhaven/gateway/_request_quarantine.py
@@ -1,5 +1,7 @@
 """Holds requests under which servers end, by the evidence of all instances."""
 
+import zlib
+
 import eventlet
 
 from berylhaven.attempts import AttemptEnd
@@ -8,6 +10,7 @@
 from berylhaven.gateway._evidence_codec import TEXT_LIMIT
 from berylhaven.gateway._evidence_spread import EvidenceSpread
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._members import MemberTable
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._server_end_check import ServerEndCheck
 from berylhaven.gateway._server_record import ServerEntry, ServerRecord
@@ -23,6 +26,10 @@
     }
 )
 HTTP_STATUS_SERVER_ERROR = 500
+# One instance is chosen to try a held request; after this time any instance may.
+TRIAL_PERIOD_S = 60.0
+# The time between two trials of an instance whose result is not known.
+TRIAL_INTERVAL_S = 30.0
 
 
 class RequestQuarantine:
@@ -38,11 +45,15 @@
         Finds out whether a server has ended.
     event_log : EventLog
         Receives a line for each server that ended under a request.
+    members : MemberTable
+        The membership table.
     metrics : GatewayMetrics
         Counts strikes and refusals.
     """
 
     __slots__ = (
+        "_members",
+        "_tried_at_s",
         "_evidence",
         "_spread",
         "_check",
@@ -58,8 +69,12 @@
         spread: EvidenceSpread,
         check: ServerEndCheck,
         event_log: EventLog,
+        members: MemberTable,
         metrics: GatewayMetrics,
     ) -> None:
+        self._members = members
+        # When this instance last tried a held request, by fingerprint.
+        self._tried_at_s: dict[str, float] = {}
         self._evidence = evidence
         self._spread = spread
         self._check = check
@@ -77,9 +92,58 @@
         )
         metrics.add_refresher(self._refresh)
 
-    def hold(self, request: GatewayRequest) -> Hold | None:
-        """Return the hold of a request, or None if it may be sent."""
-        return self._evidence.hold(request.fingerprint, monotonic_s())
+    def admit(self, request: GatewayRequest) -> Hold | None:
+        """Return the hold of a request, or None if it may be sent now.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+
+        Returns
+        -------
+        Hold or None
+            None also if this instance is to try a held request.
+        """
+        now_s = monotonic_s()
+        hold = self._evidence.hold(request.fingerprint, now_s)
+        if hold is None or not self._may_try(request.fingerprint, hold, now_s):
+            return hold
+        self._tried_at_s[request.fingerprint] = now_s
+        self._event_log.write_failure(
+            "quarantine",
+            "held request tried",
+            request=request.request_id,
+            fingerprint=request.fingerprint,
+            ended_servers=hold.run_count,
+            age_s=hold.age_s,
+        )
+        return None
+
+    def _may_try(self, fingerprint: str, hold: Hold, now_s: float) -> bool:
+        if hold.remaining_s > 0:
+            return False
+        for other, tried_at_s in list(self._tried_at_s.items()):
+            if now_s - tried_at_s > TRIAL_INTERVAL_S:
+                del self._tried_at_s[other]
+        if fingerprint in self._tried_at_s:
+            return False
+        return -hold.remaining_s > TRIAL_PERIOD_S or self._is_chosen(fingerprint)
+
+    def _is_chosen(self, fingerprint: str) -> bool:
+        """Return whether this instance tries a request; instances mostly agree."""
+        own = self._members.own
+        ready = [own, *self._members.ready(monotonic_s())]
+        return own is max(
+            ready,
+            key=lambda member: zlib.crc32(
+                f"{fingerprint}{member.peers_address}".encode()
+            ),
+        )
+
+    def is_held(self, request: GatewayRequest) -> bool:
+        """Return whether a request gets no further attempt."""
+        return self._evidence.hold(request.fingerprint, monotonic_s()) is not None
 
     def is_suspect(self, request: GatewayRequest) -> bool:
         """Return whether a server has ended under a request."""
@@ -148,7 +212,7 @@
         news = self._evidence.merge(strike, broken_at_s)
         self._spread.push(news, broken_at_s)
         self._strikes.inc({"service": entry.service})
-        hold = self.hold(request)
+        hold = self._evidence.hold(request.fingerprint, monotonic_s())
         self._event_log.write_failure(
             "quarantine",
             "server ended under request",
--- a/berylhaven/gateway/tests/test_evidence_spread.py
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -22,6 +22,7 @@
     def strike(self, fleet, addresses, fingerprint="f" * 32):
         """Let one server end at each of some instances."""
         for address in addresses:
+            self.clock.advance_s(0.1)
             now_s = monotonic_s()
             strike = Strike(fingerprint, f"run-{address}", address)
             news = fleet.evidence[address].merge(strike, now_s)
--- a/berylhaven/quarantine/_crash_evidence.py
+++ b/berylhaven/quarantine/_crash_evidence.py
@@ -9,6 +9,7 @@
 instances that were told the same observations hold the same requests.
 """
 
+import math
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -16,10 +17,13 @@
 
 # The number of ended servers from which a request is held.
 HOLD_RUN_COUNT = 3
-# The time for which it is held then; each further ended server doubles it. A server
-# that was corrected gets the request again afterwards.
-HOLD_S = 300.0
-MAX_HOLD_S = 86_400.0
+# Servers that end within this time of each other probably have one cause, such as a
+# loss of power, and count once.
+COINCIDENCE_S = 0.05
+# The time from the last end until the request is tried again, once in the whole fleet:
+# by the number of ends beyond the first three. An innocent request is cleared by the
+# first trial; one that crashes gets few of them, each of which costs a server.
+TRIAL_DELAYS_S = (10.0, 300.0, 3_600.0, 86_400.0)
 # Observations older than this are dropped.
 RETENTION_S = 86_400.0
 # A request that was answered completely within this time before a server ended, or
@@ -60,11 +64,11 @@
 class Hold:
     """Why and for how long a request is not sent to servers."""
 
-    # The number of runs of servers that ended under the request.
+    # The number of times at which servers ended under the request.
     run_count: int
     # How long ago the last of them ended, in seconds.
     age_s: float
-    # For how much longer the request is held, in seconds.
+    # The time until the next trial, in seconds; not positive if one is due.
     remaining_s: float
 
 
@@ -224,35 +228,48 @@
         Returns
         -------
         Hold or None
-            None while too few servers ended under it, or after its time.
+            None while too few servers ended under it.
         """
         record = self._records.get(fingerprint)
         if record is None or len(record.strikes) < HOLD_RUN_COUNT:
             return None
-        run_count = len(self._attributed_runs(fingerprint))
+        run_count = self._count_ends(fingerprint)
         if run_count < HOLD_RUN_COUNT:
             return None
         age_s = now_s - max(record.strikes.values())
-        hold_s = min(MAX_HOLD_S, HOLD_S * 2 ** (run_count - HOLD_RUN_COUNT))
-        if age_s >= hold_s:
-            return None
-        return Hold(run_count, age_s, hold_s - age_s)
+        extra_count = min(run_count - HOLD_RUN_COUNT, len(TRIAL_DELAYS_S) - 1)
+        return Hold(run_count, age_s, TRIAL_DELAYS_S[extra_count] - age_s)
 
     def held_count(self, now_s: float) -> int:
         """Return the number of requests that are held."""
         return sum(self.hold(f, now_s) is not None for f in self._records)
 
+    def _count_ends(self, fingerprint: str) -> int:
+        runs = self._attributed_runs(fingerprint)
+        ended_at_s: dict[str, float] = {}
+        for strike, occurred_at_s in self._records[fingerprint].strikes.items():
+            if strike.server_run in runs:
+                known_at_s = ended_at_s.get(strike.server_run, occurred_at_s)
+                ended_at_s[strike.server_run] = min(known_at_s, occurred_at_s)
+        count = 0
+        counted_at_s = -math.inf
+        for at_s in sorted(ended_at_s.values()):
+            if at_s - counted_at_s > COINCIDENCE_S:
+                count += 1
+                counted_at_s = at_s
+        return count
+
     def _attributed_runs(self, fingerprint: str) -> set[str]:
-        """Return the ended runs for which no other request is the likelier cause.
+        """Return the ended runs of which no other request is as likely the cause.
 
         The likelier cause of an end is the request under which more servers ended.
         """
         runs = self._records[fingerprint].runs()
         attributed = set(runs)
         for other, record in self._records.items():
-            if other != fingerprint and len(record.strikes) > len(runs):
+            if other != fingerprint and len(record.strikes) >= len(runs):
                 other_runs = record.runs()
-                if len(other_runs) > len(runs):
+                if len(other_runs) >= len(runs):
                     attributed -= other_runs
         return attributed
 
