--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -1,6 +1,7 @@
 """Gateway instances with peers' ports, between callers and raw backend servers."""
 
 import socket
+import unittest.mock
 
 import eventlet
 
@@ -14,6 +15,7 @@
 )
 from berylhaven.gateway.tests._gateway_path import (
     ANSWER_TIMEOUT_S,
+    ORDERS,
     READS,
     Caller,
     FakeDialect,
@@ -22,7 +24,7 @@
     free_address,
     settings_text,
 )
-from berylhaven.http1 import serve
+from berylhaven.http1 import ConnectionPool, serve
 from berylhaven.http1.tests._raw_backend import RawBackend
 
 CONNECTIONS_LIMIT = 64
@@ -70,7 +72,7 @@
 
 
 class GatewayFleet:
-    """Instances of one data centre, and backend servers for reads.
+    """Instances of one data centre, and backend servers for reads and orders.
 
     Parameters
     ----------
@@ -86,7 +88,10 @@
         self._next_server = 0
         self.backends = {}
         self.source = FakeSource(config or configuration())
-        self.source.snapshot += [self._new_server() for _ in range(server_count)]
+        for service in (READS, ORDERS):
+            self.source.snapshot += [
+                self._new_server(service) for _ in range(server_count)
+            ]
         self._seed = free_address()
         self.members = []
         for _ in range(count):
@@ -97,11 +102,11 @@
             ):
                 eventlet.sleep(0.01)
 
-    def _new_server(self):
-        server_id = f"{READS}-{self._next_server}"
+    def _new_server(self, service=READS):
+        server_id = f"{service}-{self._next_server}"
         self._next_server += 1
         backend = self.backends[server_id] = RawBackend()
-        return ServerEntry(server_id, READS, backend.address, "here", 4, False)
+        return ServerEntry(server_id, service, backend.address, "here", 4, False)
 
     def add_member(self):
         """Start another instance and wait until it is ready."""
@@ -128,8 +133,64 @@
         with Caller(self.members[index].callers_address) as caller:
             return caller.exchange(*args, **kwargs)
 
+    def requests(self, path):
+        """Return the number of requests that reached servers for a path."""
+        return sum(backend.count_requests(path) for backend in self.backends.values())
+
     def stop(self):
         for member in self.members:
             member.stop()
         for backend in self.backends.values():
             backend.stop()
+
+
+class ServerCut:
+    """Cuts instances off from all servers, but not from callers and one another.
+
+    Parameters
+    ----------
+    is_silent : bool
+        Whether connections to servers are accepted and then hang; otherwise they are
+        refused.
+    """
+
+    # Nothing listens at the ports of the servers there.
+    ELSEWHERE = "127.0.0.2"
+
+    def __init__(self, is_silent):
+        self._is_silent = is_silent
+        self._pools = set()
+        self._listeners = {}
+
+    def __enter__(self):
+        acquire = ConnectionPool.acquire
+
+        def acquire_elsewhere(pool, address, *args, **kwargs):
+            if pool in self._pools:
+                address = self._elsewhere(address)
+            return acquire(pool, address, *args, **kwargs)
+
+        self._patch = unittest.mock.patch.object(
+            ConnectionPool, "acquire", acquire_elsewhere
+        )
+        self._patch.start()
+        return self
+
+    def __exit__(self, *error):
+        self._patch.stop()
+        for listener in self._listeners.values():
+            listener.close()
+
+    def _elsewhere(self, address):
+        port = int(address.rpartition(":")[2])
+        if self._is_silent and port not in self._listeners:
+            self._listeners[port] = eventlet.listen((self.ELSEWHERE, port))
+        return f"{self.ELSEWHERE}:{port}"
+
+    def begin(self, *members):
+        """Cut members off; the connections that they have open hang too."""
+        self._pools |= {member.instance._forwarder._runner._pool for member in members}
+
+    def end(self):
+        """Let all members reach the servers again."""
+        self._pools.clear()
--- a/berylhaven/gateway/tests/test_crashing_requests.py
+++ b/berylhaven/gateway/tests/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from berylhaven.gateway.tests._gateway_fleet import GatewayFleet
+from berylhaven.gateway.tests._gateway_path import READS
 
 CRASHING_PATH = "/read/crash"
 # Three servers may end before the request is recognised; three more sends are allowed.
@@ -21,8 +22,8 @@
         self.ended_servers = []
         super().__init__(count, server_count)
 
-    def _new_server(self):
-        entry = super()._new_server()
+    def _new_server(self, service=READS):
+        entry = super()._new_server(service)
 
         def crash(sock, request):
             if entry.server_id in self.backends:
