Pass requests on to other instances when no server answers

Cause: only the instance that took a request can send it to a server; readiness and locate answers do not depend on reaching servers; each request finds out anew, by two connection timeouts, that none answers.

Change: ServiceReach decides from attempts and probes whether servers of a service are reached (most, few, none); while some are silent, four are checked every 0.25 s. A request that finds none, or no room among few, goes to the callers' port of an instance that reaches them, one of two random ones, of this data centre first; at most two are tried. The header Berylhaven-Passed-On, taken from instances only, says to how many servers it may still go and that it goes no further; Berylhaven-Outcome tells answers of servers, refusals that did not run, and what is unknown apart. Instances tell by a bit for each service which ones they do not reach: those are not asked, and left out of locate answers while three tenths remain. If no instance is known to reach a server, the request is refused at once.

Steering alone was ruled out: locate answers are kept for 5 to 15 s.

--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/_attempt_coordinator.py
@@ -16,10 +16,14 @@
     may_have_run,
 )
 from berylhaven.gateway._finish_estimate import expected_finish_s
+from berylhaven.gateway._member import Member
+from berylhaven.gateway._peer_forwarder import PeerForwarder, PeerRefused
+from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ChoiceRequest
 from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.overload import Reach
 
 # A hedge is sent when the answer takes longer than the estimate times this factor.
 HEDGE_RATIO = 1.6
@@ -29,6 +33,13 @@
 MIN_REMAINING_S = 0.005
 # The Retry-After value after attempts that did not run.
 MIN_RETRY_AFTER_S = 0.02
+# The Retry-After value while no instance is known to reach the servers.
+UNREACHED_RETRY_AFTER_S = 0.3
+# The number of instances that a request is passed on to, one after the other.
+TRIED_PEERS_LIMIT = 2
+# After so many servers that this instance could not connect to, a request is passed on
+# although others may still answer: their connections may be older than the cut.
+UNCONNECTED_LIMIT = 2
 HTTP_STATUS_SERVER_ERROR = 500
 TIMEOUT_ENDS = frozenset(
     {AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.DEADLINE_BEFORE_SENDING}
@@ -57,9 +68,16 @@
         Spends one retry of the shared budget; returns whether one was left.
     quarantine : RequestQuarantine
         Tells whether the request may be sent again.
+    reach : ReachMonitor
+        Tells whether this instance reaches the servers.
+    peers : PeerForwarder
+        Passes the request on if it does not.
     """
 
     __slots__ = (
+        "_reach",
+        "_peers",
+        "_tried_peers",
         "_quarantine",
         "_runner",
         "_request",
@@ -82,7 +100,13 @@
         choice_request: ChoiceRequest,
         try_acquire_retry: Callable[[], bool],
         quarantine: RequestQuarantine,
+        reach: ReachMonitor,
+        peers: PeerForwarder,
     ) -> None:
+        self._reach = reach
+        self._peers = peers
+        # Peers' addresses of the instances that the request was passed on to.
+        self._tried_peers: frozenset[str] = frozenset()
         self._quarantine = quarantine
         self._runner = runner
         self._request = request
@@ -155,6 +179,9 @@
     @property
     def retry_after_s(self) -> float:
         """The time after which the caller may retry, in seconds."""
+        for failure in self.failures:
+            if isinstance(failure, PeerRefused) and failure.return_s is not None:
+                return failure.return_s
         if self._no_server is None:
             return MIN_RETRY_AFTER_S
         return self._no_server.return_s
@@ -169,11 +196,23 @@
             return None
 
     def _start_attempt(self) -> None:
-        """Start an attempt on another server if one is available."""
+        """Start an attempt on another server, or by way of another instance."""
+        reach = self._reach.state(self._choice_request.service.name)
+        if reach is Reach.NONE or self._is_at_limit():
+            if not self._try_pass_on():
+                self._no_server = NoServerAvailable(
+                    f'service "{self._choice_request.service.name}": no server answers '
+                    "this instance, and no other instance is known to reach one",
+                    UNREACHED_RETRY_AFTER_S,
+                )
+            return
         try:
             server = self._runner.choose(self._request, self._choice_request)
         except NoServerAvailable as refusal:
-            self._no_server = refusal
+            if reach is Reach.MOST or not self._try_pass_on():
+                self._no_server = refusal
+            return
+        if reach is Reach.FEW and server.is_unresponsive and self._try_pass_on():
             return
         server_id = server.entry.server_id
         excluded = self._choice_request.excluded | {server_id}
@@ -196,6 +235,60 @@
             eventlet.spawn(self._attempt, self._choice_request, server)
         )
 
+    def _is_at_limit(self) -> bool:
+        return self._sent_count >= self._choice_request.route.attempt_limit
+
+    def _can_pass_on(self) -> bool:
+        """Return whether another instance may be able to serve the request."""
+        # One that was passed on to this instance already goes no further.
+        if self._request.passed_on_attempt_limit is not None:
+            return False
+        if len(self._tried_peers) >= TRIED_PEERS_LIMIT:
+            return False
+        if not self._choice_request.route.is_idempotent and self.may_have_run:
+            return False
+        if self._remaining_server_count() <= 0:
+            return False
+        reach = self._reach.state(self._choice_request.service.name)
+        is_unconnected = self._unconnected_count() >= UNCONNECTED_LIMIT
+        return reach is not Reach.MOST or is_unconnected
+
+    def _unconnected_count(self) -> int:
+        return sum(failure.end is AttemptEnd.NOT_CONNECTED for failure in self.failures)
+
+    def _remaining_server_count(self) -> int:
+        """Return the number of further servers that the request may be sent to."""
+        reached_count = self._sent_count - self._unconnected_count()
+        return self._choice_request.route.attempt_limit - max(0, reached_count)
+
+    def _try_pass_on(self) -> bool:
+        """Pass the request on to another instance if there is a suitable one."""
+        if not self._can_pass_on():
+            return False
+        service = self._choice_request.service.name
+        member = self._peers.choose(service, self._tried_peers)
+        if member is None:
+            return False
+        self._tried_peers |= {member.peers_address}
+        self._hedge_at_s = math.inf
+        self._running_count += 1
+        self._threads.append(eventlet.spawn(self._pass_on, member))
+        return True
+
+    def _pass_on(self, member: Member) -> None:
+        try:
+            answer = self._peers.send(
+                self._request,
+                self._choice_request.service.name,
+                member,
+                self._remaining_server_count(),
+                self._choice_request.deadline_s,
+            )
+            ended = AttemptResult(None, answer)
+        except Exception as error:
+            ended = error
+        self._ended.put(ended)
+
     def _attempt(self, choice_request: ChoiceRequest, server: ServerRecord) -> None:
         try:
             ended = self._runner.send(self._request, choice_request, server)
@@ -213,7 +306,7 @@
             self._start_attempt()
 
     def _can_attempt(self) -> bool:
-        if self._sent_count >= self._choice_request.route.attempt_limit:
+        if self._is_at_limit() and not self._can_pass_on():
             return False
         if self._choice_request.deadline_s - monotonic_s() < MIN_REMAINING_S:
             return False
@@ -225,6 +318,9 @@
         """Return whether the answer is a server error that another server may avoid."""
         if result.answer.status < HTTP_STATUS_SERVER_ERROR:
             return False
+        if result.server is None:
+            # The other instance has made the attempts.
+            return False
         return self._choice_request.route.is_idempotent
 
     def _may_attempt_again(self, ended: "AttemptResult | AttemptFailed") -> bool:
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/_attempt_runner.py
@@ -10,6 +10,7 @@
 from berylhaven.gateway._answer_memory import AnswerMemory
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._sent_request import SentRequest
@@ -35,6 +36,16 @@
         AttemptEnd.DEADLINE_BEFORE_SENDING,
     }
 )
+# Ends of attempts at a server that did not answer at all.
+SILENT_ENDS = frozenset(
+    {
+        AttemptEnd.NOT_CONNECTED,
+        AttemptEnd.BROKEN_WHILE_SENDING,
+        AttemptEnd.BROKEN_BEFORE_HEAD,
+        AttemptEnd.DEADLINE_BEFORE_HEAD,
+        AttemptEnd.UNRESPONSIVE,
+    }
+)
 # How long a server that refused a request because it was full is skipped.
 FULL_SERVER_BACKOFF_S = 0.05
 HTTP_STATUS_SERVER_ERROR = 500
@@ -61,8 +72,8 @@
 class AttemptResult:
     """A backend server's answer and the server that gave it."""
 
-    # The server that answered.
-    server: ServerRecord
+    # The server that answered; None if another instance passed the answer on.
+    server: ServerRecord | None
     # The answer.
     answer: ServerAnswer
 
@@ -88,9 +99,12 @@
         Counts the attempts.
     quarantine : RequestQuarantine
         Records the attempts that ended with their server.
+    reach : ReachMonitor
+        Records which servers answer.
     """
 
     __slots__ = (
+        "_reach",
         "_quarantine",
         "_chooser",
         "_pool",
@@ -112,7 +126,9 @@
         event_log: EventLog,
         metrics: GatewayMetrics,
         quarantine: RequestQuarantine,
+        reach: ReachMonitor,
     ) -> None:
+        self._reach = reach
         self._quarantine = quarantine
         self._chooser = chooser
         self._pool = pool
@@ -262,6 +278,7 @@
         duration_s: float,
     ) -> None:
         now_s = monotonic_s()
+        self._reach.record_answer(server.entry.service, server.entry.server_id)
         is_own_answer = self._signals.record(server, answer.status, answer.fields)
         if server.report is None and answer.status < HTTP_STATUS_SERVER_ERROR:
             server.reports_load = False
@@ -302,6 +319,8 @@
         )
         if failure.end not in ENDS_UNRELATED_TO_SERVER:
             server.record_attempt(True, now_s)
+        if failure.end in SILENT_ENDS:
+            self._reach.record_silence(server.entry.service, server.entry.server_id)
         self._event_log.write_failure(
             "attempt",
             "failed",
--- a/berylhaven/gateway/_caller_connection.py
+++ b/berylhaven/gateway/_caller_connection.py
@@ -11,6 +11,7 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.gateway._passed_on import passed_on_attempt_limit
 from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
 from berylhaven.http1 import (
     CONTINUE_LINE,
@@ -197,6 +198,7 @@
             limits.idle_timeout_s,
             self._send_continue if expects_continue else None,
         )
+        caller_host = self._caller_host()
         request = GatewayRequest(
             method=match["method"].decode(),
             target=target,
@@ -205,8 +207,12 @@
             request_id=self._port.dialect.request_id(fields) or "",
             received_at_s=received_at_s,
             remaining_s=self._port.dialect.remaining_s(fields),
-            caller_host=self._caller_host(),
+            caller_host=caller_host,
         )
+        # Callers have no say in how instances treat one another's requests.
+        attempt_limit = passed_on_attempt_limit(fields)
+        if attempt_limit is not None and self._port.is_peer(caller_host):
+            request.passed_on_attempt_limit = attempt_limit
         must_close = fields.has_token("connection", "close") or (
             version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
         )
--- a/berylhaven/gateway/_callers_port.py
+++ b/berylhaven/gateway/_callers_port.py
@@ -36,9 +36,12 @@
         The header names of the deployment.
     event_log : EventLog
         Receives a line for each rejected head and each internal error.
+    is_peer : callable
+        Returns whether a host is that of another instance.
     """
 
     __slots__ = (
+        "is_peer",
         "_application",
         "_routes",
         "dialect",
@@ -53,7 +56,10 @@
         routes: ActiveRoutes,
         dialect: Dialect,
         event_log: EventLog,
+        is_peer: Callable[[str], bool],
     ) -> None:
+        # Whether a host is that of another instance.
+        self.is_peer = is_peer
         self._application = application
         self._routes = routes
         # The header names of the deployment.
--- a/berylhaven/gateway/_dialect.py
+++ b/berylhaven/gateway/_dialect.py
@@ -25,6 +25,9 @@
     ) -> list[tuple[str, str]]:
         """Return the headers that describe the attempt to a backend server."""
 
+    def deadline_headers(self, remaining_s: float) -> list[tuple[str, str]]:
+        """Return the headers that state how long the answer is waited for."""
+
     def is_not_executed(self, status: int, fields: HeadFields) -> bool:
         """Return whether an answer states that the request has not run and will not."""
 
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/_forwarder.py
@@ -1,5 +1,6 @@
 """Forwards requests: finds the route, runs the attempts and returns the answer."""
 
+import dataclasses
 from collections.abc import Callable
 from random import Random
 
@@ -12,6 +13,9 @@
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._finish_estimate import INITIAL_WORK_RATIO, RouteWork
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._passed_on import ANSWERED, NOT_RUN, OUTCOME
+from berylhaven.gateway._peer_forwarder import PeerForwarder
+from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
 from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ChoiceRequest
@@ -35,6 +39,8 @@
 # Bodies up to this size are read before a server is chosen, so that another attempt
 # can send them again.
 REPLAYABLE_BODY_LIMIT_BYTES = 1_000_000
+# Statuses of error answers to requests that may have run.
+UNKNOWN_STATUSES = frozenset({502, 504})
 CONTENT_LENGTH = frozenset({"content-length"})
 
 
@@ -61,9 +67,15 @@
         Counts the requests.
     quarantine : RequestQuarantine
         Tells which requests are not sent to servers.
+    reach : ReachMonitor
+        Tells which services this instance reaches.
+    peers : PeerForwarder
+        Passes requests for the others on.
     """
 
     __slots__ = (
+        "_reach",
+        "_peers",
         "_quarantine",
         "_routes",
         "_runner",
@@ -90,7 +102,11 @@
         event_log: EventLog,
         metrics: GatewayMetrics,
         quarantine: RequestQuarantine,
+        reach: ReachMonitor,
+        peers: PeerForwarder,
     ) -> None:
+        self._reach = reach
+        self._peers = peers
         self._quarantine = quarantine
         self._metrics = metrics
         self._routes = routes
@@ -188,7 +204,14 @@
     ) -> GatewayAnswer:
         now_s = monotonic_s()
         budget = self._budget(service.name)
-        budget.record_request(now_s)
+        wait_s = wait_limit_s(route.latency_objective_s)
+        if request.passed_on_attempt_limit is None:
+            budget.record_request(now_s)
+        else:
+            # The instance that took it from the caller has counted it, and waits too.
+            attempt_limit = min(route.attempt_limit, request.passed_on_attempt_limit)
+            route = dataclasses.replace(route, attempt_limit=attempt_limit)
+            wait_s = 0.0
         time_limit_s = route.timeout_s
         if request.remaining_s is not None:
             time_limit_s = min(time_limit_s, request.remaining_s - RETURN_MARGIN_S)
@@ -198,7 +221,7 @@
             self._work(route, service),
             request.received_at_s,
             request.received_at_s + time_limit_s,
-            wait_limit_s=wait_limit_s(route.latency_objective_s),
+            wait_limit_s=wait_s,
         )
 
         def try_acquire_retry() -> bool:
@@ -206,7 +229,13 @@
             return budget.try_acquire(self._instance_count(), monotonic_s())
 
         attempts = AttemptCoordinator(
-            self._runner, request, choice_request, try_acquire_retry, self._quarantine
+            self._runner,
+            request,
+            choice_request,
+            try_acquire_retry,
+            self._quarantine,
+            self._reach,
+            self._peers,
         )
         try:
             result = attempts.run()
@@ -218,6 +247,8 @@
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
             )
+            if request.passed_on_attempt_limit is not None:
+                headers.append((OUTCOME, ANSWERED))
             self._log_answered(
                 request, choice_request, answer.status, len(attempts.failures)
             )
@@ -262,6 +293,9 @@
         self._count(choice_request, f"refused-{status}", duration_s)
         answer = error_answer(status, message, retry_after_s)
         answer.closes_connection = not request.body.is_ended
+        is_passed_on = request.passed_on_attempt_limit is not None
+        if is_passed_on and status not in UNKNOWN_STATUSES:
+            answer.headers.append((OUTCOME, NOT_RUN))
         self._event_log.write_failure(
             "request",
             "refused",
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -27,6 +27,8 @@
 from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway._peer_forwarder import PeerForwarder
+from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
 from berylhaven.gateway._request_quarantine import RequestQuarantine
 from berylhaven.gateway._server_chooser import ServerChooser
@@ -45,6 +47,10 @@
 # Backend servers close connections after ten idle seconds; this instance closes them
 # before that.
 SERVER_IDLE_LIMIT_S = 8.0
+# The most connections to another instance for requests that are passed on, and how long
+# they are kept idle.
+PEER_CONNECTIONS_LIMIT = 32
+PEER_IDLE_LIMIT_S = 2.0
 # Instances that are not known yet hold connections too.
 MIN_SHARER_COUNT = 16
 # Until gossip has had time to discover the other instances, the size of the largest
@@ -100,6 +106,7 @@
         "_port",
         "_members",
         "_gossip",
+        "_reach",
         "_evidence",
         "_evidence_spread",
         "_threads",
@@ -141,9 +148,16 @@
         self._evidence_spread = EvidenceSpread(
             self._evidence, self._members, self._random, event_log
         )
+        self._reach = ReachMonitor(
+            self._table, self._members, self._random, event_log, self.metrics
+        )
         self._forwarder = self._make_forwarder(pool, dialect)
         self._port = CallersPort(
-            self._forwarder.answer, self._routes, dialect, event_log
+            self._forwarder.answer,
+            self._routes,
+            dialect,
+            event_log,
+            self._members.has_host,
         )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
@@ -163,6 +177,7 @@
             event_log,
             self._evidence_spread.synchronise,
         )
+        self._reach.notify_peers = self._gossip.notify_peers
         InstanceGauges(
             self.metrics,
             self._routes,
@@ -180,10 +195,14 @@
     def _make_forwarder(self, pool: ConnectionPool, dialect: Dialect) -> Forwarder:
         limits = ServerLimits(self._sharer_count, self._random, self._event_log)
         signals = ServerSignals(dialect, pool, limits, self._event_log)
+        prober = ServerProber(pool, signals, self.metrics, self._reach)
+        self._reach.check = lambda servers: prober.check(
+            servers, self._routes.service(servers[0].entry.service).health_path
+        )
         chooser = ServerChooser(
             self._settings.instance.data_centre,
             self._table,
-            ServerProber(pool, signals, self.metrics),
+            prober,
             self._random,
             lambda address: pool.counts(address).open_count > 0,
         )
@@ -195,6 +214,19 @@
             self._members,
             self.metrics,
         )
+        peers = PeerForwarder(
+            self._members,
+            ConnectionPool(
+                lambda address: PEER_CONNECTIONS_LIMIT,
+                ANSWER_HEAD_LIMIT_BYTES,
+                self._random,
+                PEER_IDLE_LIMIT_S,
+            ),
+            dialect,
+            self._random,
+            self._event_log,
+            self.metrics,
+        )
         return Forwarder(
             self._routes,
             AttemptRunner(
@@ -206,6 +238,7 @@
                 self._event_log,
                 self.metrics,
                 quarantine,
+                self._reach,
             ),
             dialect,
             self._settings.retries.allowance,
@@ -214,6 +247,8 @@
             self._event_log,
             self.metrics,
             quarantine,
+            self._reach,
+            peers,
         )
 
     @property
--- a/berylhaven/gateway/_locate.py
+++ b/berylhaven/gateway/_locate.py
@@ -9,6 +9,9 @@
 ADDRESSES_LIMIT = 64
 # With fewer local instances, callers get the addresses of all data centres.
 MIN_LOCAL_COUNT = 2
+# If fewer of the instances reach the servers of all services, callers get the others
+# too, so that they don't all come to a few.
+MIN_REACHING_RATIO = 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,6 +29,9 @@
 ) -> Location | None:
     """Return the instances for a caller, only local ones if there are enough.
 
+    Instances that do not reach the servers of a service are left out, although they
+    pass requests on, if enough others remain.
+
     Parameters
     ----------
     ready : list of Member
@@ -42,6 +48,9 @@
     Location or None
         None if no instance accepts callers.
     """
+    reaching = [member for member in ready if not member.unreached_mask]
+    if len(reaching) >= MIN_REACHING_RATIO * len(ready):
+        ready = reaching
     local = [member for member in ready if member.data_centre == data_centre]
     chosen = local if len(local) >= MIN_LOCAL_COUNT else ready
     if not chosen:
--- a/berylhaven/gateway/_member.py
+++ b/berylhaven/gateway/_member.py
@@ -38,6 +38,8 @@
     # The digest of its crash evidence; None if unknown. Only the sender of a message
     # tells its own.
     evidence_digest: int | None = None
+    # A bit for each service of which half of the servers or more do not answer it.
+    unreached_mask: int = 0
 
     def to_row(self) -> list:
         """Return the member as a row of a message.
@@ -52,7 +54,8 @@
             self.data_centre,
             self.incarnation,
             self.heartbeat,
-            int(self.is_ready),
+            # Instances of earlier releases take any value but zero for ready.
+            (self.unreached_mask << 1 | 1) if self.is_ready else 0,
             self.revision.number,
             self.store_available_s,
             *era,
@@ -104,6 +107,7 @@
         incarnation=row[3],
         heartbeat=row[4],
         is_ready=bool(row[5]),
+        unreached_mask=row[5] >> 1,
         revision=StoreRevision(era, row[6]),
         store_available_s=row[7],
     )
--- a/berylhaven/gateway/_request.py
+++ b/berylhaven/gateway/_request.py
@@ -29,6 +29,9 @@
     # Identifies the request when it comes again with another id; empty until its body
     # was read.
     fingerprint: str = ""
+    # The number of servers that it may be sent to if another instance passed it on;
+    # None if it comes from a caller.
+    passed_on_attempt_limit: int | None = None
 
     @property
     def path(self) -> str:
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/_server_probe.py
@@ -7,6 +7,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway._server_record import ServerRecord
 from berylhaven.gateway._server_signals import ServerSignals
@@ -42,13 +43,20 @@
         Records the headers of answers.
     metrics : GatewayMetrics
         Counts the probes.
+    reach : ReachMonitor
+        Records which servers answer.
     """
 
-    __slots__ = ("_pool", "_signals", "_metrics", "_running_probes")
+    __slots__ = ("_pool", "_signals", "_metrics", "_reach", "_running_probes")
 
     def __init__(
-        self, pool: ConnectionPool, signals: ServerSignals, metrics: GatewayMetrics
+        self,
+        pool: ConnectionPool,
+        signals: ServerSignals,
+        metrics: GatewayMetrics,
+        reach: ReachMonitor,
     ) -> None:
+        self._reach = reach
         self._metrics = metrics
         self._pool = pool
         self._signals = signals
@@ -81,6 +89,19 @@
             len(probed) - unresponsive_count, unresponsive_count
         )
 
+    def check(self, servers: Iterable[ServerRecord], health_path: str) -> None:
+        """Probe servers to find out whether they answer, also without load reports.
+
+        Parameters
+        ----------
+        servers : iterable of ServerRecord
+            The servers.
+        health_path : str
+            The path of the health check.
+        """
+        for thread in [self._start(server, health_path) for server in servers]:
+            thread.wait()
+
     def _mark_unresponsive(self, probed: list[ServerRecord]) -> None:
         """Mark the servers whose probes are still unanswered as unresponsive."""
         if all(server.entry.server_id not in self._running_probes for server in probed):
@@ -106,9 +127,13 @@
 
     def _probe(self, server: ServerRecord, health_path: str) -> None:
         entry = server.entry
+        is_answered = False
         try:
             with eventlet.Timeout(PROBE_CONNECTION_TIMEOUT_S, False):
                 self._query(server, health_path)
+                is_answered = True
+            if not is_answered:
+                self._reach.record_silence(entry.service, entry.server_id)
         except (
             *CONNECTION_ERRORS,
             AttemptFailed,
@@ -118,6 +143,8 @@
             self._record_failure(server, error)
         finally:
             del self._running_probes[entry.server_id]
+            if is_answered:
+                self._reach.record_answer(entry.service, entry.server_id)
 
     def _record_failure(self, server: ServerRecord, error: Exception) -> None:
         now_s = monotonic_s()
@@ -126,6 +153,8 @@
             # This instance reached its limit and has no connection for requests either.
             server.record_refusal(now_s, NO_CONNECTION_BACKOFF_S)
             return
+        if end is AttemptEnd.NOT_CONNECTED or isinstance(error, CONNECTION_ERRORS):
+            self._reach.record_silence(server.entry.service, server.entry.server_id)
         server.record_attempt(True, now_s)
         server.record_probe_failure(now_s)
 
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -49,10 +49,10 @@
         return float(text) / 1000 if text else None
 
     def request_headers(self, remaining_s, server_id):
-        return [
-            ("Wordy-Left-Ms", str(int(remaining_s * 1000))),
-            ("Wordy-Server", server_id),
-        ]
+        return [*self.deadline_headers(remaining_s), ("Wordy-Server", server_id)]
+
+    def deadline_headers(self, remaining_s):
+        return [("Wordy-Left-Ms", str(int(remaining_s * 1000)))]
 
     def is_not_executed(self, status, fields):
         return fields.get("Wordy-Not-Run") is not None
--- a/berylhaven/overload/__init__.py
+++ b/berylhaven/overload/__init__.py
@@ -7,6 +7,7 @@
     turn_interval_s,
 )
 from berylhaven.overload._return_time import return_after_s
+from berylhaven.overload._service_reach import Reach, ServiceReach
 from berylhaven.overload._start_decision import (
     StartDecision,
     StartOutlook,
@@ -18,6 +19,8 @@
 __all__ = [
     "Crowding",
     "LimitShare",
+    "Reach",
+    "ServiceReach",
     "StartDecision",
     "StartOutlook",
     "best_concurrency",
