Let the soak cut gateways off from all servers

Proxies before servers can cut the connections of single processes, which are found by their sockets; the connections are reset or hang. After 3 s reads at the gateway are compared with those at another one, by the platform's bounds.

--- a/bench/gateway_soak/_faults.py
+++ b/bench/gateway_soak/_faults.py
@@ -27,6 +27,13 @@
 DELAY_RANGE_S = (0.005, 0.2)
 HELD_DIRECTIONS = ("onward", "back", "both")
 REFUSAL_STATUSES = (429, 503)
+# The bounds for a gateway that is cut off from all servers: after this time it
+# serves at least this share of what the others serve, but for a few requests.
+CUT_DETECTION_S = 3.0
+SERVED_RATIO = 2 / 3
+UNSERVED_ALLOWED = 10
+COMPARED_READ_COUNT = 30
+HTTP_STATUS_OK = 200
 
 
 @dataclass(slots=True)
@@ -41,6 +48,8 @@
     disturbed_gateways: set[int] = field(default_factory=set)
     # Descriptions of broken guarantees that the faults detected.
     broken: list[str] = field(default_factory=list)
+    # Whether a gateway is cut off from the servers.
+    is_cutting: bool = False
     # Whether no further fault may be injected.
     is_ending: bool = False
     # The latest version of the configuration that was written.
@@ -205,6 +214,60 @@
     context.fleet.set_faults(server, pause_s=0.0)
 
 
+@register_fault("gateway cut from servers")
+@_gateway_fault
+def cut_gateway_from_servers(context: SoakContext, gateway: GatewayProcess) -> None:
+    """Cut a gateway off from all servers; its callers must be served all the same."""
+    # A second cut would replace this one at the proxies.
+    if context.is_cutting:
+        return
+    context.is_cutting = True
+    try:
+        hangs = context.source.random() < 0.5
+        context.fleet.cut_from_servers([gateway], hangs)
+        eventlet.sleep(CUT_DETECTION_S)
+        others = [
+            other
+            for index, other in enumerate(context.fleet.gateways)
+            if index not in context.disturbed_gateways
+        ]
+        if others:
+            _compare_service(context, gateway, context.source.choice(others))
+    finally:
+        context.fleet.cut_from_servers([])
+        context.is_cutting = False
+
+
+def _compare_service(
+    context: SoakContext, gateway: GatewayProcess, other: GatewayProcess
+) -> None:
+    served = {}
+    for one in (gateway, other):
+        statuses = [_read_status(one, "/read/x") for _ in range(COMPARED_READ_COUNT)]
+        served[one.address()] = statuses.count(HTTP_STATUS_OK)
+    count, other_count = served[gateway.address()], served[other.address()]
+    if (
+        count < SERVED_RATIO * other_count
+        and COMPARED_READ_COUNT - count > UNSERVED_ALLOWED
+    ):
+        context.broken.append(
+            f"a gateway cut from servers served {count} reads, another one "
+            f"{other_count}, of {COMPARED_READ_COUNT}"
+        )
+
+
+def _read_status(gateway: GatewayProcess, path: str) -> int | None:
+    headers = {"Host": ROUTES_HOST, "X-Request-Id": secrets.token_hex(8)}
+    headers["X-Deadline-Ms"] = "1000"
+    url = f"http://{gateway.address()}{path}"
+    # The gateway may be stopped or paused by another fault.
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        return urllib3.request(
+            "GET", url, headers=headers, timeout=1.0, retries=False
+        ).status
+    return None
+
+
 @register_fault("servers ended")
 def end_servers(context: SoakContext) -> None:
     """End several servers at once, with the requests that they run."""
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -10,6 +10,7 @@
 import fire
 
 from standins._program import FAULTS_PATH, Faults, answer_faults, serve_forever
+from standins._socket_owner import owner_pid
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
@@ -35,9 +36,16 @@
         # increase of reset_count resets the open connections; an increase of
         # silence_count makes them unresponsive for good, while new connections work.
         # is_down resets the open connections and each new one, as if the target's
-        # process had ended.
+        # process had ended. The connections of the processes in cut_pids are reset, or
+        # hang if cut_hangs is set.
         self.faults = Faults(
-            delay_s=0.0, held_way="", reset_count=0, silence_count=0, is_down=False
+            delay_s=0.0,
+            held_way="",
+            reset_count=0,
+            silence_count=0,
+            is_down=False,
+            cut_pids=[],
+            cut_hangs=False,
         )
         self._connections: set[_ProxiedConnection] = set()
 
@@ -66,6 +74,8 @@
                 connection.silence()
             if self.faults.is_down:
                 connection.reset()
+            if self.faults.cut_pids and connection.is_of(self.faults.cut_pids):
+                connection.silence() if self.faults.cut_hangs else connection.reset()
 
     def serve(self, listener: socket.socket) -> None:
         """Accept connections until the process ends."""
@@ -73,10 +83,18 @@
             caller, _ = listener.accept()
             eventlet.spawn(self._handle_connection, caller)
 
+    def _is_cut(self, caller: socket.socket) -> bool:
+        """Return whether a connection is to be reset, after it has hung if it is to."""
+        pids = self.faults.cut_pids
+        is_cut = bool(pids) and _is_of(caller, pids)
+        while is_cut and self.faults.cut_hangs and self.faults.cut_pids:
+            eventlet.sleep(POLL_S)
+        return is_cut
+
     def _handle_connection(self, caller: socket.socket) -> None:
         try:
-            if self.faults.is_down:
-                raise ConnectionResetError("the target counts as ended")
+            if self.faults.is_down or self._is_cut(caller):
+                raise ConnectionResetError("the target counts as out of reach")
             target = eventlet.connect(self._target)
         except OSError:
             # The caller sees a reset, as it would without the proxy.
@@ -141,11 +159,24 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
                 sock.close()
 
+    def is_of(self, pids: list[int]) -> bool:
+        """Return whether one of some processes has opened the connection."""
+        return _is_of(self._sockets[0], pids)
+
     def silence(self) -> None:
         """Drop all further bytes and keep both sides open."""
         self._is_silenced = True
 
 
+def _is_of(caller: socket.socket, pids: list[int]) -> bool:
+    try:
+        port, own_port = caller.getpeername()[1], caller.getsockname()[1]
+    except OSError:
+        # The connection has ended meanwhile.
+        return False
+    return owner_pid(port, own_port, pids) is not None
+
+
 def run(host: str, port: int, control_port: int, target: str) -> None:
     """Serve the proxy, and its fault switches on the control port."""
     proxy = FaultProxy(target)
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -214,6 +214,14 @@
         """Return a server's id and the start time of its last request."""
         return orjson.loads(urllib3.request("GET", f"http://{address}/self").data)
 
+    def cut_from_servers(
+        self, gateways: list[GatewayProcess], hangs: bool = False
+    ) -> None:
+        """Cut gateways off from all servers; an empty list ends the cut."""
+        pids = [gateway.process.pid for gateway in gateways]
+        for proxy in self.proxies[: 2 * SERVERS_PER_SERVICE]:
+            self.set_faults(proxy, cut_pids=pids, cut_hangs=hangs)
+
     def end_server(self, address: str) -> None:
         """End a server without warning; it starts again under another id."""
         urllib3.request("POST", f"http://{address}/end")
