--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -1,5 +1,6 @@
 """Gateway instances with peers' ports, between callers and raw backend servers."""
 
+import contextlib
 import socket
 import unittest.mock
 
@@ -119,7 +120,12 @@
 
     def replace_server(self, server_id):
         """End a server without warning and list a new one in its place."""
-        self.backends.pop(server_id).stop()
+        backend = self.backends.pop(server_id)
+        for sock in backend.open_sockets:
+            with contextlib.suppress(OSError):
+                # Requests that it is running break now.
+                sock.shutdown(socket.SHUT_RDWR)
+        backend.stop()
         entry = self._new_server()
         self.source.snapshot = [
             old
--- a/berylhaven/gateway/tests/test_crashing_requests.py
+++ b/berylhaven/gateway/tests/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 from berylhaven.gateway.tests._gateway_fleet import GatewayFleet
 from berylhaven.gateway.tests._gateway_path import READS
+from berylhaven.http1.tests._raw_backend import answer_ok
 
 CRASHING_PATH = "/read/crash"
 # Three servers may end before the request is recognised; three more sends are allowed.
@@ -31,7 +32,13 @@
                 self.replace_server(entry.server_id)
             return False
 
-        self.backends[entry.server_id].answers[CRASHING_PATH] = crash
+        def answer_slowly(sock, request):
+            eventlet.sleep(0.1)
+            answer_ok(sock, request)
+
+        answers = self.backends[entry.server_id].answers
+        answers[CRASHING_PATH] = crash
+        answers["/read/popular"] = answer_slowly
         return entry
 
 
@@ -92,10 +99,9 @@
 
         for backend in self.fleet.backends.values():
             backend.answers["/read/reset"] = reset
-        self._send_to_all(4, "/read/reset")
-        eventlet.sleep(0.3)
-        sent = [b.count_requests("/read/reset") for b in self.fleet.backends.values()]
-        self.assertGreaterEqual(sum(sent), 12)
+        statuses = self._send_to_all(REQUESTS_PER_INSTANCE, "/read/reset")
+        # Servers received each of them; a held request would be answered with 503.
+        self.assertEqual(set(statuses), {502})
 
     def test_a_popular_request_is_served_when_all_servers_have_ended_at_once(self):
         self._send_to_all(1, "/read/popular")
@@ -104,7 +110,7 @@
                 eventlet.spawn(self.fleet.exchange, index % 3, "/read/popular", "id")
                 for index in range(12)
             ]
-            eventlet.sleep(0)
+            eventlet.sleep(0.05)
             for server_id in list(self.fleet.backends):
                 self.fleet.replace_server(server_id)
             for thread in threads:
