Assemble the request path in a module of its own

What forwards requests is put together by RequestPath, from the parts that the components share; nothing else changes.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -10,47 +10,36 @@
 from berylhaven.clock import monotonic_s, sleep_s, wall_clock_ms
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._attempt_runner import AttemptRunner
 from berylhaven.gateway._callers_port import CallersPort
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._evidence_spread import EvidenceSpread
 from berylhaven.gateway._fleet_follower import FleetFollower
 from berylhaven.gateway._fleet_source import (
     FleetSource,
     FleetUpdate,
     SourceUnavailable,
 )
-from berylhaven.gateway._forwarder import Forwarder
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._instance_gauges import InstanceGauges
 from berylhaven.gateway._locate import Location, locate
 from berylhaven.gateway._member import Member
 from berylhaven.gateway._member_gossip import MemberGossip
 from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._peer_forwarder import PeerForwarder
-from berylhaven.gateway._reach_monitor import ReachMonitor
 from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
-from berylhaven.gateway._request_quarantine import RequestQuarantine
-from berylhaven.gateway._server_chooser import ServerChooser
-from berylhaven.gateway._server_end_check import ServerEndCheck
-from berylhaven.gateway._server_limits import ServerLimits
-from berylhaven.gateway._server_probe import ServerProber
-from berylhaven.gateway._server_signals import ServerSignals
+from berylhaven.gateway._request_path import (
+    ANSWER_HEAD_LIMIT_BYTES,
+    InstanceParts,
+    RequestPath,
+)
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._settings import GatewayInstanceSettings, GatewaySettings
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
-from berylhaven.quarantine import CrashEvidence
 
 # Backend servers close connections after ten idle seconds; this instance closes them
 # before that.
 SERVER_IDLE_LIMIT_S = 8.0
-# The most connections to another instance for requests that are passed on, and how long
-# they are kept idle.
-PEER_CONNECTIONS_LIMIT = 32
-PEER_IDLE_LIMIT_S = 2.0
 # Instances that are not known yet hold connections too.
 MIN_SHARER_COUNT = 16
 # Until gossip has had time to discover the other instances, the size of the largest
@@ -59,7 +48,6 @@
 DISCOVERY_S = 5.0
 # With fewer connections to a server, a probe and a request could not run concurrently.
 MIN_CONNECTIONS = 2
-ANSWER_HEAD_LIMIT_BYTES = 32_768
 WAIT_INTERVAL_S = 0.1
 # How often the settings file is read without a signal; it is small.
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -106,8 +94,6 @@
         "_port",
         "_members",
         "_gossip",
-        "_reach",
-        "_evidence",
         "_evidence_spread",
         "_threads",
         "_drain_began_at_s",
@@ -144,14 +130,23 @@
             self._random,
             SERVER_IDLE_LIMIT_S,
         )
-        self._evidence = CrashEvidence()
-        self._evidence_spread = EvidenceSpread(
-            self._evidence, self._members, self._random, event_log
-        )
-        self._reach = ReachMonitor(
-            self._table, self._members, self._random, event_log, self.metrics
+        path = RequestPath(
+            InstanceParts(
+                settings,
+                dialect,
+                self._routes,
+                self._table,
+                self._members,
+                self._random,
+                event_log,
+                self.metrics,
+            ),
+            pool,
+            self._sharer_count,
+            lambda count: self._gossip.notify_peers(count),
         )
-        self._forwarder = self._make_forwarder(pool, dialect)
+        self._forwarder = path.forwarder
+        self._evidence_spread = path.evidence_spread
         self._port = CallersPort(
             self._forwarder.answer,
             self._routes,
@@ -177,7 +172,6 @@
             event_log,
             self._evidence_spread.synchronise,
         )
-        self._reach.notify_peers = self._gossip.notify_peers
         InstanceGauges(
             self.metrics,
             self._routes,
@@ -192,65 +186,6 @@
         self._is_leaving = False
         self._started_at_s = monotonic_s()
 
-    def _make_forwarder(self, pool: ConnectionPool, dialect: Dialect) -> Forwarder:
-        limits = ServerLimits(self._sharer_count, self._random, self._event_log)
-        signals = ServerSignals(dialect, pool, limits, self._event_log)
-        prober = ServerProber(pool, signals, self.metrics, self._reach)
-        self._reach.check = lambda servers: prober.check(
-            servers, self._routes.service(servers[0].entry.service).health_path
-        )
-        chooser = ServerChooser(
-            self._settings.instance.data_centre,
-            self._table,
-            prober,
-            self._random,
-            lambda address: pool.counts(address).open_count > 0,
-        )
-        quarantine = RequestQuarantine(
-            self._evidence,
-            self._evidence_spread,
-            ServerEndCheck(pool, dialect),
-            self._event_log,
-            self._members,
-            self.metrics,
-        )
-        peers = PeerForwarder(
-            self._members,
-            ConnectionPool(
-                lambda address: PEER_CONNECTIONS_LIMIT,
-                ANSWER_HEAD_LIMIT_BYTES,
-                self._random,
-                PEER_IDLE_LIMIT_S,
-            ),
-            dialect,
-            self._random,
-            self._event_log,
-            self.metrics,
-        )
-        return Forwarder(
-            self._routes,
-            AttemptRunner(
-                chooser,
-                pool,
-                dialect,
-                signals,
-                self._random,
-                self._event_log,
-                self.metrics,
-                quarantine,
-                self._reach,
-            ),
-            dialect,
-            self._settings.retries.allowance,
-            self._sharer_count,
-            self._random,
-            self._event_log,
-            self.metrics,
-            quarantine,
-            self._reach,
-            peers,
-        )
-
     @property
     def is_ready(self) -> bool:
         """Whether the instance accepts callers."""
--- a/berylhaven/gateway/_reach_monitor.py
+++ b/berylhaven/gateway/_reach_monitor.py
@@ -1,6 +1,7 @@
 """Keeps track of the services whose servers do not answer this instance."""
 
 import zlib
+from collections.abc import Callable
 from random import Random
 
 import eventlet
@@ -9,6 +10,7 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway._server_record import ServerRecord
 from berylhaven.gateway._server_table import ServerTable
 from berylhaven.overload import Reach, ServiceReach
 
@@ -43,6 +45,8 @@
         Receives a line when a service gets out of reach, and when it is reached again.
     metrics : GatewayMetrics
         Has a gauge of the services that are out of reach.
+    notify_peers : callable
+        Tells a number of instances a change at once.
     """
 
     __slots__ = (
@@ -55,8 +59,8 @@
         "_states",
         "_checking",
         "_gauge",
+        "_notify_peers",
         "check",
-        "notify_peers",
     )
 
     def __init__(
@@ -66,6 +70,7 @@
         random: Random,
         event_log: EventLog,
         metrics: GatewayMetrics,
+        notify_peers: Callable[[int], None],
     ) -> None:
         self._table = table
         self._members = members
@@ -82,10 +87,9 @@
             "Services of which half of the servers or more do not answer.",
         )
         metrics.add_refresher(self._refresh)
-        # Queries the health of servers of a service; it records the results here.
-        self.check = lambda servers: None
-        # Tells the given number of instances a change at once.
-        self.notify_peers = lambda count: None
+        self._notify_peers = notify_peers
+        # Probes servers of one service, and records the results here; set once.
+        self.check: Callable[[list[ServerRecord]], None] = lambda servers: None
 
     def record_answer(self, service: str, server_id: str) -> None:
         """Record that a server answered a request or a probe."""
@@ -150,7 +154,7 @@
                 mask |= service_bit(name)
         if mask != self._members.own.unreached_mask:
             self._members.own.unreached_mask = mask
-            self.notify_peers(NOTIFIED_PEERS)
+            self._notify_peers(NOTIFIED_PEERS)
 
     def _check_repeatedly(self, service: str) -> None:
         """Check servers until the service is reached and none is silent."""
--- /dev/null
+++ b/berylhaven/gateway/_request_path.py
@@ -0,0 +1,157 @@
+"""Assembly of the components that forward requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from berylhaven.event_log import EventLog
+from berylhaven.gateway._active_routes import ActiveRoutes
+from berylhaven.gateway._attempt_runner import AttemptRunner
+from berylhaven.gateway._dialect import Dialect
+from berylhaven.gateway._evidence_spread import EvidenceSpread
+from berylhaven.gateway._forwarder import Forwarder
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway._peer_forwarder import PeerForwarder
+from berylhaven.gateway._reach_monitor import ReachMonitor
+from berylhaven.gateway._request_quarantine import RequestQuarantine
+from berylhaven.gateway._server_chooser import ServerChooser
+from berylhaven.gateway._server_end_check import ServerEndCheck
+from berylhaven.gateway._server_limits import ServerLimits
+from berylhaven.gateway._server_probe import ServerProber
+from berylhaven.gateway._server_signals import ServerSignals
+from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.http1 import ConnectionPool
+from berylhaven.quarantine import CrashEvidence
+
+ANSWER_HEAD_LIMIT_BYTES = 32_768
+# The most connections to another instance for requests that are passed on, and how long
+# they are kept idle.
+PEER_CONNECTIONS_LIMIT = 32
+PEER_IDLE_LIMIT_S = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceParts:
+    """What the components of an instance share."""
+
+    # The settings of the process.
+    settings: GatewaySettings
+    # The header names of the deployment.
+    dialect: Dialect
+    # The active configuration.
+    routes: ActiveRoutes
+    # The backend servers.
+    table: ServerTable
+    # The membership table.
+    members: MemberTable
+    # The source of random numbers.
+    random: Random
+    # The event log of the process.
+    event_log: EventLog
+    # The metrics of the instance.
+    metrics: GatewayMetrics
+
+
+class RequestPath:
+    """The forwarder of an instance, and what it shares with the other instances.
+
+    Parameters
+    ----------
+    parts : InstanceParts
+        What the components share.
+    pool : ConnectionPool
+        The connections to backend servers.
+    sharer_count : callable
+        Returns the number of instances that share budgets and servers' limits.
+    notify_peers : callable
+        Tells a number of instances at once what this one does not reach.
+    """
+
+    __slots__ = ("forwarder", "evidence_spread")
+
+    def __init__(
+        self,
+        parts: InstanceParts,
+        pool: ConnectionPool,
+        sharer_count: Callable[[], int],
+        notify_peers: Callable[[int], None],
+    ) -> None:
+        evidence = CrashEvidence()
+        # Tells crash evidence to other instances.
+        self.evidence_spread = EvidenceSpread(
+            evidence, parts.members, parts.random, parts.event_log
+        )
+        reach = ReachMonitor(
+            parts.table,
+            parts.members,
+            parts.random,
+            parts.event_log,
+            parts.metrics,
+            notify_peers,
+        )
+        limits = ServerLimits(sharer_count, parts.random, parts.event_log)
+        signals = ServerSignals(parts.dialect, pool, limits, parts.event_log)
+        prober = ServerProber(pool, signals, parts.metrics, reach)
+        # The prober records its results in the monitor, which has it probe servers.
+        reach.check = lambda servers: prober.check(
+            servers, parts.routes.service(servers[0].entry.service).health_path
+        )
+        quarantine = RequestQuarantine(
+            evidence,
+            self.evidence_spread,
+            ServerEndCheck(pool, parts.dialect),
+            parts.event_log,
+            parts.members,
+            parts.metrics,
+        )
+        chooser = ServerChooser(
+            parts.settings.instance.data_centre,
+            parts.table,
+            prober,
+            parts.random,
+            lambda address: pool.counts(address).open_count > 0,
+        )
+        runner = AttemptRunner(
+            chooser,
+            pool,
+            parts.dialect,
+            signals,
+            parts.random,
+            parts.event_log,
+            parts.metrics,
+            quarantine,
+            reach,
+        )
+        # Forwards requests of callers and of other instances.
+        self.forwarder = Forwarder(
+            parts.routes,
+            runner,
+            parts.dialect,
+            parts.settings.retries.allowance,
+            sharer_count,
+            parts.random,
+            parts.event_log,
+            parts.metrics,
+            quarantine,
+            reach,
+            _peer_forwarder(parts),
+        )
+
+
+def _peer_forwarder(parts: InstanceParts) -> PeerForwarder:
+    pool = ConnectionPool(
+        lambda address: PEER_CONNECTIONS_LIMIT,
+        ANSWER_HEAD_LIMIT_BYTES,
+        parts.random,
+        PEER_IDLE_LIMIT_S,
+    )
+    return PeerForwarder(
+        parts.members,
+        pool,
+        parts.dialect,
+        parts.random,
+        parts.event_log,
+        parts.metrics,
+    )
