Do not bring expired crash evidence back

Change: observations older than the retention time are not merged, and expired ones go before a message is read. The new test failed without the change.

--- a/berylhaven/gateway/_evidence_spread.py
+++ b/berylhaven/gateway/_evidence_spread.py
@@ -11,7 +11,7 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._evidence_codec import decode_observations, encode_observations
 from berylhaven.gateway._members import MemberTable
-from berylhaven.quarantine import CrashEvidence, Observation
+from berylhaven.quarantine import RETENTION_S, CrashEvidence, Observation
 
 EVIDENCE_PATH = "/v1/crashes"
 # The query by which a sender asks for the evidence of the receiver.
@@ -186,6 +186,11 @@
         ValueError
             If the message is malformed.
         """
-        for observation, occurred_at_s in decode_observations(body, monotonic_s()):
-            news = self._evidence.merge(observation, occurred_at_s)
-            self.push(news, occurred_at_s)
+        now_s = monotonic_s()
+        self._evidence.drop_expired(now_s)
+        for observation, occurred_at_s in decode_observations(body, now_s):
+            # An instance that expired it later must not bring it back.
+            if now_s - occurred_at_s < RETENTION_S:
+                news = self._evidence.merge(observation, occurred_at_s)
+                self.push(news, occurred_at_s)
+        self._members.own.evidence_digest = self._evidence.digest
--- a/berylhaven/gateway/tests/test_evidence_spread.py
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -7,7 +7,7 @@
 from berylhaven.gateway._evidence_spread import PUSH_INTERVAL_S, EvidenceSpread
 from berylhaven.gateway._member_codec import decode_members, encode_members
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
-from berylhaven.quarantine import Strike
+from berylhaven.quarantine import RETENTION_S, Strike
 
 # The platform's bound: later sends after the third end of a server count.
 SPREAD_LIMIT_S = 3.0
@@ -89,6 +89,25 @@
             fleet.run_for(5.0)
         exchange.assert_not_called()
 
+    def test_observations_expire_everywhere_and_are_not_brought_back(self):
+        fleet = GossipFleet(self.clock, 6)
+        fleet.run_for(10.0)
+        self.strike(fleet, ["a0:peers"])
+        fleet.push_evidence()
+        fleet.run_for(2.0)
+        self.clock.advance_s(RETENTION_S)
+        fleet.run_for(10.0)
+        # They are dropped when the next message is read.
+        self.strike(fleet, ["b1:peers"], "e" * 32)
+        fleet.push_evidence()
+        fleet.run_for(5.0)
+        kept = {
+            observation.fingerprint
+            for evidence in fleet.evidence.values()
+            for observation, _ in evidence.observations()
+        }
+        self.assertEqual(kept, {"e" * 32})
+
     def test_a_message_without_digest_is_read_and_one_with_digest_is_compatible(self):
         fleet = GossipFleet(self.clock, 2)
         own = fleet.gossips["a0:peers"]._members.own
--- a/berylhaven/quarantine/__init__.py
+++ b/berylhaven/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Decides which requests are no longer sent because servers end under them."""
 
 from berylhaven.quarantine._crash_evidence import (
+    RETENTION_S,
     Answered,
     CrashEvidence,
     Hold,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "FINGERPRINT_LENGTH",
+    "RETENTION_S",
     "Answered",
     "CrashEvidence",
     "Hold",
