Decide who tries a held request in a module without input and output

The choice stood among log lines and members in RequestQuarantine and had no test of its own. Tests: of 20 instances one tries, none before its time, again after 30 s only, any after 60 s.

--- a/berylhaven/gateway/_request_quarantine.py
+++ b/berylhaven/gateway/_request_quarantine.py
@@ -1,7 +1,5 @@
 """Holds requests under which servers end, by the evidence of all instances."""
 
-import zlib
-
 import eventlet
 
 from berylhaven.attempts import AttemptEnd
@@ -14,7 +12,7 @@
 from berylhaven.gateway._request import GatewayRequest
 from berylhaven.gateway._server_end_check import ServerEndCheck
 from berylhaven.gateway._server_record import ServerEntry, ServerRecord
-from berylhaven.quarantine import CrashEvidence, Hold, Strike
+from berylhaven.quarantine import CrashEvidence, Hold, Strike, Trials
 
 # Ends of attempts after which the server is checked: a connection broke while the
 # request was there.
@@ -26,10 +24,6 @@
     }
 )
 HTTP_STATUS_SERVER_ERROR = 500
-# One instance is chosen to try a held request; after this time any instance may.
-TRIAL_PERIOD_S = 60.0
-# The time between two trials of an instance whose result is not known.
-TRIAL_INTERVAL_S = 30.0
 
 
 class RequestQuarantine:
@@ -53,7 +47,7 @@
 
     __slots__ = (
         "_members",
-        "_tried_at_s",
+        "_trials",
         "_evidence",
         "_spread",
         "_check",
@@ -73,8 +67,7 @@
         metrics: GatewayMetrics,
     ) -> None:
         self._members = members
-        # When this instance last tried a held request, by fingerprint.
-        self._tried_at_s: dict[str, float] = {}
+        self._trials = Trials()
         self._evidence = evidence
         self._spread = spread
         self._check = check
@@ -107,9 +100,8 @@
         """
         now_s = monotonic_s()
         hold = self._evidence.hold(request.fingerprint, now_s)
-        if hold is None or not self._may_try(request.fingerprint, hold, now_s):
+        if hold is None or not self._try_start(request.fingerprint, hold, now_s):
             return hold
-        self._tried_at_s[request.fingerprint] = now_s
         self._event_log.write_failure(
             "quarantine",
             "held request tried",
@@ -120,25 +112,11 @@
         )
         return None
 
-    def _may_try(self, fingerprint: str, hold: Hold, now_s: float) -> bool:
-        if hold.remaining_s > 0:
-            return False
-        for other, tried_at_s in list(self._tried_at_s.items()):
-            if now_s - tried_at_s > TRIAL_INTERVAL_S:
-                del self._tried_at_s[other]
-        if fingerprint in self._tried_at_s:
-            return False
-        return -hold.remaining_s > TRIAL_PERIOD_S or self._is_chosen(fingerprint)
-
-    def _is_chosen(self, fingerprint: str) -> bool:
-        """Return whether this instance tries a request; instances mostly agree."""
+    def _try_start(self, fingerprint: str, hold: Hold, now_s: float) -> bool:
         own = self._members.own
-        ready = [own, *self._members.ready(monotonic_s())]
-        return own is max(
-            ready,
-            key=lambda member: zlib.crc32(
-                f"{fingerprint}{member.peers_address}".encode()
-            ),
+        ready = [member.peers_address for member in self._members.ready(now_s)]
+        return self._trials.try_start(
+            fingerprint, hold, own.peers_address, ready, now_s
         )
 
     def is_held(self, request: GatewayRequest) -> bool:
--- a/berylhaven/quarantine/__init__.py
+++ b/berylhaven/quarantine/__init__.py
@@ -12,6 +12,7 @@
     FINGERPRINT_LENGTH,
     request_fingerprint,
 )
+from berylhaven.quarantine._trials import Trials
 
 __all__ = [
     "FINGERPRINT_LENGTH",
@@ -21,5 +22,6 @@
     "Hold",
     "Observation",
     "Strike",
+    "Trials",
     "request_fingerprint",
 ]
