--- a/bench/gateway_soak/tests/test_gateway_soak.py
+++ b/bench/gateway_soak/tests/test_gateway_soak.py
@@ -15,6 +15,16 @@
         self.assertGreater(sum(report.answers.values()), 100)
         self.assertEqual(report.broken, {})
 
+    def test_a_cut_by_resets_of_accepted_connections_is_noticed(self):
+        # Only connections that could not be opened counted as silence of a server.
+        report = run_soak(4.0, seed=2811, kinds=("gateway cut from servers",))
+        self.assertEqual(report.broken, {})
+
+    def test_popular_requests_are_served_again_after_servers_ended_all_the_time(self):
+        # Nothing cleared a held request, and requests with the same ends were all held.
+        report = run_soak(4.0, seed=5, kinds=("servers ended",))
+        self.assertEqual(report.broken, {})
+
     def test_servers_that_falsely_report_requests_as_not_run_are_detected(self):
         @register_fault("lies")
         def falsely_report_not_run(context: SoakContext) -> None:
