Contact instances that were known when no other answers

Cause, by its log: the only seed was killed for 3.5 s, the third gateway restarted meanwhile and knew the seed alone; the cut one found it unreachable once and from then on contacted only the seed. Neither found the other until the seed was back.

Change: an instance without a live peer contacts the instances that it has known besides the seeds. The new test failed before: two instances that are no seeds find each other again while all seeds are off.

--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/_member_gossip.py
@@ -130,9 +130,12 @@
             if self._exchange_count % SEED_EXCHANGE_EVERY != 1:
                 return peer.peers_address
             seeds = [s for s in seeds if is_relay or self._members.is_local(s)]
+        peer = peer or self._members.random_peer(self._random, now_s, not is_local_peer)
+        if peer is None:
+            # One that has started again may know only seeds that are off.
+            seeds = [*seeds, *self._members.addresses()]
         if seeds:
             return self._random.choice(seeds)
-        peer = peer or self._members.random_peer(self._random, now_s, not is_local_peer)
         return peer.peers_address if peer else None
 
     def _exchange(self, address: str) -> None:
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/_members.py
@@ -233,6 +233,10 @@
         """Return whether an instance is known to be in this data centre."""
         return self.data_centre(peers_address) == self.own.data_centre
 
+    def addresses(self) -> list[str]:
+        """Return the peers' addresses of the other instances, live or not."""
+        return list(self._others)
+
     def has_host(self, host: str) -> bool:
         """Return whether another instance has its peers' port on a host."""
         return any(address.rpartition(":")[0] == host for address in self._others)
--- a/berylhaven/gateway/tests/test_member_loss.py
+++ b/berylhaven/gateway/tests/test_member_loss.py
@@ -32,6 +32,16 @@
         fleet.run_for(NAMED_LIMIT_S)
         self.assert_not_named_for(fleet, "b5:peers", 80.0)
 
+    def test_instances_find_each_other_again_while_all_seeds_are_off(self):
+        fleet = self.fleet(5)
+        for address in ("a0:peers", "b0:peers", "c0:peers", "b1:peers"):
+            fleet.stop(address)
+        fleet.run_for(NAMED_LIMIT_S)
+        fleet.start("b1:peers", incarnation=2)
+        fleet.run_for(NAMED_LIMIT_S)
+        self.assertEqual(fleet.naming("b1:peers"), ["a1:peers", "b1:peers"])
+        self.assertEqual(fleet.naming("a1:peers"), ["a1:peers", "b1:peers"])
+
     def test_most_instances_without_power_are_not_named_by_the_others(self):
         fleet = self.fleet(20)
         stopped = list(fleet.gossips)[5:]
