Compare a cut gateway with one that no fault acted on for three seconds

The rule counts machines that were in touch for three seconds only, and before that two instances may not know each other, so that nothing can be passed on.

--- a/bench/gateway_soak/_faults.py
+++ b/bench/gateway_soak/_faults.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -46,6 +47,8 @@
     source: random.Random
     # Indexes of gateways that a fault is acting on, so that no other fault does.
     disturbed_gateways: set[int] = field(default_factory=set)
+    # When the last fault that acted on a gateway ended, by index.
+    calm_since_s: dict[int, float] = field(default_factory=dict)
     # Descriptions of broken guarantees that the faults detected.
     broken: list[str] = field(default_factory=list)
     # Whether a gateway is cut off from the servers.
@@ -66,6 +69,12 @@
         service = self.source.choice((READS, ORDERS))
         return self.source.choice(self.fleet.servers[service])
 
+    def is_calm(self, index: int, duration_s: float) -> bool:
+        """Return whether no fault has acted on a gateway for a time."""
+        if index in self.disturbed_gateways:
+            return False
+        return time.monotonic() - self.calm_since_s.get(index, 0.0) >= duration_s
+
     def next_count(self, proxy: str, name: str) -> int:
         """Increment a counter of a proxy and return its new value."""
         key = (proxy, name)
@@ -102,6 +111,7 @@
             act(context, context.fleet.gateways[index])
         finally:
             context.disturbed_gateways.discard(index)
+            context.calm_since_s[index] = time.monotonic()
 
     return fault
 
@@ -229,7 +239,7 @@
         others = [
             other
             for index, other in enumerate(context.fleet.gateways)
-            if index not in context.disturbed_gateways
+            if context.is_calm(index, CUT_DETECTION_S)
         ]
         if others:
             _compare_service(context, gateway, context.source.choice(others))
