Move the gateway's modules into rooms for each step of a request

44 modules in one package hid which step a module belongs to, and imports went both ways. The modules are moved unchanged into callers, requests, servers, members and store; shared values stay beside them.

--- a/berylhaven/gateway/__init__.py
+++ b/berylhaven/gateway/__init__.py
@@ -1,20 +1,9 @@
 """The gateway: forwards requests by route to the backend servers that a store lists."""
 
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._fleet_source import (
-    Change,
-    FleetSource,
-    FleetUpdate,
-    HistoryGone,
-    InvalidEntry,
-    ServerRemoved,
-    SourceUnavailable,
-)
 from berylhaven.gateway._gateway_instance import GatewayInstance
 from berylhaven.gateway._gateway_metrics import GatewayMetrics, MetricsApplication
-from berylhaven.gateway._locate import Location
 from berylhaven.gateway._peers_application import PeersApplication
-from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._settings import (
     GatewaySettings,
     InvalidGatewaySettings,
@@ -23,6 +12,17 @@
 )
 from berylhaven.gateway._settings_file import SettingsFile, load_gateway_settings
 from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway.members._locate import Location
+from berylhaven.gateway.servers._server_record import ServerEntry
+from berylhaven.gateway.store._fleet_source import (
+    Change,
+    FleetSource,
+    FleetUpdate,
+    HistoryGone,
+    InvalidEntry,
+    ServerRemoved,
+    SourceUnavailable,
+)
 
 __all__ = [
     "Change",
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -10,31 +10,34 @@
 from berylhaven.clock import monotonic_s, sleep_s, wall_clock_ms
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._callers_port import CallersPort
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._fleet_follower import FleetFollower
-from berylhaven.gateway._fleet_source import (
-    FleetSource,
-    FleetUpdate,
-    SourceUnavailable,
-)
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._instance_gauges import InstanceGauges
-from berylhaven.gateway._locate import Location, locate
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._member_gossip import MemberGossip
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._relayed_source import STORE_ANSWER_AGE_LIMIT_S, RelayedSource
 from berylhaven.gateway._request_path import (
     ANSWER_HEAD_LIMIT_BYTES,
     InstanceParts,
     RequestPath,
 )
-from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._settings import GatewayInstanceSettings, GatewaySettings
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.members._locate import Location, locate
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._member_gossip import MemberGossip
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_table import ServerTable
+from berylhaven.gateway.store._fleet_follower import FleetFollower
+from berylhaven.gateway.store._fleet_source import (
+    FleetSource,
+    FleetUpdate,
+    SourceUnavailable,
+)
+from berylhaven.gateway.store._relayed_source import (
+    STORE_ANSWER_AGE_LIMIT_S,
+    RelayedSource,
+)
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
 
 # Backend servers close connections after ten idle seconds; this instance closes them
--- a/berylhaven/gateway/_instance_gauges.py
+++ b/berylhaven/gateway/_instance_gauges.py
@@ -5,12 +5,12 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._callers_port import CallersPort
 from berylhaven.gateway._gateway_metrics import NO_LABELS, GatewayMetrics
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.gateway._server_table import ServerTable
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.gateway.servers._server_table import ServerTable
+from berylhaven.gateway.store._update_log import UpdateLog
 
 
 class InstanceGauges:
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
-from berylhaven.gateway._evidence_spread import EVIDENCE_PATH, EVIDENCE_QUERY
-from berylhaven.gateway._fleet_source import HistoryGone, SourceUnavailable
 from berylhaven.gateway._gateway_instance import GatewayInstance
-from berylhaven.gateway._member_codec import COMPRESSION_LEVEL
-from berylhaven.gateway._member_gossip import GOSSIP_PATH
-from berylhaven.gateway._relayed_source import UPDATE_ENCODING, UPDATES_PATH
 from berylhaven.gateway._store_revision import StoreRevision
-from berylhaven.gateway._update_codec import encode_update
+from berylhaven.gateway.members._evidence_spread import EVIDENCE_PATH, EVIDENCE_QUERY
+from berylhaven.gateway.members._member_codec import COMPRESSION_LEVEL
+from berylhaven.gateway.members._member_gossip import GOSSIP_PATH
+from berylhaven.gateway.store._fleet_source import HistoryGone, SourceUnavailable
+from berylhaven.gateway.store._relayed_source import UPDATE_ENCODING, UPDATES_PATH
+from berylhaven.gateway.store._update_codec import encode_update
 from berylhaven.http1 import answer_bytes, answer_status
 
 MESSAGE_LIMIT_BYTES = 1_000_000
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -6,22 +6,22 @@
 
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._attempt_runner import AttemptRunner
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._evidence_spread import EvidenceSpread
-from berylhaven.gateway._forwarder import Forwarder
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._peer_forwarder import PeerForwarder
-from berylhaven.gateway._reach_monitor import ReachMonitor
-from berylhaven.gateway._request_quarantine import RequestQuarantine
-from berylhaven.gateway._server_chooser import ServerChooser
-from berylhaven.gateway._server_end_check import ServerEndCheck
-from berylhaven.gateway._server_limits import ServerLimits
-from berylhaven.gateway._server_probe import ServerProber
-from berylhaven.gateway._server_signals import ServerSignals
-from berylhaven.gateway._server_table import ServerTable
 from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.gateway.members._evidence_spread import EvidenceSpread
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.requests._attempt_runner import AttemptRunner
+from berylhaven.gateway.requests._forwarder import Forwarder
+from berylhaven.gateway.requests._peer_forwarder import PeerForwarder
+from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
+from berylhaven.gateway.servers._reach_monitor import ReachMonitor
+from berylhaven.gateway.servers._server_chooser import ServerChooser
+from berylhaven.gateway.servers._server_end_check import ServerEndCheck
+from berylhaven.gateway.servers._server_limits import ServerLimits
+from berylhaven.gateway.servers._server_probe import ServerProber
+from berylhaven.gateway.servers._server_signals import ServerSignals
+from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.http1 import ConnectionPool
 from berylhaven.quarantine import CrashEvidence
 
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from berylhaven.gateway._shared_retry_budget import RetryAllowance
+from berylhaven.gateway.requests._shared_retry_budget import RetryAllowance
 from berylhaven.ini import Field, parse_sections
 
 
--- a/berylhaven/gateway/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -11,8 +11,12 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
-from berylhaven.gateway._passed_on import passed_on_attempt_limit
-from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
+from berylhaven.gateway.callers._passed_on import passed_on_attempt_limit
+from berylhaven.gateway.callers._request import (
+    GatewayAnswer,
+    GatewayRequest,
+    error_answer,
+)
 from berylhaven.http1 import (
     CONTINUE_LINE,
     END_OF_HEAD,
@@ -24,7 +28,7 @@
 from berylhaven.results import BadRequestHead, CallRefused, HeadTooLarge, SenderTooSlow
 
 if TYPE_CHECKING:
-    from berylhaven.gateway._callers_port import CallersPort
+    from berylhaven.gateway.callers._callers_port import CallersPort
 
 REQUEST_LINE = re.compile(
     rb"(?P<method>[A-Za-z0-9!#$%&'*+.^_`|~-]{1,32}) "
--- a/berylhaven/gateway/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -10,9 +10,13 @@
 
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._caller_connection import CallerConnection
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
+from berylhaven.gateway.callers._caller_connection import CallerConnection
+from berylhaven.gateway.callers._request import (
+    GatewayAnswer,
+    GatewayRequest,
+    error_answer,
+)
 from berylhaven.http1 import serve
 from berylhaven.routes import CallerLimits
 
--- a/berylhaven/gateway/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from berylhaven.gateway._answer_memory import Reservation
+from berylhaven.gateway.callers._answer_memory import Reservation
 from berylhaven.http1 import HeadFields, RequestBody
 
 
--- a/berylhaven/gateway/_evidence_codec.py
+++ b/berylhaven/gateway/members/_evidence_codec.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from berylhaven.gateway._member_codec import COMPRESSION_LEVEL, decompress
+from berylhaven.gateway.members._member_codec import COMPRESSION_LEVEL, decompress
 from berylhaven.quarantine import FINGERPRINT_LENGTH, Answered, Observation, Strike
 
 # The unit of the ages in a message.
--- a/berylhaven/gateway/_evidence_spread.py
+++ b/berylhaven/gateway/members/_evidence_spread.py
@@ -9,8 +9,11 @@
 
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._evidence_codec import decode_observations, encode_observations
-from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway.members._evidence_codec import (
+    decode_observations,
+    encode_observations,
+)
+from berylhaven.gateway.members._members import MemberTable
 from berylhaven.quarantine import RETENTION_S, CrashEvidence, Observation
 
 EVIDENCE_PATH = "/v1/crashes"
--- a/berylhaven/gateway/_locate.py
+++ b/berylhaven/gateway/members/_locate.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from berylhaven.gateway._member import Member
+from berylhaven.gateway.members._member import Member
 
 # Callers use at most this many addresses.
 ADDRESSES_LIMIT = 64
--- a/berylhaven/gateway/_member_codec.py
+++ b/berylhaven/gateway/members/_member_codec.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from berylhaven.gateway._member import Member, decode_row
+from berylhaven.gateway.members._member import Member, decode_row
 
 # The fastest level; it suffices, since the rows of a data centre differ in few bytes.
 COMPRESSION_LEVEL = 1
--- a/berylhaven/gateway/_member_gossip.py
+++ b/berylhaven/gateway/members/_member_gossip.py
@@ -8,9 +8,9 @@
 
 from berylhaven.clock import PauseWatch, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._member_codec import decode_members, encode_members
-from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._member_codec import decode_members, encode_members
+from berylhaven.gateway.members._members import MemberTable
 
 GOSSIP_PATH = "/v1/members"
 # The interval between the exchanges of an instance.
--- a/berylhaven/gateway/_members.py
+++ b/berylhaven/gateway/members/_members.py
@@ -3,8 +3,8 @@
 import zlib
 from random import Random
 
-from berylhaven.gateway._member import Member
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
+from berylhaven.gateway.members._member import Member
 
 # An instance of this data centre whose heartbeat is older counts as unresponsive.
 LOCAL_UNRESPONSIVE_AFTER_S = 4.5
--- a/berylhaven/gateway/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -9,20 +9,20 @@
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._attempt_runner import (
+from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.requests._attempt_runner import (
     AttemptResult,
     AttemptRunner,
     NoServerAvailable,
     may_have_run,
 )
-from berylhaven.gateway._finish_estimate import expected_finish_s
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._peer_forwarder import PeerForwarder, PeerRefused
-from berylhaven.gateway._reach_monitor import ReachMonitor
-from berylhaven.gateway._request import GatewayRequest
-from berylhaven.gateway._request_quarantine import RequestQuarantine
-from berylhaven.gateway._server_chooser import ChoiceRequest
-from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway.requests._peer_forwarder import PeerForwarder, PeerRefused
+from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
+from berylhaven.gateway.servers._finish_estimate import expected_finish_s
+from berylhaven.gateway.servers._reach_monitor import ReachMonitor
+from berylhaven.gateway.servers._server_chooser import ChoiceRequest
+from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.overload import Reach
 
 # A hedge is sent when the answer takes longer than the estimate times this factor.
--- a/berylhaven/gateway/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -7,17 +7,21 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._answer_memory import AnswerMemory
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._reach_monitor import ReachMonitor
-from berylhaven.gateway._request import GatewayRequest
-from berylhaven.gateway._request_quarantine import RequestQuarantine
-from berylhaven.gateway._sent_request import SentRequest
-from berylhaven.gateway._server_chooser import Choice, ChoiceRequest, ServerChooser
-from berylhaven.gateway._server_exchange import ServerAnswer, exchange
-from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.gateway._server_signals import ServerSignals
+from berylhaven.gateway.callers._answer_memory import AnswerMemory
+from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
+from berylhaven.gateway.requests._sent_request import SentRequest
+from berylhaven.gateway.servers._reach_monitor import ReachMonitor
+from berylhaven.gateway.servers._server_chooser import (
+    Choice,
+    ChoiceRequest,
+    ServerChooser,
+)
+from berylhaven.gateway.servers._server_exchange import ServerAnswer, exchange
+from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.gateway.servers._server_signals import ServerSignals
 from berylhaven.http1 import ConnectionPool
 from berylhaven.overload import (
     StartDecision,
--- a/berylhaven/gateway/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -8,18 +8,25 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._attempt_coordinator import AttemptCoordinator
-from berylhaven.gateway._attempt_runner import AttemptRunner
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._finish_estimate import INITIAL_WORK_RATIO, RouteWork
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._passed_on import ANSWERED, NOT_RUN, OUTCOME
-from berylhaven.gateway._peer_forwarder import PeerForwarder
-from berylhaven.gateway._reach_monitor import ReachMonitor
-from berylhaven.gateway._request import GatewayAnswer, GatewayRequest, error_answer
-from berylhaven.gateway._request_quarantine import RequestQuarantine
-from berylhaven.gateway._server_chooser import ChoiceRequest
-from berylhaven.gateway._shared_retry_budget import RetryAllowance, SharedRetryBudget
+from berylhaven.gateway.callers._passed_on import ANSWERED, NOT_RUN, OUTCOME
+from berylhaven.gateway.callers._request import (
+    GatewayAnswer,
+    GatewayRequest,
+    error_answer,
+)
+from berylhaven.gateway.requests._attempt_coordinator import AttemptCoordinator
+from berylhaven.gateway.requests._attempt_runner import AttemptRunner
+from berylhaven.gateway.requests._peer_forwarder import PeerForwarder
+from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
+from berylhaven.gateway.requests._shared_retry_budget import (
+    RetryAllowance,
+    SharedRetryBudget,
+)
+from berylhaven.gateway.servers._finish_estimate import INITIAL_WORK_RATIO, RouteWork
+from berylhaven.gateway.servers._reach_monitor import ReachMonitor
+from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.http1 import end_to_end_headers
 from berylhaven.overload import Crowding, wait_limit_s
 from berylhaven.quarantine import Hold, request_fingerprint
--- a/berylhaven/gateway/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -11,15 +11,20 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._answer_memory import AnswerMemory
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._passed_on import ANSWERED, NOT_RUN, OUTCOME, PeerDialect
-from berylhaven.gateway._reach_monitor import service_bit
-from berylhaven.gateway._request import GatewayRequest
-from berylhaven.gateway._server_exchange import ServerAnswer, exchange
+from berylhaven.gateway.callers._answer_memory import AnswerMemory
+from berylhaven.gateway.callers._passed_on import (
+    ANSWERED,
+    NOT_RUN,
+    OUTCOME,
+    PeerDialect,
+)
+from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._reach_monitor import service_bit
+from berylhaven.gateway.servers._server_exchange import ServerAnswer, exchange
 from berylhaven.http1 import RETRY_AFTER, ConnectionPool, parse_retry_after_s
 
 # The time that the way to the other instance and back takes, in seconds.
--- a/berylhaven/gateway/_request_quarantine.py
+++ b/berylhaven/gateway/requests/_request_quarantine.py
@@ -5,13 +5,13 @@
 from berylhaven.attempts import AttemptEnd
 from berylhaven.clock import monotonic_s, wall_clock_ms
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._evidence_codec import TEXT_LIMIT
-from berylhaven.gateway._evidence_spread import EvidenceSpread
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._request import GatewayRequest
-from berylhaven.gateway._server_end_check import ServerEndCheck
-from berylhaven.gateway._server_record import ServerEntry, ServerRecord
+from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.members._evidence_codec import TEXT_LIMIT
+from berylhaven.gateway.members._evidence_spread import EvidenceSpread
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_end_check import ServerEndCheck
+from berylhaven.gateway.servers._server_record import ServerEntry, ServerRecord
 from berylhaven.quarantine import CrashEvidence, Hold, Strike, Trials
 
 # Ends of attempts after which the server is checked: a connection broke while the
--- a/berylhaven/gateway/_sent_request.py
+++ b/berylhaven/gateway/requests/_sent_request.py
@@ -1,14 +1,14 @@
 """The estimates of a request when it was sent, and what its answer teaches."""
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._finish_estimate import (
+from berylhaven.gateway.servers._finish_estimate import (
     MEAN_SLOWNESS_RATIO,
     RouteWork,
     expected_finish_s,
     slowness_ratio,
     uncrowded_run_s,
 )
-from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway.servers._server_record import ServerRecord
 
 
 class SentRequest:
--- a/berylhaven/gateway/_finish_estimate.py
+++ b/berylhaven/gateway/servers/_finish_estimate.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.overload import Crowding, is_crowded
 
 # The assumed work of a request before the first answer, relative to its objective.
--- a/berylhaven/gateway/_reach_monitor.py
+++ b/berylhaven/gateway/servers/_reach_monitor.py
@@ -9,9 +9,9 @@
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.overload import Reach, ServiceReach
 
 # The interval of the checks while servers of a service are silent.
--- a/berylhaven/gateway/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -5,15 +5,15 @@
 from random import Random
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._finish_estimate import (
+from berylhaven.gateway.servers._finish_estimate import (
     RouteWork,
     expected_finish_s,
     expected_utility,
     remote_cost,
 )
-from berylhaven.gateway._server_probe import ServerProber
-from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway.servers._server_probe import ServerProber
+from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.overload import (
     StartDecision,
     StartOutlook,
--- a/berylhaven/gateway/_server_end_check.py
+++ b/berylhaven/gateway/servers/_server_end_check.py
@@ -5,8 +5,8 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import sleep_s
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
-from berylhaven.gateway._server_record import ServerEntry
+from berylhaven.gateway.servers._server_exchange import CONNECT_TIMEOUT_S
+from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.http1 import (
     CONNECTION_ERRORS,
     MALFORMED_ANSWER_ERRORS,
--- a/berylhaven/gateway/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -7,9 +7,9 @@
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._answer_memory import AnswerMemory, Reservation
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._request import GatewayRequest
+from berylhaven.gateway.callers._answer_memory import AnswerMemory, Reservation
+from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.http1 import (
     CALLER_ERROR_ENDS,
     CONNECTION_ERRORS,
--- a/berylhaven/gateway/_server_limits.py
+++ b/berylhaven/gateway/servers/_server_limits.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.overload import LimitShare, parse_limit_per_s, turn_interval_s
 
 
--- a/berylhaven/gateway/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -7,10 +7,10 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._reach_monitor import ReachMonitor
-from berylhaven.gateway._server_exchange import CONNECT_TIMEOUT_S
-from berylhaven.gateway._server_record import ServerRecord
-from berylhaven.gateway._server_signals import ServerSignals
+from berylhaven.gateway.servers._reach_monitor import ReachMonitor
+from berylhaven.gateway.servers._server_exchange import CONNECT_TIMEOUT_S
+from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.gateway.servers._server_signals import ServerSignals
 from berylhaven.http1 import (
     CONNECTION_ERRORS,
     AnswerBodyError,
--- a/berylhaven/gateway/_server_signals.py
+++ b/berylhaven/gateway/servers/_server_signals.py
@@ -3,8 +3,8 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway._server_limits import ServerLimits
-from berylhaven.gateway._server_record import ServerRecord
+from berylhaven.gateway.servers._server_limits import ServerLimits
+from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.http1 import (
     RETRY_AFTER,
     ConnectionPool,
--- a/berylhaven/gateway/_server_table.py
+++ b/berylhaven/gateway/servers/_server_table.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from berylhaven.gateway._server_record import ServerEntry, ServerRecord
+from berylhaven.gateway.servers._server_record import ServerEntry, ServerRecord
 
 # How long a removed server is not used after a restored copy of the store lists it
 # again: the entry of a run that has ended expires within this time.
--- /dev/null
+++ b/berylhaven/gateway/store/__init__.py
@@ -0,0 +1,5 @@
+"""Following the store.
+
+Updates of the store and of relays enter; routes, backend servers and updates for peers
+leave.
+"""
--- a/berylhaven/gateway/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -5,7 +5,11 @@
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._fleet_source import (
+from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_record import ServerEntry
+from berylhaven.gateway.servers._server_table import ServerTable
+from berylhaven.gateway.store._fleet_source import (
     Change,
     FleetUpdate,
     HistoryGone,
@@ -14,13 +18,9 @@
     SourceUnavailable,
     without_superseded,
 )
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._relayed_source import RelayedSource
-from berylhaven.gateway._server_record import ServerEntry
-from berylhaven.gateway._server_table import ServerTable
-from berylhaven.gateway._store_outages import StoreOutages
-from berylhaven.gateway._store_revision import StoreRevision
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.store._relayed_source import RelayedSource
+from berylhaven.gateway.store._store_outages import StoreOutages
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
 from berylhaven.routes import RoutingConfiguration
 
--- a/berylhaven/gateway/_fleet_source.py
+++ b/berylhaven/gateway/store/_fleet_source.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from berylhaven.gateway._server_record import ServerEntry
 from berylhaven.gateway._settings import StoreSettings
 from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.routes import RoutingConfiguration
 
 
--- a/berylhaven/gateway/_relayed_source.py
+++ b/berylhaven/gateway/store/_relayed_source.py
@@ -7,18 +7,18 @@
 import urllib3
 
 from berylhaven.clock import monotonic_s, sleep_s
-from berylhaven.gateway._fleet_source import (
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._members import MemberTable, rank
+from berylhaven.gateway.store._fleet_source import (
     FleetSource,
     FleetUpdate,
     HistoryGone,
     SourceUnavailable,
 )
-from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import MemberTable, rank
-from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
-from berylhaven.gateway._update_codec import decode_update
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.store._update_codec import decode_update
+from berylhaven.gateway.store._update_log import UpdateLog
 
 UPDATES_PATH = "/v1/news"
 # A relay sends each configuration to its whole data centre, over a link that may be
--- a/berylhaven/gateway/_store_outages.py
+++ b/berylhaven/gateway/store/_store_outages.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._member import Member
+from berylhaven.gateway.members._member import Member
 
 # An outage counts as local only if a peer has had answers of the store since at least
 # this time before the outage was detected here, since the peer may detect it later.
--- a/berylhaven/gateway/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -5,14 +5,14 @@
 
 import orjson
 
-from berylhaven.gateway._fleet_source import (
+from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway.servers._server_record import ServerEntry
+from berylhaven.gateway.store._fleet_source import (
     Change,
     FleetUpdate,
     InvalidEntry,
     ServerRemoved,
 )
-from berylhaven.gateway._server_record import ServerEntry
-from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.routes import (
     CallerLimits,
     RequestKind,
--- a/berylhaven/gateway/_update_log.py
+++ b/berylhaven/gateway/store/_update_log.py
@@ -6,12 +6,12 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._fleet_source import (
+from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway.store._fleet_source import (
     FleetUpdate,
     HistoryGone,
     without_superseded,
 )
-from berylhaven.gateway._store_revision import StoreRevision
 
 # Updates that are kept; a peer that is further behind reads a snapshot.
 UPDATES_LIMIT = 200
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -8,17 +8,17 @@
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._evidence_spread import (
+from berylhaven.gateway.members._evidence_spread import (
     EVIDENCE_PATH,
     EVIDENCE_QUERY,
     EvidenceSpread,
 )
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._member_gossip import (
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._member_gossip import (
     GOSSIP_INTERVAL_S,
     MemberGossip,
 )
-from berylhaven.gateway._members import MemberTable
+from berylhaven.gateway.members._members import MemberTable
 from berylhaven.quarantine import CrashEvidence
 
 DATA_CENTRES = ("a", "b", "c")
--- a/berylhaven/gateway/tests/test_answer_memory.py
+++ b/berylhaven/gateway/tests/test_answer_memory.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylhaven.gateway._answer_memory import (
+from berylhaven.gateway.callers._answer_memory import (
     SMALL_ANSWER_BYTES,
     AnswerMemory,
 )
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -4,9 +4,9 @@
 
 import eventlet
 
-from berylhaven.gateway._attempt_runner import FULL_SERVER_BACKOFF_S
-from berylhaven.gateway._fleet_follower import WATCH_PAUSE_S
-from berylhaven.gateway._server_probe import FRESH_REPORT_S
+from berylhaven.gateway.requests._attempt_runner import FULL_SERVER_BACKOFF_S
+from berylhaven.gateway.servers._server_probe import FRESH_REPORT_S
+from berylhaven.gateway.store._fleet_follower import WATCH_PAUSE_S
 from berylhaven.gateway.tests._gateway_path import (
     HEALTH_PATH,
     ORDERS,
--- a/berylhaven/gateway/tests/test_evidence_spread.py
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -4,8 +4,8 @@
 import unittest.mock
 
 from berylhaven.clock import ManualClock, monotonic_s
-from berylhaven.gateway._evidence_spread import PUSH_INTERVAL_S, EvidenceSpread
-from berylhaven.gateway._member_codec import decode_members, encode_members
+from berylhaven.gateway.members._evidence_spread import PUSH_INTERVAL_S, EvidenceSpread
+from berylhaven.gateway.members._member_codec import decode_members, encode_members
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
 from berylhaven.quarantine import RETENTION_S, Strike
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -17,18 +17,18 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._fleet_follower import (
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_table import ServerTable
+from berylhaven.gateway.store._fleet_follower import (
     FIRST_WATCH_DELAY_LIMIT_S,
     FleetFollower,
 )
-from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._relayed_source import RelayedSource
-from berylhaven.gateway._server_table import ServerTable
-from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
-from berylhaven.gateway._update_codec import decode_update, encode_update
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.store._relayed_source import RelayedSource
+from berylhaven.gateway.store._store_outages import EXPIRED_ENTRY_GRACE_S
+from berylhaven.gateway.store._update_codec import decode_update, encode_update
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import FakeSource, at, configuration
 from berylhaven.http1 import ConnectionPool
 
--- a/berylhaven/gateway/tests/test_member_loss.py
+++ b/berylhaven/gateway/tests/test_member_loss.py
@@ -3,7 +3,7 @@
 import unittest
 
 from berylhaven.clock import ManualClock
-from berylhaven.gateway._member_gossip import GOSSIP_INTERVAL_S
+from berylhaven.gateway.members._member_gossip import GOSSIP_INTERVAL_S
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
 
 # Callers must not be sent to an instance that has been off for longer.
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -11,15 +11,15 @@
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._locate import locate
-from berylhaven.gateway._member import Member, decode_row
-from berylhaven.gateway._member_codec import (
+from berylhaven.gateway.members._locate import locate
+from berylhaven.gateway.members._member import Member, decode_row
+from berylhaven.gateway.members._member_codec import (
     TEXT_LIMIT_BYTES,
     decode_members,
     encode_members,
 )
-from berylhaven.gateway._member_gossip import MemberGossip
-from berylhaven.gateway._members import (
+from berylhaven.gateway.members._member_gossip import MemberGossip
+from berylhaven.gateway.members._members import (
     EVICT_AFTER_S,
     LOCAL_UNRESPONSIVE_AFTER_S,
     LOCATE_HEARTBEAT_LIMIT_S,
--- a/berylhaven/gateway/tests/test_peer_input.py
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -9,15 +9,15 @@
 from hypothesis import strategies as st
 
 from berylhaven.gateway import FleetUpdate, PeersApplication, ServerEntry
-from berylhaven.gateway._evidence_codec import (
+from berylhaven.gateway.members._evidence_codec import (
     decode_observations,
     encode_observations,
 )
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._member_codec import decode_members
-from berylhaven.gateway._member_gossip import GOSSIP_PATH
-from berylhaven.gateway._relayed_source import UPDATES_PATH
-from berylhaven.gateway._update_codec import decode_update, encode_update
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._member_codec import decode_members
+from berylhaven.gateway.members._member_gossip import GOSSIP_PATH
+from berylhaven.gateway.store._relayed_source import UPDATES_PATH
+from berylhaven.gateway.store._update_codec import decode_update, encode_update
 from berylhaven.gateway.tests._gateway_path import at, configuration
 from berylhaven.quarantine import Answered, Strike
 
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -12,11 +12,11 @@
     ServerRemoved,
     SourceUnavailable,
 )
-from berylhaven.gateway._fleet_follower import RETRY_BASE_S
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._member import Member
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._relayed_source import (
+from berylhaven.gateway.members._member import Member
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.store._fleet_follower import RETRY_BASE_S
+from berylhaven.gateway.store._relayed_source import (
     DIRECT_WAIT_S,
     PEER_TIMEOUT_MARGIN_S,
     PEER_WAIT_S,
@@ -25,7 +25,7 @@
     STORE_ANSWER_AGE_LIMIT_S,
     RelayedSource,
 )
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import FakeSource, at, free_address
 from berylhaven.http1 import serve
 
--- a/berylhaven/gateway/tests/test_server_chooser.py
+++ b/berylhaven/gateway/tests/test_server_chooser.py
@@ -5,13 +5,13 @@
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.gateway import ServerEntry
-from berylhaven.gateway._finish_estimate import RouteWork
-from berylhaven.gateway._server_chooser import (
+from berylhaven.gateway.servers._finish_estimate import RouteWork
+from berylhaven.gateway.servers._server_chooser import (
     NEW_SERVER_PERIOD_S,
     ChoiceRequest,
     ServerChooser,
 )
-from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.tests._gateway_path import READS, configuration
 from berylhaven.load_report import LoadReport
 
--- a/berylhaven/gateway/tests/test_server_signals.py
+++ b/berylhaven/gateway/tests/test_server_signals.py
@@ -10,9 +10,9 @@
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway import ServerEntry
-from berylhaven.gateway._server_limits import ServerLimits
-from berylhaven.gateway._server_signals import ServerSignals
-from berylhaven.gateway._server_table import ServerTable
+from berylhaven.gateway.servers._server_limits import ServerLimits
+from berylhaven.gateway.servers._server_signals import ServerSignals
+from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.tests._gateway_path import (
     ORDERS,
     READS,
--- a/berylhaven/gateway/tests/test_shared_retry_budget.py
+++ b/berylhaven/gateway/tests/test_shared_retry_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylhaven.gateway._shared_retry_budget import (
+from berylhaven.gateway.requests._shared_retry_budget import (
     RetryAllowance,
     SharedRetryBudget,
 )
--- a/berylhaven/gateway/tests/test_store_eras.py
+++ b/berylhaven/gateway/tests/test_store_eras.py
@@ -23,13 +23,13 @@
     SourceUnavailable,
 )
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._fleet_follower import FleetFollower
-from berylhaven.gateway._member import Member, decode_row
-from berylhaven.gateway._members import MemberTable
-from berylhaven.gateway._server_table import RESTORED_ENTRY_HOLD_S, ServerTable
-from berylhaven.gateway._store_outages import EXPIRED_ENTRY_GRACE_S
-from berylhaven.gateway._update_codec import decode_update, encode_update
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.members._member import Member, decode_row
+from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.servers._server_table import RESTORED_ENTRY_HOLD_S, ServerTable
+from berylhaven.gateway.store._fleet_follower import FleetFollower
+from berylhaven.gateway.store._store_outages import EXPIRED_ENTRY_GRACE_S
+from berylhaven.gateway.store._update_codec import decode_update, encode_update
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import at, configuration
 from berylhaven.http1 import ConnectionPool
 
--- a/berylhaven/gateway/tests/test_update_size.py
+++ b/berylhaven/gateway/tests/test_update_size.py
@@ -6,9 +6,9 @@
 
 from berylhaven.clock import ManualClock
 from berylhaven.gateway import FleetUpdate, PeersApplication, ServerEntry
-from berylhaven.gateway._fleet_follower import WATCH_PAUSE_S
-from berylhaven.gateway._relayed_source import UPDATES_PATH
-from berylhaven.gateway._update_log import UpdateLog
+from berylhaven.gateway.store._fleet_follower import WATCH_PAUSE_S
+from berylhaven.gateway.store._relayed_source import UPDATES_PATH
+from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import at, configuration
 
 # The narrowest link of an instance, and the most instances of a data centre.
