--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -32,6 +32,8 @@
     # The number of servers that it may be sent to if another instance passed it on;
     # None if it comes from a caller.
     passed_on_attempt_limit: int | None = None
+    # Whether it is the one send of a held request.
+    is_trial: bool = False
 
     @property
     def path(self) -> str:
--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -44,6 +44,13 @@
 TIMEOUT_ENDS = frozenset(
     {AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.DEADLINE_BEFORE_SENDING}
 )
+UNSENT_ENDS = frozenset(
+    {
+        AttemptEnd.NOT_CONNECTED,
+        AttemptEnd.CONNECTION_LIMIT,
+        AttemptEnd.DEADLINE_BEFORE_SENDING,
+    }
+)
 CALLER_FAULT_ENDS = frozenset(
     {
         AttemptEnd.CALLER_BODY_CUT,
@@ -160,6 +167,11 @@
         """Whether the request may have run on a backend server."""
         return may_have_run(self.failures)
 
+    @property
+    def has_reached_server(self) -> bool:
+        """Whether a failed attempt may have sent something to a backend server."""
+        return any(failure.end not in UNSENT_ENDS for failure in self.failures)
+
     @property
     def has_timed_out(self) -> bool:
         """Whether the last attempt reached the deadline."""
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -279,6 +279,8 @@
             message = attempts.last_message
             return self._refuse(request, caller_status, message, None, choice_request)
         if not attempts.may_have_run:
+            if not attempts.has_reached_server:
+                self._quarantine.record_unsent(request)
             retry_after_s = attempts.retry_after_s
             return self._refuse(
                 request, 503, attempts.last_message, retry_after_s, choice_request
--- a/berylhaven/gateway/requests/_request_quarantine.py
+++ b/berylhaven/gateway/requests/_request_quarantine.py
@@ -110,8 +110,14 @@
             ended_servers=hold.run_count,
             age_s=hold.age_s,
         )
+        request.is_trial = True
         return None
 
+    def record_unsent(self, request: GatewayRequest) -> None:
+        """Record that a request reached no server; a trial may then be repeated."""
+        if request.is_trial:
+            self._trials.withdraw(request.fingerprint)
+
     def _try_start(self, fingerprint: str, hold: Hold, now_s: float) -> bool:
         own = self._members.own
         ready = [member.peers_address for member in self._members.ready(now_s)]
--- a/berylhaven/quarantine/_trials.py
+++ b/berylhaven/quarantine/_trials.py
@@ -63,6 +63,10 @@
         self._tried_at_s[fingerprint] = now_s
         return True
 
+    def withdraw(self, fingerprint: str) -> None:
+        """Allow another trial at once: the last one did not reach a server."""
+        self._tried_at_s.pop(fingerprint, None)
+
     def _drop_old(self, now_s: float) -> None:
         for fingerprint, tried_at_s in list(self._tried_at_s.items()):
             if now_s - tried_at_s > TRIAL_INTERVAL_S:
--- a/berylhaven/quarantine/tests/test_trials.py
+++ b/berylhaven/quarantine/tests/test_trials.py
@@ -42,6 +42,15 @@
         self.assertFalse(trials.try_start(*arguments, TRIAL_INTERVAL_S))
         self.assertTrue(trials.try_start(*arguments, TRIAL_INTERVAL_S + 1.0))
 
+    def test_a_trial_that_reached_no_server_may_be_repeated_at_once(self):
+        # A popular request stayed held for 30 s: its trial met a refused connection.
+        trials = Trials()
+        overdue = ("f", hold(-CHOICE_PERIOD_S - 1.0), ADDRESSES[0], ADDRESSES, 0.0)
+        self.assertTrue(trials.try_start(*overdue))
+        self.assertFalse(trials.try_start(*overdue))
+        trials.withdraw("f")
+        self.assertTrue(trials.try_start(*overdue))
+
     def test_any_instance_tries_what_the_chosen_one_did_not_get(self):
         overdue = hold(-CHOICE_PERIOD_S - 1.0)
         for address in ADDRESSES:
