--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -53,6 +53,8 @@
     ANSWER_WITHOUT_LENGTH = "answer-without-length"
     # The answer carries the id of another call.
     FOREIGN_ANSWER = "foreign-answer"
+    # The server's data centre was evacuated before a byte was sent.
+    SERVER_EVACUATED = "server-evacuated"
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,6 +107,9 @@
         Outcome.RUN, False, AnswerWithoutLength
     ),
     AttemptEnd.FOREIGN_ANSWER: EndClassification(Outcome.UNKNOWN, True, UpstreamBroken),
+    AttemptEnd.SERVER_EVACUATED: EndClassification(
+        Outcome.NOT_RUN, True, UpstreamUnreachable
+    ),
 }
 
 
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -1,6 +1,7 @@
 """Sends a request to a backend server and reads the complete answer."""
 
 import io
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
@@ -65,6 +66,7 @@
     server_id: str,
     deadline_s: float,
     memory: AnswerMemory,
+    check_sending: Callable[[], None] = lambda: None,
 ) -> ServerAnswer:
     """Send a request and read the complete answer.
 
@@ -82,6 +84,9 @@
         The deadline of the answer, on the hub's clock.
     memory : AnswerMemory
         Bounds the memory of large answers.
+    check_sending : callable
+        Called before a connection is opened, and immediately before the first byte is
+        sent; raises AttemptFailed if the server may no longer be sent the request.
 
     Returns
     -------
@@ -93,7 +98,9 @@
     AttemptFailed
         With the stage at which the exchange ended.
     """
-    attempt = _Exchange(connection, request, dialect, server_id, deadline_s, memory)
+    attempt = _Exchange(
+        connection, request, dialect, server_id, deadline_s, memory, check_sending
+    )
     remaining_s = deadline_s - monotonic_s()
     if remaining_s <= 0:
         raise attempt.timeout_failure()
@@ -121,6 +128,7 @@
         "_server_id",
         "_deadline_s",
         "_memory",
+        "_check_sending",
         "_reservation",
         "_was_sent",
         "_sender",
@@ -135,7 +143,9 @@
         server_id: str,
         deadline_s: float,
         memory: AnswerMemory,
+        check_sending: Callable[[], None],
     ) -> None:
+        self._check_sending = check_sending
         self._connection = connection
         self._request = request
         self._dialect = dialect
@@ -169,6 +179,7 @@
         """Open the connection if it is not open."""
         if self._connection.is_open:
             return
+        self._check_sending()
         try:
             self._connection.open(min(remaining_s, CONNECT_TIMEOUT_S))
         except CONNECTION_ERRORS as error:
@@ -192,6 +203,8 @@
             self._sender = eventlet.spawn(self._send_body)
 
     def _write(self, data: bytes) -> None:
+        if not self._was_sent:
+            self._check_sending()
         # A part of the request may reach the server even if sending fails.
         self._was_sent = True
         try:
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -11,6 +11,12 @@
 from berylhaven.catalogue import parse_catalogue
 from berylhaven.clock import monotonic_s
 from berylhaven.entry.tests._local_fleet import CATALOGUE
+from berylhaven.gateway.callers._answer_memory import AnswerMemory
+from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.servers._evacuations import Evacuations
+from berylhaven.gateway.servers._server_exchange import exchange
+from berylhaven.gateway.tests._gateway_path import FakeDialect
+from berylhaven.http1 import HeadFields
 from berylhaven.http1._body_framing import BodyFraming
 from berylhaven.http1._request_body import RequestBody
 from berylhaven.http1._upstream_connection import UpstreamConnection
@@ -155,6 +161,30 @@
         self.answer(HEAD + b"Berylhaven-Call-Id: d\r\nContent-Length: 0\r\n\r\n")
         self.assert_ends(AttemptEnd.FOREIGN_ANSWER)
 
+    def test_server_evacuated(self):
+        # Only gateways send requests to data centres that operators evacuate.
+        evacuations = Evacuations()
+        evacuations.evacuate("here")
+        connection = UpstreamConnection(self.backend.address, 1_000)
+        self.addCleanup(connection.close)
+        body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
+        now_s = monotonic_s()
+        request = GatewayRequest("POST", "/x", HeadFields([]), body, "c", now_s, None)
+        with self.assertRaises(AttemptFailed) as caught:
+            exchange(
+                connection,
+                request,
+                FakeDialect(),
+                "a",
+                now_s + 1.0,
+                AnswerMemory(),
+                lambda: evacuations.check_sending("a", "here"),
+            )
+        self.assertIs(caught.exception.end, AttemptEnd.SERVER_EVACUATED)
+        connection.close()
+        eventlet.sleep(0.01)
+        self.assertEqual(self.backend.requests, [])
+
     def test_every_end_has_a_test_of_its_name(self):
         for end in AttemptEnd:
             name = "test_" + end.value.replace("-", "_")
