--- a/berylhaven/gateway/__init__.py
+++ b/berylhaven/gateway/__init__.py
@@ -16,18 +16,24 @@
 from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.gateway.store._fleet_source import (
     Change,
+    DataCentreEvacuated,
+    DataCentreReturned,
     FleetSource,
     FleetUpdate,
     HistoryGone,
     InvalidEntry,
+    InvalidEvacuation,
     ServerRemoved,
     SourceUnavailable,
 )
 
 __all__ = [
     "Change",
+    "DataCentreEvacuated",
+    "DataCentreReturned",
     "Dialect",
     "InvalidEntry",
+    "InvalidEvacuation",
     "FleetUpdate",
     "FleetSource",
     "GatewayInstance",
--- a/berylhaven/gateway/servers/_server_record.py
+++ b/berylhaven/gateway/servers/_server_record.py
@@ -128,6 +128,15 @@
         self._says_leaving = True
         return is_news
 
+    def record_possible_cold(self, now_s: float) -> None:
+        """Record that the server may be cold: its data centre was returned to service.
+
+        Parameters
+        ----------
+        now_s : float
+            The current time on the hub's clock, in seconds.
+        """
+
     def reported_entry(self) -> ServerEntry:
         """Return the entry as peers should see it, leaving if the server said so."""
         return dataclasses.replace(self.entry, is_leaving=self.is_leaving)
--- a/berylhaven/gateway/servers/_server_table.py
+++ b/berylhaven/gateway/servers/_server_table.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._server_record import ServerEntry, ServerRecord
 
 # How long a removed server is not used after a restored copy of the store lists it
@@ -14,13 +15,15 @@
 class ServerTable:
     """Records of backend servers by id and by service."""
 
-    __slots__ = ("_records", "_by_service", "_removed")
+    __slots__ = ("_records", "_by_service", "_removed", "evacuations")
 
     def __init__(self) -> None:
         self._records: dict[str, ServerRecord] = {}
         self._by_service: dict[str, tuple[ServerRecord, ...]] = {}
         # The last records of removed servers, the latest removal last.
         self._removed: OrderedDict[str, ServerRecord] = OrderedDict()
+        # The data centres to whose servers nothing may be sent.
+        self.evacuations = Evacuations()
 
     def candidates(self, service: str) -> tuple[ServerRecord, ...]:
         """Return the servers of a service that accept new requests.
@@ -33,10 +36,36 @@
         Returns
         -------
         tuple of ServerRecord
-            The servers, except those that are leaving.
+            The servers, except those that are leaving or in evacuated data centres.
         """
-        servers = self._by_service.get(service, ())
-        return tuple(server for server in servers if not server.is_leaving)
+        return tuple(
+            server
+            for server in self._by_service.get(service, ())
+            if not server.is_leaving
+            and not self.evacuations.is_evacuated(server.entry.data_centre)
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether evacuations leave no server of a service for new requests.
+
+        Parameters
+        ----------
+        service : str
+            The service's name.
+
+        Returns
+        -------
+        bool
+            False if the service has no servers without evacuations either.
+        """
+        accepting = [s for s in self._by_service.get(service, ()) if not s.is_leaving]
+        return bool(accepting) and all(
+            self.evacuations.is_evacuated(s.entry.data_centre) for s in accepting
+        )
+
+    def in_data_centre(self, data_centre: str) -> list[ServerRecord]:
+        """Return the records of a data centre's servers, including leaving ones."""
+        return [r for r in self._records.values() if r.entry.data_centre == data_centre]
 
     def record(self, server_id: str) -> ServerRecord | None:
         """Return the record of a server, or None."""
--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -1,5 +1,6 @@
 """Following the routes and backend servers that the platform publishes."""
 
+import math
 from random import Random
 
 from berylhaven.clock import monotonic_s, sleep_s
@@ -11,9 +12,12 @@
 from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.store._fleet_source import (
     Change,
+    DataCentreEvacuated,
+    DataCentreReturned,
     FleetUpdate,
     HistoryGone,
     InvalidEntry,
+    InvalidEvacuation,
     ServerRemoved,
     SourceUnavailable,
     without_superseded,
@@ -129,7 +133,14 @@
         changes: list[Change] = [r.reported_entry() for r in self._table.records()]
         if self._routes.configuration is not None:
             changes.append(self._routes.configuration)
-        return FleetUpdate(tuple(changes), self._members.own.revision)
+        evacuations = self._table.evacuations
+        awaiting = list(filter(evacuations.awaits_return, evacuations.data_centres))
+        changes += map(DataCentreEvacuated, evacuations.data_centres)
+        # The peer holds them too, since no later update repeats the return.
+        changes += map(DataCentreReturned, awaiting)
+        return FleetUpdate(
+            tuple(changes), self._members.own.revision, is_after_outage=bool(awaiting)
+        )
 
     def run(self) -> None:
         """Follow the store without end."""
@@ -202,6 +213,7 @@
         while True:
             sleep_s(BEHIND_CHECK_INTERVAL_S)
             self._remove_expired()
+            self._end_evacuations()
             self._update_store_available()
             now_s = monotonic_s()
             newest = self._members.newest_revision(now_s)
@@ -309,6 +321,7 @@
         listed = {c.server_id for c in update.changes if isinstance(c, ServerEntry)}
         changes = [change for change in update.changes if not self._is_known(change)]
         changes += map(ServerRemoved, self._table.server_ids() - listed)
+        changes += map(DataCentreReturned, self._unlisted_evacuations(update))
         return FleetUpdate(tuple(changes), update.revision)
 
     def _is_known(self, change: Change) -> bool:
@@ -317,19 +330,40 @@
             return known is not None and known.entry == change
         if isinstance(change, RoutingConfiguration):
             return change.version == self._routes.version
+        if isinstance(change, DataCentreEvacuated):
+            evacuations = self._table.evacuations
+            return evacuations.is_evacuated(
+                change.data_centre
+            ) and not evacuations.awaits_return(change.data_centre)
         return False
 
+    def _unlisted_evacuations(self, update: FleetUpdate) -> list[str]:
+        """Return the evacuated data centres that a snapshot does not list as such."""
+        if not update.has_evacuations:
+            return []
+        listed = {
+            change.data_centre
+            for change in update.changes
+            if isinstance(change, (DataCentreEvacuated, InvalidEvacuation))
+        }
+        evacuated = self._table.evacuations.data_centres
+        return [name for name in evacuated if name not in listed]
+
     def _apply_snapshot(self, update: FleetUpdate) -> None:
         listed = {c.server_id for c in update.changes if isinstance(c, ServerEntry)}
         self._apply_changes(update)
         for server_id in self._table.server_ids() - listed:
             self._apply_removed(server_id)
+        for data_centre in self._unlisted_evacuations(update):
+            self._apply_returned(data_centre, update.revision)
+        self._end_evacuations()
 
     def _apply_changes(self, update: FleetUpdate) -> None:
         if update.is_after_outage and not self.is_after_outage:
             self._outages.record_recovery()
         for change in without_superseded(update.changes):
             self._apply_change(change, update.revision)
+        self._end_evacuations()
 
     def _apply_change(self, change: Change, revision: StoreRevision) -> None:
         if isinstance(change, ServerEntry):
@@ -345,9 +379,62 @@
                 reason=change.reason,
             )
             self._remove(change.server_id)
+        elif isinstance(change, DataCentreEvacuated):
+            self._apply_evacuated(change.data_centre, revision)
+        elif isinstance(change, DataCentreReturned):
+            self._apply_returned(change.data_centre, revision)
+        elif isinstance(change, InvalidEvacuation):
+            self._event_log.write_failure(
+                "fleet",
+                "evacuation unusable",
+                data_centre=change.data_centre,
+                revision=revision.number,
+                reason=change.reason,
+            )
         else:
             self._apply_removed(change.server_id)
 
+    def _apply_evacuated(self, data_centre: str, revision: StoreRevision) -> None:
+        if not self._table.evacuations.evacuate(data_centre):
+            return
+        servers = self._table.in_data_centre(data_centre)
+        for server in servers:
+            self._pool.close_idle(server.entry.address)
+        self._event_log.write(
+            "fleet",
+            "data centre evacuated",
+            data_centre=data_centre,
+            servers=len(servers),
+            revision=revision.number,
+            era=revision.era,
+        )
+
+    def _apply_returned(self, data_centre: str, revision: StoreRevision) -> None:
+        if self._table.evacuations.request_return(data_centre):
+            self._event_log.write(
+                "fleet",
+                "data centre return requested",
+                data_centre=data_centre,
+                revision=revision.number,
+                era=revision.era,
+            )
+
+    def _end_evacuations(self) -> None:
+        """Return data centres to service unless the store may lack their evacuation."""
+        now_s = monotonic_s()
+        grace_end_s = math.inf if self._failure_count else self._outages.grace_end_s
+        returned = self._table.evacuations.pop_returned(now_s, grace_end_s)
+        for data_centre in returned:
+            servers = self._table.in_data_centre(data_centre)
+            for server in servers:
+                server.record_possible_cold(now_s)
+            self._event_log.write(
+                "fleet",
+                "data centre returned",
+                data_centre=data_centre,
+                servers=len(servers),
+            )
+
     def _apply_entry(self, entry: ServerEntry, revision: StoreRevision) -> None:
         known = self._table.record(entry.server_id)
         was_leaving = known is not None and known.is_leaving
--- a/berylhaven/gateway/store/_fleet_source.py
+++ b/berylhaven/gateway/store/_fleet_source.py
@@ -46,7 +46,36 @@
     reason: str
 
 
-Change = ServerEntry | ServerRemoved | InvalidEntry | RoutingConfiguration
+@dataclass(slots=True, frozen=True)
+class DataCentreEvacuated:
+    """An operator took the servers of a data centre out of service."""
+
+    # The data centre, as servers' entries name it.
+    data_centre: str
+
+
+@dataclass(slots=True, frozen=True)
+class DataCentreReturned:
+    """An operator returned the servers of a data centre to service."""
+
+    # The data centre, as servers' entries name it.
+    data_centre: str
+
+
+@dataclass(slots=True, frozen=True)
+class InvalidEvacuation:
+    """The evacuation of a data centre could not be decoded; its former state holds."""
+
+    # The data centre, as servers' entries name it.
+    data_centre: str
+    # Why it is invalid.
+    reason: str
+
+
+EvacuationChange = DataCentreEvacuated | DataCentreReturned | InvalidEvacuation
+Change = (
+    ServerEntry | ServerRemoved | InvalidEntry | RoutingConfiguration | EvacuationChange
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,6 +92,8 @@
     sender: str = ""
     # How old the sender's latest answer of the store was, in seconds.
     store_answer_age_s: float = 0.0
+    # Whether its evacuations are known; instances of earlier releases send none.
+    has_evacuations: bool = True
 
 
 def without_superseded(changes: Iterable[Change]) -> tuple[Change, ...]:
--- a/berylhaven/gateway/store/_store_outages.py
+++ b/berylhaven/gateway/store/_store_outages.py
@@ -40,11 +40,15 @@
         """
         self._restored_at_s = monotonic_s()
 
+    @property
+    def grace_end_s(self) -> float:
+        """The end of the latest grace period, on the hub's clock."""
+        return max(self._recovered_at_s, self._restored_at_s) + EXPIRED_ENTRY_GRACE_S
+
     @property
     def is_in_grace(self) -> bool:
         """Whether the store recovered or was restored within the grace period."""
-        ended_at_s = max(self._recovered_at_s, self._restored_at_s)
-        return monotonic_s() - ended_at_s < EXPIRED_ENTRY_GRACE_S
+        return monotonic_s() < self.grace_end_s
 
     def is_local(self, peers: Iterable[Member]) -> bool:
         """Return whether a peer had answers of the store during the outage seen here.
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -9,8 +9,12 @@
 from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.gateway.store._fleet_source import (
     Change,
+    DataCentreEvacuated,
+    DataCentreReturned,
+    EvacuationChange,
     FleetUpdate,
     InvalidEntry,
+    InvalidEvacuation,
     ServerRemoved,
 )
 from berylhaven.routes import (
@@ -28,9 +32,17 @@
     "unusable": InvalidEntry,
     "configuration": RoutingConfiguration,
 }
+# These changes are in a field of their own, which instances of earlier releases ignore;
+# they reject an update with a change of a kind that they do not know.
+EVACUATION_TYPES = {
+    "evacuated": DataCentreEvacuated,
+    "returned": DataCentreReturned,
+    "unusable": InvalidEvacuation,
+}
 # The JSON types of the fields whose types are simple.
 ACCEPTED_TYPES = {str: (str,), int: (int,), bool: (bool,), float: (float, int)}
 CHANGE_NAMES = {change_type: name for name, change_type in CHANGE_TYPES.items()}
+EVACUATION_NAMES = {kind: name for name, kind in EVACUATION_TYPES.items()}
 
 
 def encode_update(update: FleetUpdate) -> bytes:
@@ -46,11 +58,13 @@
     bytes
         One object.
     """
-    changes = [[CHANGE_NAMES[type(change)], change] for change in update.changes]
+    evacuations = [c for c in update.changes if isinstance(c, EvacuationChange)]
+    others = [c for c in update.changes if not isinstance(c, EvacuationChange)]
     document = {
         "revision": update.revision.number,
         "era": update.revision.era,
-        "changes": changes,
+        "changes": [[CHANGE_NAMES[type(change)], change] for change in others],
+        "evacuations": [[EVACUATION_NAMES[type(c)], c] for c in evacuations],
         "is_after_outage": update.is_after_outage,
         "store_answer_age_s": round(update.store_answer_age_s, 3),
     }
@@ -70,7 +84,7 @@
     Returns
     -------
     FleetUpdate
-        As it was encoded.
+        As it was encoded, with its evacuations last.
 
     Raises
     ------
@@ -80,6 +94,12 @@
     document = orjson.loads(body)
     try:
         changes = [_change(name, fields) for name, fields in document["changes"]]
+        # Instances of earlier releases send none.
+        has_evacuations = "evacuations" in document
+        changes += [
+            _checked(EVACUATION_TYPES[name], fields)
+            for name, fields in document.get("evacuations", ())
+        ]
         number = document["revision"]
         # Instances of earlier releases send none.
         era = document.get("era", 0)
@@ -105,6 +125,7 @@
         is_after_outage,
         sender,
         store_answer_age_s,
+        has_evacuations,
     )
 
 
