Send nothing to evacuated data centres that was chosen before

A choice probes several rounds of servers, and a new connection takes up to 0.25 s, so probes and requests of older choices still reached an evacuated server. Probes, requests and ServerEndCheck now ask Evacuations before they connect and before the first byte. An attempt that ends so counts neither as an attempt nor as a retry, and another server is chosen at once. A server there is not queried after a broken connection; its connections are closed after their answers. A service without other servers is refused at once with Retry-After 2, since only an operator ends that.

--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -93,7 +93,8 @@
         )
         limits = ServerLimits(sharer_count, parts.random, parts.event_log)
         signals = ServerSignals(parts.dialect, pool, limits, parts.event_log)
-        prober = ServerProber(pool, signals, parts.metrics, reach)
+        evacuations = parts.table.evacuations
+        prober = ServerProber(pool, signals, parts.metrics, reach, evacuations)
         # The prober records its results in the monitor, which has it probe servers.
         reach.check = lambda servers: prober.check(
             servers, parts.routes.service(servers[0].entry.service).health_path
@@ -101,7 +102,7 @@
         quarantine = RequestQuarantine(
             evidence,
             self.evidence_spread,
-            ServerEndCheck(pool, parts.dialect),
+            ServerEndCheck(pool, parts.dialect, evacuations),
             parts.event_log,
             parts.members,
             parts.metrics,
@@ -123,6 +124,7 @@
             parts.metrics,
             quarantine,
             reach,
+            evacuations,
         )
         # Forwards requests of callers and of other instances.
         self.forwarder = Forwarder(
--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -44,6 +44,9 @@
 TIMEOUT_ENDS = frozenset(
     {AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.DEADLINE_BEFORE_SENDING}
 )
+# Ends after which another attempt costs no retry of the budget, since nothing reached
+# the server.
+UNSENT_ENDS = frozenset({AttemptEnd.NOT_CONNECTED, AttemptEnd.SERVER_EVACUATED})
 CALLER_FAULT_ENDS = frozenset(
     {
         AttemptEnd.CALLER_BODY_CUT,
@@ -144,6 +147,9 @@
                 self._failed_answer = ended
             elif isinstance(ended, AttemptFailed):
                 self.failures.append(ended)
+                if ended.end is AttemptEnd.SERVER_EVACUATED:
+                    # Nothing was sent, so the attempt does not count.
+                    self._sent_count -= 1
             else:
                 raise ended
             if not self._running_count and self._may_attempt_again(ended):
@@ -331,7 +337,6 @@
             return False
         if not self._can_attempt():
             return False
-        if isinstance(ended, AttemptFailed) and ended.end is AttemptEnd.NOT_CONNECTED:
-            # Nothing reached the server, so the attempt costs no retry of the budget.
+        if isinstance(ended, AttemptFailed) and ended.end in UNSENT_ENDS:
             return True
         return self._try_acquire_retry()
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -13,6 +13,7 @@
 from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.requests._sent_request import SentRequest
+from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_chooser import (
     Choice,
@@ -38,6 +39,7 @@
         AttemptEnd.CALLER_TOO_SLOW,
         AttemptEnd.CONNECTION_LIMIT,
         AttemptEnd.DEADLINE_BEFORE_SENDING,
+        AttemptEnd.SERVER_EVACUATED,
     }
 )
 # Ends of attempts at a server that did not answer at all.
@@ -105,9 +107,12 @@
         Records the attempts that ended with their server.
     reach : ReachMonitor
         Records which servers answer.
+    evacuations : Evacuations
+        Tells whether a server may be sent a request.
     """
 
     __slots__ = (
+        "_evacuations",
         "_reach",
         "_quarantine",
         "_chooser",
@@ -131,7 +136,9 @@
         metrics: GatewayMetrics,
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
+        evacuations: Evacuations,
     ) -> None:
+        self._evacuations = evacuations
         self._reach = reach
         self._quarantine = quarantine
         self._chooser = chooser
@@ -234,6 +241,12 @@
         AttemptFailed
             With the stage at which the attempt ended.
         """
+        entry = server.entry
+
+        def check_sending() -> None:
+            """Raise AttemptFailed if the server's data centre is evacuated."""
+            self._evacuations.check_sending(entry.server_id, entry.data_centre)
+
         sent = SentRequest(server, choice_request.work)
         connection = self._pool.acquire(
             server.entry.address, choice_request.route.is_idempotent
@@ -248,6 +261,7 @@
                 server.entry.server_id,
                 choice_request.deadline_s,
                 self._memory,
+                check_sending,
             )
         except AttemptFailed as failure:
             self._record_failure(request, server, failure, sent.sent_at_s)
@@ -257,7 +271,12 @@
             raise
         finally:
             server.in_flight_count -= 1
-            self._pool.release(connection, answer is not None and answer.is_reusable)
+            is_reusable = (
+                answer is not None
+                and answer.is_reusable
+                and not self._evacuations.is_evacuated(entry.data_centre)
+            )
+            self._pool.release(connection, is_reusable)
         duration_s = monotonic_s() - sent.sent_at_s
         self._record_answer(request, server, answer, duration_s)
         self._metrics.record_attempt(server.entry.service, "answered", duration_s)
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -45,6 +45,9 @@
 # The share of requests that are sent to a full server, so that it is noticed if the
 # servers of a service no longer slow down when they are nearly full.
 TRIAL_SHARE = 0.02
+# The Retry-After value while all servers of a service are in evacuated data centres:
+# only an operator returns one to service.
+EVACUATED_RETRY_AFTER_S = 2.0
 
 
 @dataclass(slots=True)
@@ -62,7 +65,8 @@
     finish_s: float
     # The age of the chosen server's load report, in seconds.
     report_age_s: float
-    # If all servers want a pause, the time until the first one may be used, in seconds.
+    # If all servers want a pause or are in evacuated data centres, the time until the
+    # first one may be used, in seconds.
     quiet_s: float = 0.0
     # What happens to the request.
     decision: StartDecision = StartDecision.REFUSE
@@ -149,6 +153,8 @@
         if untried and not candidates:
             quiet_s = min(server.quiet_s(now_s) for server in untried)
             return Choice(None, len(untried), 0, 0.0, 0.0, quiet_s)
+        if not untried and self._table.is_evacuated(request.service.name):
+            return Choice(None, 0, 0, 0.0, 0.0, EVACUATED_RETRY_AFTER_S)
         local, remote = self._order_candidates(candidates)
         compared: list[ServerRecord] = []
         best: ServerRecord | None = None
--- a/berylhaven/gateway/servers/_server_end_check.py
+++ b/berylhaven/gateway/servers/_server_end_check.py
@@ -5,6 +5,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import sleep_s
 from berylhaven.gateway._dialect import Dialect
+from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.http1 import (
@@ -32,11 +33,16 @@
         The connections to backend servers.
     dialect : Dialect
         The header names of the deployment.
+    evacuations : Evacuations
+        Tells whether a server may be queried.
     """
 
-    __slots__ = ("_pool", "_dialect", "_running")
+    __slots__ = ("_pool", "_dialect", "_evacuations", "_running")
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self, pool: ConnectionPool, dialect: Dialect, evacuations: Evacuations
+    ) -> None:
+        self._evacuations = evacuations
         self._pool = pool
         self._dialect = dialect
         # Running checks by server id; requests that broke together share one.
@@ -55,7 +61,8 @@
         Returns
         -------
         bool
-            False if the server answers, or if that cannot be told.
+            False if the server answers, or if that cannot be told, as in an evacuated
+            data centre.
         """
         thread = self._running.get(entry.server_id)
         if thread is None:
@@ -75,6 +82,8 @@
 
     def _query(self, entry: ServerEntry, health_path: str) -> bool | None:
         """Return whether the server has ended; None if it cannot be told now."""
+        if self._evacuations.is_evacuated(entry.data_centre):
+            return False
         try:
             connection = self._pool.acquire(
                 entry.address, is_idempotent=True, requires_new_connection=True
@@ -88,11 +97,15 @@
             self._pool.release(connection, False)
             return True
         try:
+            self._evacuations.check_sending(entry.server_id, entry.data_centre)
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
             head = connection.read_head()
             answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
             is_reusable = answer.is_complete and answer.keeps_connection
+        except AttemptFailed:
+            # The data centre was evacuated while the connection was opened.
+            return False
         except (*CONNECTION_ERRORS, *MALFORMED_ANSWER_ERRORS, AnswerBodyError):
             return None
         finally:
--- a/berylhaven/gateway/servers/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -7,6 +7,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_exchange import CONNECT_TIMEOUT_S
 from berylhaven.gateway.servers._server_record import ServerRecord
@@ -45,9 +46,18 @@
         Counts the probes.
     reach : ReachMonitor
         Records which servers answer.
+    evacuations : Evacuations
+        Tells whether a server may be probed.
     """
 
-    __slots__ = ("_pool", "_signals", "_metrics", "_reach", "_running_probes")
+    __slots__ = (
+        "_pool",
+        "_signals",
+        "_metrics",
+        "_reach",
+        "_evacuations",
+        "_running_probes",
+    )
 
     def __init__(
         self,
@@ -55,7 +65,9 @@
         signals: ServerSignals,
         metrics: GatewayMetrics,
         reach: ReachMonitor,
+        evacuations: Evacuations,
     ) -> None:
+        self._evacuations = evacuations
         self._reach = reach
         self._metrics = metrics
         self._pool = pool
@@ -149,6 +161,8 @@
     def _record_failure(self, server: ServerRecord, error: Exception) -> None:
         now_s = monotonic_s()
         end = error.end if isinstance(error, AttemptFailed) else None
+        if end is AttemptEnd.SERVER_EVACUATED:
+            return
         if end is AttemptEnd.CONNECTION_LIMIT:
             # This instance reached its limit and has no connection for requests either.
             server.record_refusal(now_s, NO_CONNECTION_BACKOFF_S)
@@ -160,16 +174,22 @@
 
     def _query(self, server: ServerRecord, health_path: str) -> None:
         entry = server.entry
+        self._evacuations.check_sending(entry.server_id, entry.data_centre)
         connection = self._pool.acquire(entry.address, is_idempotent=True)
         is_reusable = False
         try:
             if not connection.is_open:
                 connection.open(CONNECT_TIMEOUT_S)
+            self._evacuations.check_sending(entry.server_id, entry.data_centre)
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
             head = connection.read_head()
             answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
-            is_reusable = answer.is_complete and answer.keeps_connection
+            is_reusable = (
+                answer.is_complete
+                and answer.keeps_connection
+                and not self._evacuations.is_evacuated(entry.data_centre)
+            )
         finally:
             self._pool.release(connection, is_reusable)
         is_own_answer = self._signals.record(
