Show and explain evacuations to operators

berylhaven_data_centre_evacuated tells each evacuated data centre, with 2 while its return is held, and berylhaven_servers counts its servers as evacuated. The test of the gauges was red without each of them.

--- a/berylhaven/gateway/_instance_gauges.py
+++ b/berylhaven/gateway/_instance_gauges.py
@@ -44,6 +44,7 @@
         "_version",
         "_problems",
         "_servers",
+        "_evacuated",
         "_instances",
         "_store_answer_age",
         "_revision",
@@ -81,6 +82,11 @@
         self._servers = metrics.gauge(
             "servers", "Backend servers, by service and state."
         )
+        self._evacuated = metrics.gauge(
+            "data_centre_evacuated",
+            "1 for each data centre to whose servers nothing is sent; 2 while its "
+            "return is held.",
+        )
         self._instances = metrics.gauge("instances", "Other instances, by state.")
         self._store_answer_age = metrics.gauge(
             "store_silence_seconds", "Time since the store last answered this instance."
@@ -121,18 +127,28 @@
         self._instances.set({"state": "ready"}, ready_count)
         self._instances.set({"state": "not-ready"}, len(live) - ready_count)
         self._refresh_servers()
+        self._refresh_evacuations()
 
     def _refresh_servers(self) -> None:
         states = collections.Counter(
-            (record.entry.service, _state(record)) for record in self._table.records()
+            (record.entry.service, self._state(record))
+            for record in self._table.records()
         )
         # Removed services must not keep their last values.
         self._servers.values.clear()
         for (service, state), count in states.items():
             self._servers.set({"service": service, "state": state}, count)
 
+    def _refresh_evacuations(self) -> None:
+        evacuations = self._table.evacuations
+        self._evacuated.values.clear()
+        for name in evacuations.data_centres:
+            value = 2 if evacuations.awaits_return(name) else 1
+            self._evacuated.set({"data_centre": name}, value)
 
-def _state(record: ServerRecord) -> str:
-    if record.is_leaving:
-        return "leaving"
-    return "silent" if record.is_unresponsive else "ready"
+    def _state(self, record: ServerRecord) -> str:
+        if record.is_leaving:
+            return "leaving"
+        if self._table.evacuations.is_evacuated(record.entry.data_centre):
+            return "evacuated"
+        return "silent" if record.is_unresponsive else "ready"
--- a/berylhaven/gateway/tests/test_gateway_metrics.py
+++ b/berylhaven/gateway/tests/test_gateway_metrics.py
@@ -54,6 +54,17 @@
         self.assertEqual(self.value("store_calls_total", outcome="failed"), 0)
         self.assertGreaterEqual(self.value("store_calls_total", outcome="answered"), 1)
 
+    def test_an_evacuated_data_centre_and_its_servers_are_shown(self):
+        evacuations = self.path.instance._table.evacuations
+        evacuations.evacuate("here")
+        self.assertEqual(self.value("data_centre_evacuated", data_centre="here"), 1)
+        self.assertEqual(self.value("servers", state="evacuated"), 4)
+        evacuations.request_return("here")
+        self.assertEqual(self.value("data_centre_evacuated", data_centre="here"), 2)
+        evacuations.pop_returned(0.0, float("-inf"))
+        self.assertEqual(self.value("data_centre_evacuated"), 0)
+        self.assertEqual(self.value("servers", state="evacuated"), 0)
+
     def test_other_paths_are_not_found(self):
         application = MetricsApplication(self.path.instance.metrics)
         seen = []
