List all evacuations in the difference that a relay passes on

The reverse left a data centre evacuated.

test_peers_get_the_difference_after_a_loss_of_history expects the listing in addition: it compares the whole difference.

--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -14,6 +14,8 @@
     Change,
     DataCentreEvacuated,
     DataCentreReturned,
+    EvacuationChange,
+    EvacuationsListed,
     FleetUpdate,
     HistoryGone,
     InvalidEntry,
@@ -319,9 +321,14 @@
     def _difference(self, update: FleetUpdate) -> FleetUpdate:
         """Return the changes from the known state to a snapshot."""
         listed = {c.server_id for c in update.changes if isinstance(c, ServerEntry)}
-        changes = [change for change in update.changes if not self._is_known(change)]
+        changes = [
+            change
+            for change in update.changes
+            if not isinstance(change, EvacuationChange) and not self._is_known(change)
+        ]
         changes += map(ServerRemoved, self._table.server_ids() - listed)
-        changes += map(DataCentreReturned, self._unlisted_evacuations(update))
+        if update.has_evacuations:
+            changes.append(self._listed_evacuations(update))
         return FleetUpdate(tuple(changes), update.revision)
 
     def _is_known(self, change: Change) -> bool:
@@ -330,13 +337,22 @@
             return known is not None and known.entry == change
         if isinstance(change, RoutingConfiguration):
             return change.version == self._routes.version
-        if isinstance(change, DataCentreEvacuated):
-            evacuations = self._table.evacuations
-            return evacuations.is_evacuated(
-                change.data_centre
-            ) and not evacuations.awaits_return(change.data_centre)
         return False
 
+    def _listed_evacuations(self, update: FleetUpdate) -> EvacuationsListed:
+        """Return what a snapshot lists as evacuated, for peers."""
+        listed = set()
+        for change in update.changes:
+            if isinstance(change, DataCentreEvacuated):
+                listed.add(change.data_centre)
+            elif isinstance(change, DataCentreReturned):
+                listed.discard(change.data_centre)
+            elif isinstance(
+                change, InvalidEvacuation
+            ) and self._table.evacuations.is_evacuated(change.data_centre):
+                listed.add(change.data_centre)
+        return EvacuationsListed(tuple(sorted(listed)))
+
     def _unlisted_evacuations(self, update: FleetUpdate) -> list[str]:
         """Return the evacuated data centres that a snapshot does not list as such."""
         if not update.has_evacuations:
@@ -383,6 +399,12 @@
             self._apply_evacuated(change.data_centre, revision)
         elif isinstance(change, DataCentreReturned):
             self._apply_returned(change.data_centre, revision)
+        elif isinstance(change, EvacuationsListed):
+            for data_centre in change.data_centres:
+                self._apply_evacuated(data_centre, revision)
+            for data_centre in self._table.evacuations.data_centres:
+                if data_centre not in change.data_centres:
+                    self._apply_returned(data_centre, revision)
         elif isinstance(change, InvalidEvacuation):
             self._event_log.write_failure(
                 "fleet",
--- a/berylhaven/gateway/store/_fleet_source.py
+++ b/berylhaven/gateway/store/_fleet_source.py
@@ -72,7 +72,21 @@
     reason: str
 
 
-EvacuationChange = DataCentreEvacuated | DataCentreReturned | InvalidEvacuation
+@dataclass(slots=True, frozen=True)
+class EvacuationsListed:
+    """All data centres that a snapshot lists as evacuated; the others are not.
+
+    It is part of the difference to a snapshot. A peer whose revision lies between both
+    may have evacuations, or lack some, that do not differ between them.
+    """
+
+    # The data centres, as servers' entries name them.
+    data_centres: tuple[str, ...]
+
+
+EvacuationChange = (
+    DataCentreEvacuated | DataCentreReturned | InvalidEvacuation | EvacuationsListed
+)
 Change = (
     ServerEntry | ServerRemoved | InvalidEntry | RoutingConfiguration | EvacuationChange
 )
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -12,6 +12,7 @@
     DataCentreEvacuated,
     DataCentreReturned,
     EvacuationChange,
+    EvacuationsListed,
     FleetUpdate,
     InvalidEntry,
     InvalidEvacuation,
@@ -38,6 +39,7 @@
     "evacuated": DataCentreEvacuated,
     "returned": DataCentreReturned,
     "unusable": InvalidEvacuation,
+    "listed": EvacuationsListed,
 }
 # The JSON types of the fields whose types are simple.
 ACCEPTED_TYPES = {str: (str,), int: (int,), bool: (bool,), float: (float, int)}
@@ -97,7 +99,7 @@
         # Instances of earlier releases send none.
         has_evacuations = "evacuations" in document
         changes += [
-            _checked(EVACUATION_TYPES[name], fields)
+            _evacuation(name, fields)
             for name, fields in document.get("evacuations", ())
         ]
         number = document["revision"]
@@ -136,6 +138,17 @@
     return _checked(change_type, fields)
 
 
+def _evacuation(name: str, fields: dict[str, Any]) -> EvacuationChange:
+    change_type = EVACUATION_TYPES[name]
+    if change_type is not EvacuationsListed:
+        return _checked(change_type, fields)
+    listed = EvacuationsListed(**fields)
+    data_centres = listed.data_centres
+    if type(data_centres) is not list or {type(n) for n in data_centres} - {str}:
+        raise TypeError("EvacuationsListed.data_centres is not a list of names")
+    return EvacuationsListed(tuple(data_centres))
+
+
 def _configuration(fields: dict[str, Any]) -> RoutingConfiguration:
     services = {
         name: _checked(ServiceSpec, service)
--- a/berylhaven/gateway/tests/test_evacuation_store.py
+++ b/berylhaven/gateway/tests/test_evacuation_store.py
@@ -3,8 +3,9 @@
 import unittest
 
 import orjson
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from berylhaven.clock import ManualClock
 from berylhaven.gateway import (
@@ -14,6 +15,7 @@
     InvalidEvacuation,
 )
 from berylhaven.gateway.servers._evacuations import RETURN_MARGIN_S, Evacuations
+from berylhaven.gateway.store._fleet_source import EvacuationsListed
 from berylhaven.gateway.store._store_outages import EXPIRED_ENTRY_GRACE_S
 from berylhaven.gateway.store._update_codec import (
     CHANGE_TYPES,
@@ -105,6 +107,18 @@
         self.step_all()
         self.assert_used(True)
 
+    def test_a_peer_within_the_gap_of_its_relay_gets_what_is_evacuated(self):
+        # The relay's own state is the same on both sides of the gap.
+        for wish, other in ((EVACUATED, RETURNED), (RETURNED, EVACUATED)):
+            self.store.put(wish)
+            self.step_all()
+            self.store.put(other)
+            self.other.step()
+            self.store.put(wish)
+            self.relay.follower._needs_snapshot = True
+            self.step_all()
+            self.assert_used(wish == RETURNED)
+
     def test_an_unreadable_value_neither_evacuates_nor_returns(self):
         invalid = InvalidEvacuation("here", "not JSON")
         for is_evacuated in (False, True):
@@ -186,7 +200,14 @@
 
 class EvacuationCodecTest(unittest.TestCase):
     UPDATE = FleetUpdate(
-        (entry("a"), EVACUATED, RETURNED, InvalidEvacuation("x", "why")), at(3)
+        (
+            entry("a"),
+            EVACUATED,
+            RETURNED,
+            InvalidEvacuation("x", "why"),
+            EvacuationsListed(("x", "y")),
+        ),
+        at(3),
     )
 
     def test_evacuations_survive_encoding_and_decoding(self):
@@ -202,7 +223,14 @@
         )
 
     def test_a_malformed_evacuation_is_a_value_error(self):
-        for evacuations in ("x", [["what", {}]], [["evacuated", {"data_centre": 1}]]):
+        for evacuations in (
+            "x",
+            [["what", {}]],
+            [["evacuated", {"data_centre": 1}]],
+            [["listed", {"data_centres": "xy"}]],
+            [["listed", {"data_centres": [1]}]],
+            [["listed", {"data_centres": [[]]}]],
+        ):
             document = orjson.loads(encode_update(self.UPDATE))
             document["evacuations"] = evacuations
             with self.subTest(evacuations), self.assertRaises(ValueError):
@@ -232,5 +260,102 @@
             self.assertEqual(evacuated, set(evacuations.data_centres))
 
 
+class EvacuationMachine(RuleBasedStateMachine):
+    """An operator evacuates and returns, the store is restored, instances restart.
+
+    After each restore the operator's last write is repeated within two seconds. Each
+    instance is in contact with the store or another instance every 0.4 s.
+    """
+
+    @initialize()
+    def start(self):
+        self.clock = ManualClock()
+        self.clock.__enter__()
+        self.store = EvacuationStore()
+        self.store.put(entry("a"))
+        self.store.make_copy()
+        self.instances = [FollowingInstance(self.store) for _ in range(3)]
+        self.wish = RETURNED
+        # In how many tenths of a second the wish is written again; None if it is known.
+        self.rewrite_in = None
+        # Whether each instance knows of the evacuation that the operator wants.
+        self.knows = [False] * 3
+
+    def teardown(self):
+        if hasattr(self, "clock"):
+            self.settle()
+            self.clock.__exit__(None, None, None)
+
+    @rule(wish=st.sampled_from([EVACUATED, RETURNED]))
+    def write(self, wish):
+        if wish != self.wish:
+            self.knows = [False] * 3
+        self.wish, self.rewrite_in = wish, None
+        self.store.put(wish)
+
+    @rule()
+    def make_copy(self):
+        self.store.make_copy()
+
+    @rule(rewrite_in=st.integers(0, 20))
+    def restore(self, rewrite_in):
+        self.store.restore()
+        self.rewrite_in = rewrite_in
+
+    @rule(index=st.integers(0, 2), relay=st.none() | st.integers(0, 2))
+    def follow(self, index, relay):
+        instance = self.instances[index]
+        # The first step may find the history gone, the second reads a snapshot.
+        for _ in range(2):
+            instance.step(None if relay is None else self.instances[relay].log)
+        is_current = instance.follower._revision == self.store.revision
+        if is_current and self.rewrite_in is None and self.wish == EVACUATED:
+            self.knows[index] = True
+
+    @rule(tenths=st.integers(1, 35), relays=st.lists(st.integers(0, 2), max_size=2))
+    def wait(self, tenths, relays):
+        for tenth in range(tenths):
+            self.clock.advance_s(0.1)
+            if self.rewrite_in is not None:
+                self.rewrite_in -= 1
+                if self.rewrite_in < 0:
+                    self.write(self.wish)
+            if tenth % 4 == 3:
+                for index, relay in enumerate([None, *relays, None, None][:3]):
+                    self.follow(index, relay if relay != index else None)
+            for instance in self.instances:
+                instance.follower._end_evacuations()
+            self.known_evacuations_hold()
+
+    @rule(index=st.integers(0, 2))
+    def restart(self, index):
+        self.instances[index] = FollowingInstance(self.store)
+        self.knows[index] = False
+
+    @invariant()
+    def known_evacuations_hold(self):
+        for instance, knows in zip(
+            getattr(self, "instances", ()), getattr(self, "knows", ()), strict=True
+        ):
+            if knows and instance.usable_runs():
+                raise AssertionError("a data centre was returned by no operator")
+
+    def settle(self):
+        """Check that all instances come to what the operator wants."""
+        self.write(self.wish)
+        for _ in range(2):
+            self.wait(40, [])
+        for instance in self.instances:
+            is_used = bool(instance.usable_runs())
+            if is_used != (self.wish == RETURNED):
+                raise AssertionError(f"{self.wish} is not in force")
+
+
+EvacuationMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=30, deadline=None
+)
+EvacuationMachineTest = EvacuationMachine.TestCase
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -25,6 +25,7 @@
     FIRST_WATCH_DELAY_LIMIT_S,
     FleetFollower,
 )
+from berylhaven.gateway.store._fleet_source import EvacuationsListed
 from berylhaven.gateway.store._relayed_source import RelayedSource
 from berylhaven.gateway.store._store_outages import EXPIRED_ENTRY_GRACE_S
 from berylhaven.gateway.store._update_codec import decode_update, encode_update
@@ -126,7 +127,10 @@
         self.follower.step()
         update = self.log.after(before)
         self.assertEqual(update.revision, self.source.revision)
-        self.assertEqual(set(update.changes[1:]), {entry("c"), ServerRemoved("a")})
+        self.assertEqual(
+            set(update.changes[1:]),
+            {entry("c"), ServerRemoved("a"), EvacuationsListed(())},
+        )
         self.assertEqual(update.changes[0].version, 4)
 
     def test_peers_get_the_known_state_while_a_snapshot_is_read(self):
