Send hedges within the limit of the section [hedging]

Cause: hedges were bounded by the retry budget only, and came 1.6 times the estimate after the first attempt, whatever the times of the route were.

Change: the optional section hedging has extra_request_ratio and busy_slot_ratio; it is checked, and reloaded while the process runs. Hedger holds the budgets and the times of routes. A hedge is due at a quantile of the route's times, and is checked before and after the choice of the second server: not for suspected requests, beyond MaxAttempts, without reach or room, and not at servers that are cold, limited, paused, leaving or unresponsive. It does not wait for a slot, and is not sent if the first attempt ended meanwhile. In the retry budget hedges leave 0.15 of the grant to retries. Metrics count hedges sent, won and denied by cause. Without the section nothing changes.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -379,6 +379,7 @@
         self._gossip.set_seeds(seeds)
         self._source.reconfigure(settings.store)
         self._forwarder.update_allowance(settings.retries.allowance)
+        self._forwarder.update_hedge_limit(settings.hedge_limit)
         outcome = "in force" if is_kept else "in force but for names and addresses"
         self._event_log.write("instance", "reload", outcome=outcome)
 
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -13,6 +13,7 @@
 from berylhaven.gateway.members._members import MemberTable
 from berylhaven.gateway.requests._attempt_runner import AttemptRunner
 from berylhaven.gateway.requests._forwarder import Forwarder
+from berylhaven.gateway.requests._hedger import Hedger
 from berylhaven.gateway.requests._peer_forwarder import PeerForwarder
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
@@ -137,6 +138,13 @@
             quarantine,
             reach,
             _peer_forwarder(parts),
+            Hedger(
+                parts.settings.hedge_limit,
+                parts.table,
+                parts.members,
+                parts.event_log,
+                parts.metrics,
+            ),
         )
 
 
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from berylhaven.gateway.requests._shared_retry_budget import RetryAllowance
+from berylhaven.hedging import HedgeLimit
 from berylhaven.ini import Field, parse_sections
 
 
@@ -73,6 +74,21 @@
     time_to_live_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class HedgingSettings:
+    """The limit of hedges of all instances together."""
+
+    # Hedges allowed per request of a service; 0 for none.
+    extra_request_ratio: float
+    # The share of a service's slots in use beyond which no hedge is sent.
+    busy_slot_ratio: float
+
+    @property
+    def limit(self) -> HedgeLimit:
+        """The settings as a limit of hedges."""
+        return HedgeLimit(self.extra_request_ratio, self.busy_slot_ratio)
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """All settings of one gateway instance."""
@@ -87,8 +103,17 @@
     retries: RetrySettings
     # The locate answers.
     locate: LocateSettings
+    # The limit of hedges; None without the section: hedges are then sent within the
+    # retry budget only.
+    hedging: HedgingSettings | None = None
+
+    @property
+    def hedge_limit(self) -> HedgeLimit | None:
+        """The limit of hedges; None without the section."""
+        return self.hedging.limit if self.hedging else None
 
 
+HEDGING = "hedging"
 SECTIONS = {
     "instance": (
         GatewayInstanceSettings,
@@ -128,8 +153,15 @@
         LocateSettings,
         (Field("time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),),
     ),
+    HEDGING: (
+        HedgingSettings,
+        (
+            Field("extra_request_ratio", "number", default=0.05, minimum=0, maximum=1),
+            Field("busy_slot_ratio", "number", default=0.7, minimum=0, maximum=1),
+        ),
+    ),
 }
-OPTIONAL_SECTIONS = ("drain", "retries", "locate")
+OPTIONAL_SECTIONS = ("drain", "retries", "locate", HEDGING)
 
 
 class InvalidGatewaySettings(ExceptionGroup):
@@ -158,6 +190,7 @@
     read = parse_sections(text, fields, OPTIONAL_SECTIONS)
     if read.problems:
         raise InvalidGatewaySettings("settings refused", read.problems)
-    return GatewaySettings(
-        **{name: kind(**read.values[name]) for name, (kind, _) in SECTIONS.items()}
-    )
+    parts = {name: kind(**read.values[name]) for name, (kind, _) in SECTIONS.items()}
+    if HEDGING not in read.sections:
+        parts[HEDGING] = None
+    return GatewaySettings(**parts)
--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -17,18 +17,22 @@
     NoServerAvailable,
     may_have_run,
 )
+from berylhaven.gateway.requests._hedger import Hedger
 from berylhaven.gateway.requests._peer_forwarder import PeerForwarder, PeerRefused
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.servers._finish_estimate import expected_finish_s
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.gateway.servers._server_record import ServerRecord
+from berylhaven.hedging import HedgeDenial, HedgeOutlook, deny_hedge
 from berylhaven.overload import Reach
 
 # A hedge is sent when the answer takes longer than the estimate times this factor.
 HEDGE_RATIO = 1.6
 # The minimum delay of a hedge, relative to the latency objective.
 MIN_HEDGE_DELAY_RATIO = 0.35
+# The same where the delay comes from the times of the route.
+MIN_LEARNED_DELAY_RATIO = 0.1
 # With less time until the deadline, another attempt could not be answered.
 MIN_REMAINING_S = 0.005
 # The Retry-After value after attempts that did not run.
@@ -53,6 +57,18 @@
 )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FirstSent:
+    """When the first attempt was sent, and its estimate."""
+
+    # The server of the attempt.
+    server: ServerRecord
+    # On the hub's clock.
+    sent_at_s: float
+    # The expected time to the answer, in seconds.
+    expected_s: float
+
+
 class AttemptCoordinator:
     """Runs the attempts of one request until one succeeds or no other is allowed.
 
@@ -72,6 +88,10 @@
         Tells whether this instance reaches the servers.
     peers : PeerForwarder
         Passes the request on if it does not.
+    hedger : Hedger
+        Decides on hedges if operators have set a limit for them.
+    may_hedge : callable
+        Returns whether a hedge leaves the retries' reserve of the shared budget.
     """
 
     __slots__ = (
@@ -90,6 +110,10 @@
         "_failed_answer",
         "_no_server",
         "_hedge_at_s",
+        "_hedger",
+        "_may_hedge",
+        "_first_sent",
+        "_hedge_server",
         "failures",
     )
 
@@ -102,7 +126,14 @@
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
         peers: PeerForwarder,
+        hedger: Hedger,
+        may_hedge: Callable[[], bool],
     ) -> None:
+        self._hedger = hedger
+        self._may_hedge = may_hedge
+        # The first attempt if it can be hedged.
+        self._first_sent: FirstSent | None = None
+        self._hedge_server: ServerRecord | None = None
         self._reach = reach
         self._peers = peers
         # Peers' addresses of the instances that the request was passed on to.
@@ -140,6 +171,7 @@
             self._running_count -= 1
             if isinstance(ended, AttemptResult):
                 if not self._is_worth_retrying(ended):
+                    self._record_answer(ended)
                     return ended
                 self._failed_answer = ended
             elif isinstance(ended, AttemptFailed):
@@ -223,18 +255,38 @@
         now_s = monotonic_s()
         if self._choice_request.route.is_idempotent and not self._threads:
             expected_s = expected_finish_s(server, self._choice_request.work, now_s)
-            min_delay_s = (
-                MIN_HEDGE_DELAY_RATIO * self._choice_request.route.latency_objective_s
-            )
-            self._hedge_at_s = now_s + max(min_delay_s, HEDGE_RATIO * expected_s)
+            self._first_sent = FirstSent(server, now_s, expected_s)
+            self._hedge_at_s = now_s + self._hedge_delay_s(expected_s)
         else:
             self._hedge_at_s = math.inf
+        self._spawn(server)
+
+    def _spawn(self, server: ServerRecord) -> None:
         self._running_count += 1
         self._sent_count += 1
         self._threads.append(
             eventlet.spawn(self._attempt, self._choice_request, server)
         )
 
+    def _hedge_delay_s(self, expected_s: float) -> float:
+        objective_s = self._choice_request.route.latency_objective_s
+        late_ratio = self._hedger.late_ratio(self._choice_request)
+        if late_ratio is None:
+            return max(MIN_HEDGE_DELAY_RATIO * objective_s, HEDGE_RATIO * expected_s)
+        return max(MIN_LEARNED_DELAY_RATIO * objective_s, late_ratio * expected_s)
+
+    def _record_answer(self, result: AttemptResult) -> None:
+        """Record the time of the first attempt, also if a hedge was faster."""
+        first = self._first_sent
+        if first is None or result.server is None:
+            return
+        is_won = result.server is self._hedge_server
+        if is_won:
+            self._hedger.record_won(self._choice_request.service.name)
+        if is_won or result.server is first.server:
+            time_ratio = (monotonic_s() - first.sent_at_s) / first.expected_s
+            self._hedger.record_time(self._choice_request, time_ratio)
+
     def _is_at_limit(self) -> bool:
         return self._sent_count >= self._choice_request.route.attempt_limit
 
@@ -299,12 +351,65 @@
     def _hedge(self) -> None:
         """Send a delayed idempotent request to a second server if the budget allows."""
         self._hedge_at_s = math.inf
+        if self._hedger.limit is not None:
+            self._hedge_within_limit()
+            return
         # A suspect may cost a second server while the first one still runs it.
         if self._quarantine.is_suspect(self._request):
             return
         if self._can_attempt() and self._try_acquire_retry():
             self._start_attempt()
 
+    def _hedge_within_limit(self) -> None:
+        """Send a hedge unless something speaks against it, and count it."""
+        denial = self._hedge_denial() or self._try_send_hedge()
+        if denial is not None:
+            self._hedger.record_denied(self._choice_request.service.name, denial)
+
+    def _hedge_denial(self) -> HedgeDenial | None:
+        limit = self._hedger.limit
+        if limit is None:
+            # The settings were reloaded while a server was chosen.
+            return HedgeDenial.SWITCHED_OFF
+        service = self._choice_request.service.name
+        outlook = HedgeOutlook(
+            is_suspect=self._quarantine.is_suspect(self._request),
+            can_attempt=not self._is_at_limit() and self._can_attempt(),
+            is_reached=self._reach.state(service) is Reach.MOST,
+            busy_ratio=self._hedger.busy_ratio(service),
+            has_hedge=self._hedger.has_hedge(service),
+            has_retry=self._may_hedge(),
+        )
+        return deny_hedge(limit, outlook)
+
+    def _try_send_hedge(self) -> HedgeDenial | None:
+        """Choose a second server, without a wait, and send the request to it."""
+        service = self._choice_request.service.name
+        tried = self._choice_request.excluded
+        excluded = tried | self._hedger.unsuitable_ids(service)
+        hedge_request = dataclasses.replace(self._choice_request, excluded=excluded)
+        try:
+            server = self._runner.choose(self._request, hedge_request)
+        except NoServerAvailable:
+            return HedgeDenial.NO_SERVER
+        if not self._ended.empty():
+            return HedgeDenial.ANSWERED
+        if not self._hedger.has_room(server, self._choice_request.work):
+            return HedgeDenial.NO_SERVER
+        # The probes took time and brought new reports.
+        denial = self._hedge_denial()
+        if denial is not None:
+            return denial
+        if not self._try_acquire_retry():
+            return HedgeDenial.RETRY_BUDGET
+        self._choice_request = dataclasses.replace(
+            self._choice_request, excluded=tried | {server.entry.server_id}
+        )
+        self._hedge_server = server
+        self._hedger.record_sent(service, self._request.request_id, server)
+        self._spawn(server)
+        return None
+
     def _can_attempt(self) -> bool:
         if self._is_at_limit() and not self._can_pass_on():
             return False
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -18,6 +18,7 @@
 )
 from berylhaven.gateway.requests._attempt_coordinator import AttemptCoordinator
 from berylhaven.gateway.requests._attempt_runner import AttemptRunner
+from berylhaven.gateway.requests._hedger import Hedger
 from berylhaven.gateway.requests._peer_forwarder import PeerForwarder
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.requests._shared_retry_budget import (
@@ -27,6 +28,7 @@
 from berylhaven.gateway.servers._finish_estimate import INITIAL_WORK_RATIO, RouteWork
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
+from berylhaven.hedging import HedgeLimit
 from berylhaven.http1 import end_to_end_headers
 from berylhaven.overload import Crowding, wait_limit_s
 from berylhaven.quarantine import Hold, request_fingerprint
@@ -78,11 +80,14 @@
         Tells which services this instance reaches.
     peers : PeerForwarder
         Passes requests for the others on.
+    hedger : Hedger
+        Decides on hedges.
     """
 
     __slots__ = (
         "_reach",
         "_peers",
+        "_hedger",
         "_quarantine",
         "_routes",
         "_runner",
@@ -111,7 +116,9 @@
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
         peers: PeerForwarder,
+        hedger: Hedger,
     ) -> None:
+        self._hedger = hedger
         self._reach = reach
         self._peers = peers
         self._quarantine = quarantine
@@ -141,6 +148,16 @@
         for budget in self._budgets.values():
             budget.allowance = allowance
 
+    def update_hedge_limit(self, limit: HedgeLimit | None) -> None:
+        """Replace the limit of hedges.
+
+        Parameters
+        ----------
+        limit : HedgeLimit or None
+            The limit that operators set, or None.
+        """
+        self._hedger.update_limit(limit)
+
     def answer(self, request: GatewayRequest) -> GatewayAnswer:
         """Return the final answer of a request.
 
@@ -214,6 +231,7 @@
         wait_s = wait_limit_s(route.latency_objective_s)
         if request.passed_on_attempt_limit is None:
             budget.record_request(now_s)
+            self._hedger.record_request(service.name)
         else:
             # The instance that took it from the caller has counted it, and waits too.
             attempt_limit = min(route.attempt_limit, request.passed_on_attempt_limit)
@@ -235,6 +253,10 @@
             """Spend one retry of the shared budget if one is left."""
             return budget.try_acquire(self._instance_count(), monotonic_s())
 
+        def may_hedge() -> bool:
+            """Return whether a hedge leaves the retries' reserve of the budget."""
+            return budget.may_hedge(self._instance_count(), monotonic_s())
+
         attempts = AttemptCoordinator(
             self._runner,
             request,
@@ -243,6 +265,8 @@
             self._quarantine,
             self._reach,
             self._peers,
+            self._hedger,
+            may_hedge,
         )
         try:
             result = attempts.run()
--- a/berylhaven/gateway/requests/_shared_retry_budget.py
+++ b/berylhaven/gateway/requests/_shared_retry_budget.py
@@ -9,6 +9,8 @@
 # The minimum number of instances assumed, because instances that this one has not
 # discovered spend retries too.
 MIN_INSTANCE_COUNT = 16
+# The share of the allowance that hedges within a limit of their own leave to retries.
+RETRY_RESERVE_RATIO = 0.15
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,11 +69,33 @@
             The number of retries, less than one if none is allowed.
         """
         self._drop_expired(now_s)
+        return self._granted_count(instance_count) - len(self._retries)
+
+    def _granted_count(self, instance_count: int) -> float:
         allowance = self.allowance
         sharing_count = max(instance_count, MIN_INSTANCE_COUNT)
         granted = allowance.ratio * len(self._requests)
         granted += allowance.extra_count / sharing_count
-        return SAFETY_RATIO * granted - len(self._retries)
+        return SAFETY_RATIO * granted
+
+    def may_hedge(self, instance_count: int, now_s: float) -> bool:
+        """Return whether a hedge would leave the reserve of the retries.
+
+        Parameters
+        ----------
+        instance_count : int
+            The highest number of instances seen at one time.
+        now_s : float
+            The current time on the hub's clock, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a hedge may be acquired.
+        """
+        remaining = self.remaining_count(instance_count, now_s)
+        reserve = RETRY_RESERVE_RATIO * self._granted_count(instance_count)
+        return remaining - 1.0 >= reserve
 
     def try_acquire(self, instance_count: int, now_s: float) -> bool:
         """Spend one retry if the budget allows it.
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -197,7 +197,7 @@
 class GatewayPath:
     """An instance with two backend servers for reads and two for orders."""
 
-    def __init__(self, config=None, settings_path=None):
+    def __init__(self, config=None, settings_path=None, extra_settings=""):
         self.backends = {name: [RawBackend(), RawBackend()] for name in (READS, ORDERS)}
         entries = [
             ServerEntry(f"{name}-{index}", name, backend.address, "here", 4, False)
@@ -207,6 +207,7 @@
         self.source = FakeSource(config or configuration(), *entries)
         self.callers_address = free_address()
         self.settings_text = settings_text(callers_address=self.callers_address)
+        self.settings_text += extra_settings
         settings = parse_gateway_settings(self.settings_text)
         settings_file = None
         if settings_path is not None:
--- a/berylhaven/gateway/tests/test_shared_retry_budget.py
+++ b/berylhaven/gateway/tests/test_shared_retry_budget.py
@@ -44,3 +44,13 @@
             pass
         self.assertFalse(budget.try_acquire(16, 9.0))
         self.assertTrue(budget.try_acquire(16, 10.5))
+
+    def test_hedges_leave_a_reserve_to_retries(self):
+        # Guards against hedges after which a failed request cannot be sent again.
+        budget = SharedRetryBudget(ALLOWANCE)
+        for _ in range(100):
+            budget.record_request(0.0)
+        while budget.may_hedge(16, 0.0):
+            self.assertTrue(budget.try_acquire(16, 0.0))
+        self.assertTrue(budget.try_acquire(16, 0.0))
+        self.assertFalse(budget.may_hedge(16, 0.0))
