Divide the rate of a cold server among a few instances

Cause: a server that has just started takes only a few requests a second from all instances together and crashes at a rate well above that. Instances are too many and too quiet to agree on each request.

Change: overload._warmup_share orders the instances of the server's data centre by rendezvous hashing and gives the first ones equal parts of the rate. Their number leaves half of the tolerated excess as margin. Only the first instances of all that are known, live or not, may send, so that a partition adds no senders; they then share the rate with those that they replace. LimitShare keeps the turns of both kinds of limits; it gets a least time between two requests and the duration of a turn.

--- a/berylhaven/overload/__init__.py
+++ b/berylhaven/overload/__init__.py
@@ -2,6 +2,7 @@
 
 from berylhaven.overload._crowding import Crowding, best_concurrency, is_crowded
 from berylhaven.overload._limit_share import (
+    TURN_DURATION_S,
     LimitShare,
     parse_limit_per_s,
     turn_interval_s,
@@ -15,6 +16,12 @@
     wait_limit_s,
     wait_step_s,
 )
+from berylhaven.overload._warmup_share import (
+    WarmupPlan,
+    WarmupTolerance,
+    plan_warmup,
+    warmup_interval_s,
+)
 
 __all__ = [
     "Crowding",
@@ -23,12 +30,17 @@
     "ServiceReach",
     "StartDecision",
     "StartOutlook",
+    "TURN_DURATION_S",
+    "WarmupPlan",
+    "WarmupTolerance",
     "best_concurrency",
     "decide_start",
     "is_crowded",
     "parse_limit_per_s",
+    "plan_warmup",
     "return_after_s",
     "turn_interval_s",
     "wait_limit_s",
     "wait_step_s",
+    "warmup_interval_s",
 ]
--- a/berylhaven/overload/_limit_share.py
+++ b/berylhaven/overload/_limit_share.py
@@ -6,6 +6,7 @@
 a burst would bring as many requests as there are instances.
 """
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -62,6 +63,12 @@
     interval_s: float
     # When the current or next turn begins, on the hub's clock.
     turn_at_s: float
+    # The least time between two requests, in seconds.
+    gap_s: float = 0.0
+    # When the last request was sent, on the hub's clock; needed only with such a gap.
+    sent_at_s: float = -math.inf
+    # A turn lapses after this time, in seconds.
+    turn_duration_s: float = TURN_DURATION_S
 
     def wait_s(self, now_s: float) -> float:
         """Return the time until a request may be sent, in seconds.
@@ -76,14 +83,21 @@
         float
             Zero during a turn. Turns that were not used lapse.
         """
-        missed_s = now_s - TURN_DURATION_S - self.turn_at_s
+        missed_s = now_s - self.turn_duration_s - self.turn_at_s
         if missed_s > 0:
             self.turn_at_s += (missed_s // self.interval_s + 1) * self.interval_s
-        return max(0.0, self.turn_at_s - now_s)
+        return max(0.0, self.turn_at_s - now_s, self.sent_at_s + self.gap_s - now_s)
 
-    def record_send(self) -> None:
-        """Record that a request is sent in the current turn."""
+    def record_send(self, now_s: float = -math.inf) -> None:
+        """Record that a request is sent in the current turn.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock; needed only with a least time between requests.
+        """
         self.turn_at_s += self.interval_s
+        self.sent_at_s = now_s
 
     def update(self, limit_per_s: float, interval_s: float, now_s: float) -> None:
         """Apply another limit or number of instances to the time until the next turn.
@@ -97,7 +111,8 @@
         now_s : float
             The time on the hub's clock.
         """
-        wait_s = self.wait_s(now_s)
+        self.wait_s(now_s)
+        wait_s = self.turn_at_s - now_s
         if wait_s > 0:
             self.turn_at_s = now_s + wait_s * interval_s / self.interval_s
         self.limit_per_s = limit_per_s
