Read the limits of cold servers from configuration, settings and headers

Cause: WarmupS, WarmupPerS, X-Warmup-Ms, WarmupExcess and WarmupSlack were ignored.

Change: ServiceSpec, the Dialect and the settings section `warmup` have them. Updates between instances carry the limits beside the services: an instance of the earlier release ignores an unknown field of a configuration and rejects one of a service, and with it the whole update. Updates without limits have no additional values.

--- a/berylhaven/gateway/_dialect.py
+++ b/berylhaven/gateway/_dialect.py
@@ -40,5 +40,8 @@
     def request_limit(self, fields: HeadFields) -> str | None:
         """Return the limit that an answer's server names for all instances, or None."""
 
+    def warmup_left_s(self, fields: HeadFields) -> float | None:
+        """Return for how long an answer's server stays cold in seconds, or None."""
+
     def load_report(self, fields: HeadFields, now_s: float) -> LoadReport | None:
         """Return the load report of an answer, or None."""
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -4,6 +4,7 @@
 
 from berylhaven.gateway.requests._shared_retry_budget import RetryAllowance
 from berylhaven.ini import Field, parse_sections
+from berylhaven.overload import WarmupTolerance
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,6 +74,21 @@
     time_to_live_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class WarmupSettings:
+    """What a cold server bears in one second, beside the rate of its service."""
+
+    # The requests in any one second, relative to the rate of the service.
+    excess_ratio: float
+    # The requests in any one second in addition to that.
+    slack_count: float
+
+    @property
+    def tolerance(self) -> WarmupTolerance:
+        """The settings as the tolerance of a cold server."""
+        return WarmupTolerance(self.excess_ratio, self.slack_count)
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """All settings of one gateway instance."""
@@ -87,6 +103,8 @@
     retries: RetrySettings
     # The locate answers.
     locate: LocateSettings
+    # The limit of cold servers.
+    warmup: WarmupSettings
 
 
 SECTIONS = {
@@ -128,8 +146,16 @@
         LocateSettings,
         (Field("time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),),
     ),
+    "warmup": (
+        WarmupSettings,
+        (
+            # With less, a single instance could not use the rate.
+            Field("excess_ratio", "number", default=1.5, minimum=1, maximum=100),
+            Field("slack_count", "number", default=8, minimum=1, maximum=10_000),
+        ),
+    ),
 }
-OPTIONAL_SECTIONS = ("drain", "retries", "locate")
+OPTIONAL_SECTIONS = ("drain", "retries", "locate", "warmup")
 
 
 class InvalidGatewaySettings(ExceptionGroup):
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -28,6 +28,9 @@
     "unusable": InvalidEntry,
     "configuration": RoutingConfiguration,
 }
+# The fields of a service that instances of the earlier release reject; they are encoded
+# beside the services.
+WARMUP_FIELDS = ("warmup_s", "warmup_limit_per_s")
 # The JSON types of the fields whose types are simple.
 ACCEPTED_TYPES = {str: (str,), int: (int,), bool: (bool,), float: (float, int)}
 CHANGE_NAMES = {change_type: name for name, change_type in CHANGE_TYPES.items()}
@@ -46,7 +49,9 @@
     bytes
         One object.
     """
-    changes = [[CHANGE_NAMES[type(change)], change] for change in update.changes]
+    changes = [
+        [CHANGE_NAMES[type(change)], _encodable(change)] for change in update.changes
+    ]
     document = {
         "revision": update.revision.number,
         "era": update.revision.era,
@@ -57,6 +62,26 @@
     return orjson.dumps(document)
 
 
+def _encodable(change: Change) -> Any:
+    if not isinstance(change, RoutingConfiguration):
+        return change
+    document = {
+        field.name: getattr(change, field.name) for field in dataclasses.fields(change)
+    }
+    specs = {name: dataclasses.asdict(spec) for name, spec in change.services.items()}
+    # Instances of the earlier release ignore unknown fields of the configuration, but
+    # reject those of a service.
+    warmups = {
+        name: {field: spec.pop(field) for field in WARMUP_FIELDS}
+        for name, spec in specs.items()
+    }
+    document["warmups"] = {
+        name: fields for name, fields in warmups.items() if any(fields.values())
+    }
+    document["services"] = specs
+    return document
+
+
 def decode_update(body: bytes, sender: str = "") -> FleetUpdate:
     """Decode an update of a peer.
 
@@ -116,8 +141,10 @@
 
 
 def _configuration(fields: dict[str, Any]) -> RoutingConfiguration:
+    # Instances of the earlier release send none.
+    warmups = fields.get("warmups", {})
     services = {
-        name: _checked(ServiceSpec, service)
+        name: _service(service, warmups.get(name, {}))
         for name, service in fields["services"].items()
     }
     typed = {
@@ -131,6 +158,11 @@
     return _checked(RoutingConfiguration, typed)
 
 
+def _service(fields: dict[str, Any], warmup: dict[str, Any]) -> ServiceSpec:
+    known = {name: warmup[name] for name in WARMUP_FIELDS if name in warmup}
+    return _checked(ServiceSpec, {**fields, **known})
+
+
 def _route(fields: dict[str, Any]) -> Route:
     parts = tuple(_checked(WeightedService, part) for part in fields["parts"])
     kind = RequestKind(fields["kind"])
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -66,6 +66,10 @@
     def request_limit(self, fields):
         return fields.get("Wordy-Limit")
 
+    def warmup_left_s(self, fields):
+        text = fields.get("Wordy-Warmup-S")
+        return float(text) if text else None
+
     def load_report(self, fields, now_s):
         text = fields.get("Wordy-Load")
         if text is None:
@@ -92,14 +96,16 @@
     return dataclasses.replace(default, **changes)
 
 
-def configuration(version=1, routes=None, **limits):
+def configuration(version=1, routes=None, warmup=(0.0, 0.0), **limits):
     """Return a configuration with one route of each kind."""
     routes = routes or (
         route("/read/"),
         route("/order/", RequestKind.ONCE_ONLY, ORDERS),
         route("/upload/", RequestKind.UPLOAD, ORDERS),
     )
-    services = {name: ServiceSpec(name, HEALTH_PATH, 100) for name in (READS, ORDERS)}
+    services = {
+        name: ServiceSpec(name, HEALTH_PATH, 100, *warmup) for name in (READS, ORDERS)
+    }
     return RoutingConfiguration(
         version, tuple(routes), services, CallerLimits(**limits)
     )
--- a/berylhaven/routes/_configuration.py
+++ b/berylhaven/routes/_configuration.py
@@ -29,6 +29,11 @@
     health_path: str
     # The maximum number of connections to one server from all entry instances.
     connection_limit: int
+    # How long a server is cold after its start, in seconds.
+    warmup_s: float = 0.0
+    # The requests a second that a cold server takes from all instances together; 0 if
+    # there is no limit.
+    warmup_limit_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
