Send to cold servers only this instance's part of their rate

Cause: a cold server got what the choice by expected finish gave it, without regard to its rate, from all instances.

Change: ServerWarmups plans the part of this instance from the live and known members of its data centre; a server record includes it in the time for which nothing may be sent, so that a cold server without a turn is neither a candidate nor probed. A retry or hedge takes a turn as well. Without any server, a request waits if the next turn comes within its wait limit, otherwise it is refused at once with the time as Retry-After. Nothing queues at a cold server. A record is cold by its entry, by X-Warmup-Ms, after a new run and after record_possible_cold.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -25,7 +25,7 @@
 from berylhaven.gateway.members._locate import Location, locate
 from berylhaven.gateway.members._member import Member
 from berylhaven.gateway.members._member_gossip import MemberGossip
-from berylhaven.gateway.members._members import MemberTable
+from berylhaven.gateway.members._members import DISCOVERY_S, MemberTable
 from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.store._fleet_follower import FleetFollower
 from berylhaven.gateway.store._fleet_source import (
@@ -48,7 +48,6 @@
 # Until gossip has had time to discover the other instances, the size of the largest
 # deployment is assumed.
 INITIAL_SHARER_COUNT = 730
-DISCOVERY_S = 5.0
 # With fewer connections to a server, a probe and a request could not run concurrently.
 MIN_CONNECTIONS = 2
 WAIT_INTERVAL_S = 0.1
@@ -98,6 +97,7 @@
         "_members",
         "_gossip",
         "_evidence_spread",
+        "_warmups",
         "_threads",
         "_drain_began_at_s",
         "_is_leaving",
@@ -150,6 +150,7 @@
         )
         self._forwarder = path.forwarder
         self._evidence_spread = path.evidence_spread
+        self._warmups = path.warmups
         self._port = CallersPort(
             self._forwarder.answer,
             self._routes,
@@ -210,6 +211,7 @@
             eventlet.spawn(
                 self._keep_running, "crash evidence", self._evidence_spread.run
             ),
+            eventlet.spawn(self._keep_running, "warm-ups", self._warmups.run),
         ]
         self._event_log.write(
             "instance",
@@ -379,6 +381,7 @@
         self._gossip.set_seeds(seeds)
         self._source.reconfigure(settings.store)
         self._forwarder.update_allowance(settings.retries.allowance)
+        self._warmups.tolerance = settings.warmup.tolerance
         outcome = "in force" if is_kept else "in force but for names and addresses"
         self._event_log.write("instance", "reload", outcome=outcome)
 
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -22,6 +22,7 @@
 from berylhaven.gateway.servers._server_probe import ServerProber
 from berylhaven.gateway.servers._server_signals import ServerSignals
 from berylhaven.gateway.servers._server_table import ServerTable
+from berylhaven.gateway.servers._server_warmups import ServerWarmups
 from berylhaven.http1 import ConnectionPool
 from berylhaven.quarantine import CrashEvidence
 
@@ -69,7 +70,7 @@
         Tells a number of instances at once what this one does not reach.
     """
 
-    __slots__ = ("forwarder", "evidence_spread")
+    __slots__ = ("forwarder", "evidence_spread", "warmups")
 
     def __init__(
         self,
@@ -83,6 +84,17 @@
         self.evidence_spread = EvidenceSpread(
             evidence, parts.members, parts.random, parts.event_log
         )
+        # Limits what this instance sends to cold servers.
+        self.warmups = ServerWarmups(
+            parts.routes,
+            parts.table,
+            parts.members,
+            parts.settings.warmup.tolerance,
+            parts.random,
+            parts.event_log,
+            parts.metrics,
+        )
+        parts.table.admission = self.warmups
         reach = ReachMonitor(
             parts.table,
             parts.members,
--- a/berylhaven/gateway/members/_members.py
+++ b/berylhaven/gateway/members/_members.py
@@ -12,6 +12,8 @@
 REMOTE_UNRESPONSIVE_AFTER_S = 15.0
 # An instance of any data centre whose heartbeat is older is not given to callers.
 LOCATE_HEARTBEAT_LIMIT_S = 4.5
+# How long gossip takes at most to discover the other instances after a start.
+DISCOVERY_S = 5.0
 # Members without a new heartbeat for this time are evicted.
 EVICT_AFTER_S = 60.0
 # Relays read the store and gossip with other data centres. Two of them, so that
--- a/berylhaven/gateway/servers/_reach_monitor.py
+++ b/berylhaven/gateway/servers/_reach_monitor.py
@@ -165,12 +165,24 @@
                 state = self.state(service)
                 if state is Reach.MOST and not reach.is_failing:
                     return
-                servers = self._table.candidates(service)
-                count = min(CHECKED_SERVER_COUNT, len(servers))
-                self.check(self._random.sample(servers, count))
+                self._check_some(service)
         finally:
             self._checking.discard(service)
 
+    def _check_some(self, service: str) -> None:
+        now_s = monotonic_s()
+        # Cold servers are probed as seldom as requests are sent to them.
+        servers = [
+            server
+            for server in self._table.candidates(service)
+            if server.warmup_wait_s(now_s) == 0
+        ]
+        checked = self._random.sample(servers, min(CHECKED_SERVER_COUNT, len(servers)))
+        for server in checked:
+            server.record_unused_probe(now_s)
+        if checked:
+            self.check(checked)
+
     def _refresh(self) -> None:
         states = self._states.values()
         self._gauge.set({}, sum(state is not Reach.MOST for state in states))
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -42,6 +42,9 @@
 REMOTE_PROBE_COUNTS = (0, 0, 1, 2, 2)
 # The initial utility, which stands for no server that can answer in time.
 MIN_UTILITY = 0.0
+# The sort penalty of cold servers, so that most warm ones with a connection are probed
+# before them.
+COLD_COST = 0.6
 # The share of requests that are sent to a full server, so that it is noticed if the
 # servers of a service no longer slow down when they are nearly full.
 TRIAL_SHARE = 0.02
@@ -147,8 +150,7 @@
         ]
         candidates = [server for server in untried if not server.is_quiet(now_s)]
         if untried and not candidates:
-            quiet_s = min(server.quiet_s(now_s) for server in untried)
-            return Choice(None, len(untried), 0, 0.0, 0.0, quiet_s)
+            return _choice_of_none(request, untried, now_s)
         local, remote = self._order_candidates(candidates)
         compared: list[ServerRecord] = []
         best: ServerRecord | None = None
@@ -166,7 +168,11 @@
             utility = self._utility(best, request, now_s)
             if utility >= SUFFICIENT_UTILITY - self._remote_cost(best, request):
                 break
-        return self._choice(request, candidates, compared, best)
+        choice = self._choice(request, candidates, compared, best)
+        for server in compared:
+            if server is not choice.server:
+                server.record_unused_probe(now_s)
+        return choice
 
     def _choice(
         self,
@@ -214,8 +220,11 @@
                 is_trial=self._random.random() < TRIAL_SHARE,
             )
         )
-        if decision is StartDecision.SEND and best.limit is not None:
-            best.limit.record_send()
+        if best.is_cold(now_s) and request_count > concurrency:
+            # Nothing queues at a cold server.
+            decision = StartDecision.REFUSE
+        if decision is StartDecision.SEND:
+            best.record_send(now_s)
         return Choice(
             server=best if decision is StartDecision.SEND else None,
             candidate_count=len(candidates),
@@ -244,7 +253,11 @@
             if now_s < server.backoff_until_s:
                 penalty += UNRESPONSIVE_COST
             is_new = now_s - server.first_seen_at_s < NEW_SERVER_PERIOD_S
-            if not is_new and not self._has_connection(server.entry.address):
+            if server.is_cold(now_s):
+                # The few instances with a part of its rate should find it, also those
+                # without a connection.
+                penalty += COLD_COST
+            elif not is_new and not self._has_connection(server.entry.address):
                 penalty += NEW_CONNECTION_COST
             return penalty + self._random.random()
 
@@ -278,6 +291,18 @@
         return utility
 
 
+def _choice_of_none(
+    request: ChoiceRequest, untried: list[ServerRecord], now_s: float
+) -> Choice:
+    """Return the choice while nothing may be sent to any server."""
+    quiet_s = min(server.quiet_s(now_s) for server in untried)
+    choice = Choice(None, len(untried), 0, 0.0, 0.0, quiet_s)
+    is_token_near = request.waited_s + quiet_s < request.wait_limit_s
+    if is_token_near and any(server.is_cold(now_s) for server in untried):
+        choice.decision = StartDecision.WAIT
+    return choice
+
+
 def _pop_next_servers(
     local: list[ServerRecord], remote: list[ServerRecord], remote_count: int
 ) -> list[ServerRecord]:
--- a/berylhaven/gateway/servers/_server_record.py
+++ b/berylhaven/gateway/servers/_server_record.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 from dataclasses import dataclass
+from typing import Protocol
 
 from berylhaven.load_report import LoadReport
 from berylhaven.overload import LimitShare
@@ -53,6 +54,25 @@
         )
 
 
+class WarmupAdmission(Protocol):
+    """This instance's part of the rates of cold servers."""
+
+    def warmup_s(self, service: str) -> float:
+        """Return how long a server of a service is cold after its start, in seconds."""
+
+    def limit_per_s(self, service: str) -> float:
+        """Return the rate of each cold server of a service; 0 without a limit."""
+
+    def wait_s(self, server: "ServerRecord", now_s: float) -> float:
+        """Return the time until a request may be sent to a cold server, in seconds."""
+
+    def record_send(self, server: "ServerRecord", now_s: float) -> None:
+        """Record that a request is sent to a cold server."""
+
+    def record_probe(self, server: "ServerRecord", now_s: float) -> None:
+        """Record that a cold server was probed and not chosen."""
+
+
 class ServerRecord:
     """A backend server with its load reports and failures.
 
@@ -62,10 +82,14 @@
         The entry that the platform lists.
     now_s : float
         The current time on the hub's clock, in seconds.
+    admission : WarmupAdmission or None
+        This instance's part of the rates of cold servers; None if there is no limit.
     """
 
     __slots__ = (
         "entry",
+        "_admission",
+        "warmup_share",
         "_says_leaving",
         "quiet_until_s",
         "held_until_s",
@@ -84,8 +108,16 @@
         "backoff_until_s",
     )
 
-    def __init__(self, entry: ServerEntry, now_s: float) -> None:
+    def __init__(
+        self,
+        entry: ServerEntry,
+        now_s: float,
+        admission: WarmupAdmission | None = None,
+    ) -> None:
         self.entry = entry
+        self._admission = admission
+        # This instance's turns while the server is cold; None before the first.
+        self.warmup_share: LimitShare | None = None
         # Whether an answer of the server said that it is leaving.
         self._says_leaving = False
         # Until when nothing is sent to it because it asked for that.
@@ -140,7 +172,65 @@
         """Return for how long nothing may be sent to the server, in seconds."""
         paused_s = max(self.quiet_until_s, self.held_until_s) - now_s
         limited_s = self.limit.wait_s(now_s) if self.limit else 0.0
-        return max(0.0, paused_s, limited_s)
+        return max(0.0, paused_s, limited_s, self.warmup_wait_s(now_s))
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the server is cold and takes a limited rate."""
+        if self._admission is None or now_s >= self.warmup_end_s:
+            return False
+        return self._admission.limit_per_s(self.entry.service) > 0
+
+    def warmup_wait_s(self, now_s: float) -> float:
+        """Return for how long nothing may be sent because the server is cold."""
+        if not self.is_cold(now_s):
+            return 0.0
+        return self._admission.wait_s(self, now_s)
+
+    def record_send(self, now_s: float) -> None:
+        """Record that a request is sent, in a turn if the server has a limit."""
+        if self.limit is not None:
+            self.limit.record_send()
+
+        if self.is_cold(now_s):
+            self._admission.record_send(self, now_s)
+
+    def record_unused_probe(self, now_s: float) -> None:
+        """Record that the server was probed and no request is sent to it."""
+        if self.is_cold(now_s):
+            self._admission.record_probe(self, now_s)
+
+    def record_possible_cold(self, now_s: float) -> None:
+        """Record that the server may have started now: it counts as cold.
+
+        An answer may say otherwise later. Without a limit for cold servers, nothing
+        changes.
+
+        Parameters
+        ----------
+        now_s : float
+            The current time on the hub's clock, in seconds.
+        """
+        if self._admission is None:
+            return
+        service = self.entry.service
+        if self._admission.limit_per_s(service) > 0:
+            end_s = now_s + self._admission.warmup_s(service)
+            self.warmup_end_s = max(self.warmup_end_s, end_s)
+
+    def record_warmup_left(self, left_s: float, now_s: float) -> None:
+        """Record for how long the server says that it stays cold.
+
+        Parameters
+        ----------
+        left_s : float
+            The time, in seconds; 0 if it is warm.
+        now_s : float
+            The current time on the hub's clock, in seconds.
+        """
+        if self._admission is None:
+            return
+        if self._admission.limit_per_s(self.entry.service) > 0:
+            self.warmup_end_s = now_s + left_s
 
     def hold(self, now_s: float, duration_s: float) -> None:
         """Send nothing to the server until its entry is written again, or for a time.
--- a/berylhaven/gateway/servers/_server_signals.py
+++ b/berylhaven/gateway/servers/_server_signals.py
@@ -75,6 +75,9 @@
         now_s = monotonic_s()
         limit_text = self._dialect.request_limit(fields)
         self._limits.record(server, limit_text, is_probe, now_s)
+        warmup_left_s = self._dialect.warmup_left_s(fields)
+        if warmup_left_s is not None:
+            server.record_warmup_left(warmup_left_s, now_s)
         report = self._dialect.load_report(fields, now_s)
         if report is not None:
             server.record_report(report)
--- a/berylhaven/gateway/servers/_server_table.py
+++ b/berylhaven/gateway/servers/_server_table.py
@@ -2,7 +2,11 @@
 
 from collections import OrderedDict
 
-from berylhaven.gateway.servers._server_record import ServerEntry, ServerRecord
+from berylhaven.gateway.servers._server_record import (
+    ServerEntry,
+    ServerRecord,
+    WarmupAdmission,
+)
 
 # How long a removed server is not used after a restored copy of the store lists it
 # again: the entry of a run that has ended expires within this time.
@@ -14,9 +18,11 @@
 class ServerTable:
     """Records of backend servers by id and by service."""
 
-    __slots__ = ("_records", "_by_service", "_removed")
+    __slots__ = ("_records", "_by_service", "_removed", "admission")
 
     def __init__(self) -> None:
+        # This instance's part of the rates of cold servers; set once, before entries.
+        self.admission: WarmupAdmission | None = None
         self._records: dict[str, ServerRecord] = {}
         self._by_service: dict[str, tuple[ServerRecord, ...]] = {}
         # The last records of removed servers, the latest removal last.
@@ -74,7 +80,11 @@
         return len(self._records)
 
     def put(
-        self, entry: ServerEntry, now_s: float, is_restored: bool = False
+        self,
+        entry: ServerEntry,
+        now_s: float,
+        is_restored: bool = False,
+        is_start: bool = False,
     ) -> ServerRecord:
         """Insert or update the entry of a server.
 
@@ -86,6 +96,8 @@
             The current time on the hub's clock, in seconds.
         is_restored : bool
             Whether the entry comes from an older copy of the store.
+        is_start : bool
+            Whether a run that was not known may have started now.
 
         Returns
         -------
@@ -100,17 +112,27 @@
             if not is_restored:
                 known.end_hold(now_s)
         else:
-            known = self._insert(entry, now_s, is_restored)
+            known = self._insert(entry, now_s, is_restored, is_start)
         self._regroup()
         return known
 
     def _insert(
-        self, entry: ServerEntry, now_s: float, is_restored: bool
+        self, entry: ServerEntry, now_s: float, is_restored: bool, is_start: bool
     ) -> ServerRecord:
-        record = self._records[entry.server_id] = ServerRecord(entry, now_s)
+        former = self._records.get(entry.server_id)
+        record = ServerRecord(entry, now_s, self.admission)
+        self._records[entry.server_id] = record
         removed = self._removed.get(entry.server_id)
+        former = former or removed
+        if former is not None:
+            # The turns continue, so that a restart adds nothing to the rate.
+            record.warmup_share = former.warmup_share
         if removed is None or not removed.entry.is_same_run(entry):
+            if is_start:
+                record.record_possible_cold(now_s)
             return record
+        if removed.is_cold(now_s):
+            record.warmup_end_s = max(record.warmup_end_s, removed.warmup_end_s)
         if removed.is_leaving and entry.started_at_ms:
             record.record_leaving()
         record.quiet_until_s = removed.quiet_until_s
--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -354,7 +354,9 @@
         self._expired_server_ids.discard(entry.server_id)
         # The first update of an era lists what the copy has, not what was written.
         is_restored = self._revision is not None and revision.era > self._revision.era
-        record = self._table.put(entry, monotonic_s(), is_restored)
+        # The servers in the first snapshot may have been running for long.
+        is_start = self._revision is not None
+        record = self._table.put(entry, monotonic_s(), is_restored, is_start)
         if known is None or was_leaving != record.is_leaving:
             self._event_log.write(
                 "fleet",
