Count new connections to servers by cause

Cause: an instance opens about one connection a request in large fleets, and no metric said why. Change: the pool tells the cause of each new connection (first contact, all busy, too idle for a call that must run once, expired, closed by the server, not reusable), and berylhaven_server_connections_opened_total counts them. Result: both tests of causes were seen red (closes not remembered; busy told as first).

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -132,6 +132,7 @@
             ANSWER_HEAD_LIMIT_BYTES,
             self._random,
             SERVER_IDLE_LIMIT_S,
+            self.metrics.record_new_connection,
         )
         path = RequestPath(
             InstanceParts(
--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
+from berylhaven.http1 import OpenCause
+
 TEXT_CONTENT_TYPE = "text/plain"
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 LATENESS_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2.0)
@@ -23,6 +25,8 @@
         "_attempts",
         "_attempt_duration",
         "_probes",
+        "_choices",
+        "_new_connections",
         "_store_calls",
         "_lateness",
     )
@@ -50,6 +54,14 @@
         self._probes = self.counter(
             "probes_total", "Load probes of backend servers, by outcome."
         )
+        self._choices = self.counter(
+            "server_choices_total",
+            "Choices of a server, by whether it is in this instance's subset.",
+        )
+        self._new_connections = self.counter(
+            "server_connections_opened_total",
+            "New connections to backend servers, by why none could be reused.",
+        )
         self._store_calls = self.counter(
             "store_calls_total", "Calls to the store, by outcome."
         )
@@ -108,6 +120,21 @@
         self._probes.add({"outcome": "answered"}, answered_count)
         self._probes.add({"outcome": "silent"}, unresponsive_count)
 
+    def record_choice(self, is_in_subset: bool | None) -> None:
+        """Count a chosen server.
+
+        Parameters
+        ----------
+        is_in_subset : bool or None
+            Whether the server is in this instance's subset; None without a subset.
+        """
+        subset = {None: "none", True: "inside", False: "outside"}[is_in_subset]
+        self._choices.inc({"subset": subset})
+
+    def record_new_connection(self, cause: OpenCause) -> None:
+        """Count a new connection to a backend server."""
+        self._new_connections.inc({"cause": cause.value})
+
     def record_store_call(self, is_answered: bool) -> None:
         """Count a call to the store."""
         self._store_calls.inc({"outcome": "answered" if is_answered else "failed"})
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -2,7 +2,11 @@
 
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, parse_framing
 from berylhaven.http1._chunked_reader import ChunkedBodyError, ChunkedReader
-from berylhaven.http1._connection_pool import ConnectionCounts, ConnectionPool
+from berylhaven.http1._connection_pool import (
+    ConnectionCounts,
+    ConnectionPool,
+    OpenCause,
+)
 from berylhaven.http1._exchange_errors import (
     CALLER_ERROR_ENDS,
     CONNECTION_ERRORS,
@@ -43,6 +47,7 @@
     "ConnectionPool",
     "HeadFields",
     "NoAnswerLength",
+    "OpenCause",
     "RequestBody",
     "UpstreamAnswer",
     "UpstreamConnection",
--- a/berylhaven/http1/_connection_pool.py
+++ b/berylhaven/http1/_connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to backend servers, each used for one call at a time."""
 
+import enum
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +20,25 @@
 SIBLING_AGE_TOLERANCE_S = 0.5
 # Interval between checks for expired idle connections.
 SWEEP_INTERVAL_S = 1.0
+# The number of addresses without a connection whose last close is remembered.
+CLOSE_CAUSES_LIMIT = 4_096
+
+
+class OpenCause(enum.Enum):
+    """Why a call could not reuse a connection to its server."""
+
+    # This instance has had no connection to the server, as far as it remembers.
+    FIRST = "first"
+    # All open connections were in use.
+    BUSY = "busy"
+    # The idle ones were idle for too long for a call that must not run twice.
+    TOO_IDLE = "too-idle"
+    # The last one had expired.
+    EXPIRED = "expired"
+    # The server had closed the last one.
+    CLOSED_BY_SERVER = "closed-by-server"
+    # The last one was closed after a call that failed or was cancelled.
+    NOT_REUSABLE = "not-reusable"
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,6 +86,8 @@
         The random number generator of the backoff; None for a new one.
     idle_limit_s : float
         The idle time after which a connection is closed, in seconds.
+    record_open : callable
+        Called with the cause of each new connection.
     """
 
     __slots__ = (
@@ -73,7 +95,9 @@
         "_connection_limit_for",
         "_head_limit_bytes",
         "_random",
+        "_record_open",
         "_servers",
+        "_close_causes",
         "_swept_at_s",
     )
 
@@ -83,12 +107,16 @@
         head_limit_bytes: int,
         rng: random.Random | None = None,
         idle_limit_s: float = IDLE_LIMIT_S,
+        record_open: Callable[[OpenCause], None] = lambda cause: None,
     ) -> None:
+        self._record_open = record_open
         self._idle_limit_s = idle_limit_s
         self._connection_limit_for = connection_limit_for
         self._head_limit_bytes = head_limit_bytes
         self._random = rng or random.Random()
         self._servers: dict[str, _ServerConnections] = {}
+        # Why the last connection to an address was closed, the latest one last.
+        self._close_causes: dict[str, OpenCause] = {}
         self._swept_at_s = monotonic_s()
 
     def acquire(
@@ -129,7 +157,9 @@
             if connection is not None:
                 server.busy.add(connection)
                 return connection
+        cause = self._open_cause(server, address, now_s)
         self._check_connect_allowed(server, address, now_s)
+        self._record_open(cause)
         connection = UpstreamConnection(address, self._head_limit_bytes)
         server.busy.add(connection)
         return connection
@@ -141,6 +171,22 @@
             self._servers[address] = server
         return server
 
+    def _open_cause(
+        self, server: _ServerConnections, address: str, now_s: float
+    ) -> OpenCause:
+        if server.idle:
+            is_expired = self._is_expired(server.idle[-1], now_s)
+            return OpenCause.EXPIRED if is_expired else OpenCause.TOO_IDLE
+        if server.busy:
+            return OpenCause.BUSY
+        return self._close_causes.get(address, OpenCause.FIRST)
+
+    def _note_close(self, address: str, cause: OpenCause) -> None:
+        self._close_causes.pop(address, None)
+        self._close_causes[address] = cause
+        if len(self._close_causes) > CLOSE_CAUSES_LIMIT:
+            del self._close_causes[next(iter(self._close_causes))]
+
     def _pop_idle(
         self, server: _ServerConnections, now_s: float, is_idempotent: bool
     ) -> UpstreamConnection | None:
@@ -156,6 +202,7 @@
             if idle_s <= connection.idle_limit_s and connection.is_input_empty():
                 return connection
             connection.close()
+            self._note_close(connection.address, OpenCause.CLOSED_BY_SERVER)
         return None
 
     def _check_connect_allowed(
@@ -187,6 +234,7 @@
         self._update_backoff(server, connection)
         if not is_reusable or not connection.is_open:
             connection.close()
+            self._note_close(connection.address, OpenCause.NOT_REUSABLE)
             return
         connection.used_at_s = monotonic_s()
         server.idle.append(connection)
@@ -237,6 +285,7 @@
         if server is not None:
             while server.idle:
                 server.idle.pop().close()
+        self._close_causes.pop(address, None)
 
     def close_expired(self) -> None:
         """Close connections past their idle limit and drop unused server records."""
@@ -244,6 +293,7 @@
         for address, server in list(self._servers.items()):
             while server.idle and self._is_expired(server.idle[0], now_s):
                 server.idle.pop(0).close()
+                self._note_close(address, OpenCause.EXPIRED)
             if server.open_count == 0 and server.backoff.is_expired(now_s):
                 del self._servers[address]
 
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -12,6 +12,7 @@
     NON_IDEMPOTENT_IDLE_LIMIT_S,
     ConnectionCounts,
     ConnectionPool,
+    OpenCause,
 )
 from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
 
@@ -55,6 +56,33 @@
         self.release(connections[:1])
         self.assertIs(self.open(), connections[0])
 
+    def test_the_cause_of_each_new_connection_is_told(self):
+        causes = []
+        self.pool = ConnectionPool(lambda _: LIMIT, 10_000, record_open=causes.append)
+        first, second = self.open_many(2)
+        self.release([first, second])
+        self.clock.advance_s(NON_IDEMPOTENT_IDLE_LIMIT_S + 1)
+        self.open()
+        expected = [OpenCause.FIRST, OpenCause.BUSY, OpenCause.TOO_IDLE]
+        self.assertEqual(causes, expected)
+
+    def test_the_cause_after_a_close_is_told(self):
+        causes = []
+        self.pool = ConnectionPool(lambda _: LIMIT, 10_000, record_open=causes.append)
+        self.pool.release(self.open(), is_reusable=False)
+        self.release([self.open()])
+        self.clock.advance_s(IDLE_LIMIT_S + 1)
+        self.release([self.open()])
+        self.pool.close_idle(self.address)
+        self.open()
+        expected = [
+            OpenCause.FIRST,
+            OpenCause.NOT_REUSABLE,
+            OpenCause.EXPIRED,
+            OpenCause.FIRST,
+        ]
+        self.assertEqual(causes, expected)
+
     def test_the_most_recently_used_connection_is_reused_first(self):
         connections = self.open_many(3)
         self.release(connections)
