--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -22,6 +22,7 @@
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.members._locate import Location, locate
 from berylhaven.gateway.members._member import Member
 from berylhaven.gateway.members._member_gossip import MemberGossip
@@ -103,6 +104,7 @@
         "_is_leaving",
         "_started_at_s",
         "metrics",
+        "held",
     )
 
     def __init__(
@@ -123,6 +125,8 @@
         self._table = ServerTable()
         # The metrics of this instance.
         self.metrics = GatewayMetrics()
+        # The account of the bytes held for callers and servers.
+        self.held = HeldBytes(settings.memory.held_limit_bytes, event_log, self.metrics)
         others = set(settings.instance.seed_peers) - {settings.instance.peers_address}
         self._members = MemberTable(
             _own_member(settings.instance), expects_peers=bool(others)
@@ -143,6 +147,7 @@
                 self._random,
                 event_log,
                 self.metrics,
+                self.held,
             ),
             pool,
             self._sharer_count,
@@ -156,6 +161,7 @@
             dialect,
             event_log,
             self._members.has_host,
+            self.held,
         )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
@@ -379,6 +385,7 @@
         self._gossip.set_seeds(seeds)
         self._source.reconfigure(settings.store)
         self._forwarder.update_allowance(settings.retries.allowance)
+        self.held.limit_bytes = settings.memory.held_limit_bytes
         outcome = "in force" if is_kept else "in force but for names and addresses"
         self._event_log.write("instance", "reload", outcome=outcome)
 
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -9,6 +9,7 @@
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.members._evidence_spread import EvidenceSpread
 from berylhaven.gateway.members._members import MemberTable
 from berylhaven.gateway.requests._attempt_runner import AttemptRunner
@@ -52,6 +53,8 @@
     event_log: EventLog
     # The metrics of the instance.
     metrics: GatewayMetrics
+    # The account of the bytes held for callers and servers.
+    held: HeldBytes
 
 
 class RequestPath:
@@ -123,6 +126,7 @@
             parts.metrics,
             quarantine,
             reach,
+            parts.held,
         )
         # Forwards requests of callers and of other instances.
         self.forwarder = Forwarder(
@@ -137,6 +141,7 @@
             quarantine,
             reach,
             _peer_forwarder(parts),
+            parts.held,
         )
 
 
@@ -154,4 +159,5 @@
         parts.random,
         parts.event_log,
         parts.metrics,
+        parts.held,
     )
--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from berylhaven.gateway.callers._held_bytes import HELD_LIMIT_BYTES
 from berylhaven.gateway.requests._shared_retry_budget import RetryAllowance
 from berylhaven.ini import Field, parse_sections
 
@@ -73,6 +74,14 @@
     time_to_live_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class MemorySettings:
+    """The memory for what callers and servers have not read yet."""
+
+    # The bytes held at one time: request heads and bodies, and answers.
+    held_limit_bytes: int
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """All settings of one gateway instance."""
@@ -87,6 +96,8 @@
     retries: RetrySettings
     # The locate answers.
     locate: LocateSettings
+    # The memory for bodies and answers.
+    memory: MemorySettings
 
 
 SECTIONS = {
@@ -128,8 +139,20 @@
         LocateSettings,
         (Field("time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),),
     ),
+    "memory": (
+        MemorySettings,
+        (
+            Field(
+                "held_limit_bytes",
+                "integer",
+                default=HELD_LIMIT_BYTES,
+                minimum=1_000_000,
+                maximum=1_000_000_000_000,
+            ),
+        ),
+    ),
 }
-OPTIONAL_SECTIONS = ("drain", "retries", "locate")
+OPTIONAL_SECTIONS = ("drain", "retries", "locate", "memory")
 
 
 class InvalidGatewaySettings(ExceptionGroup):
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -11,7 +11,12 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
-from berylhaven.gateway.callers._passed_on import passed_on_attempt_limit
+from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
+from berylhaven.gateway.callers._passed_on import (
+    NOT_RUN,
+    OUTCOME,
+    passed_on_attempt_limit,
+)
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
     GatewayRequest,
@@ -25,6 +30,7 @@
     parse_framing,
     read_fields,
 )
+from berylhaven.overload import SMALL_BYTES, HeldKind, body_kind
 from berylhaven.results import BadRequestHead, CallRefused, HeadTooLarge, SenderTooSlow
 
 if TYPE_CHECKING:
@@ -43,9 +49,25 @@
 PREREAD_BODY_LIMIT_BYTES = 1_000_000
 # The interval at which the end of a larger body is polled for.
 BODY_POLL_INTERVAL_S = 0.02
+# What a pipelined request takes besides its head and body: its green threads and
+# objects. 2,500 pending requests took 33 MB.
+PENDING_REQUEST_BYTES = 13_000
+# A first head up to this size is not refused: its connection takes as much, and the
+# number of connections is limited.
+SMALL_HEAD_BYTES = 4_096
+# A head is held as received text and as parsed fields.
+HEAD_COPY_COUNT = 2
+# The interval at which room for another pipelined head is polled for.
+ROOM_POLL_INTERVAL_S = 0.02
+# How long a request waits for room for its body, where room is expected by then.
+BODY_WAIT_LIMIT_S = 0.2
+# The part of an answer that is sent together with its head.
+FIRST_PIECE_BYTES = 8_192
 # How long a connection is still read after its last answer: closing a socket with
 # unread bytes resets the connection, and the caller could lose the answer.
 LINGER_TIMEOUT_S = 1.0
+# A waiting read takes as much memory as it may return.
+DISCARD_PIECE_BYTES = 8_192
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -61,6 +83,8 @@
     answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
     # The green thread that processes the request.
     thread: eventlet.greenthread.GreenThread | None = None
+    # The memory of the request's head; None if the head was rejected.
+    reservation: Reservation | None = None
 
 
 class CallerConnection:
@@ -84,6 +108,7 @@
         "_has_pending",
         "_writer",
         "_is_closing",
+        "_is_broken",
         "_slot_released",
     )
 
@@ -99,6 +124,8 @@
         self._writer: eventlet.greenthread.GreenThread | None = None
         # Whether the last answer is being sent; further input is ignored.
         self._is_closing = False
+        # Whether an answer could not be written.
+        self._is_broken = False
 
     @property
     def pending_count(self) -> int:
@@ -112,6 +139,7 @@
             while not self._is_closing:
                 if not self._await_request():
                     break
+                self._await_head_room()
                 if not self._read_request():
                     # The error is the last answer.
                     self._writer.wait()
@@ -153,6 +181,9 @@
         except CallRefused as refusal:
             self._reject_head(refusal.code.status, refusal.message)
             return False
+        except NoRoom as refusal:
+            self._reject_head(503, refusal.message, refusal.return_s, head)
+            return False
         message = (
             f"the request head was not complete within {limits.header_timeout_s} s"
         )
@@ -221,19 +252,52 @@
             version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
         )
         pending = PendingAnswer(request.method == "HEAD", must_close)
+        pending.reservation = self._reserve_head(match, fields)
         if body.has_body:
             body.limit_bytes = limits.body_limit_bytes
-            timeout_error = SenderTooSlow(
-                "the first part of the request body was not received within "
-                f"{limits.idle_timeout_s} s"
-            )
-            with eventlet.Timeout(limits.idle_timeout_s, timeout_error):
-                body.buffer_first_part(PREREAD_BODY_LIMIT_BYTES)
+            self._buffer_body(request)
         self._enqueue(pending)
         pending.thread = eventlet.spawn(self._answer, request, pending)
         self._await_body(body, pending)
         self._await_pipeline_slot()
 
+    def _reserve_head(self, match: re.Match, fields: HeadFields) -> Reservation:
+        text_bytes = match.end() + sum(len(n) + len(v) for n, v in fields.pairs)
+        size_bytes = HEAD_COPY_COUNT * text_bytes
+        held = self._port.held
+        if self._pending:
+            # It was read because there was room, or the last answer is just written.
+            size_bytes += PENDING_REQUEST_BYTES
+            return held.add(HeldKind.PIPELINED_HEAD, size_bytes)
+        if text_bytes <= SMALL_HEAD_BYTES:
+            return held.add(HeldKind.HEAD, size_bytes)
+        return held.admit(HeldKind.HEAD, size_bytes)
+
+    def _buffer_body(self, request: GatewayRequest) -> None:
+        """Read the first part of a body, once there is room for it."""
+        body, held = request.body, self._port.held
+        idle_timeout_s = self._port.caller_limits.idle_timeout_s
+        size_bytes = body.content_length
+        if size_bytes is None:
+            size_bytes = SMALL_BYTES
+        size_bytes = min(size_bytes, PREREAD_BODY_LIMIT_BYTES)
+        request.reservation = held.admit(
+            body_kind(size_bytes), size_bytes, BODY_WAIT_LIMIT_S
+        )
+        timeout_error = SenderTooSlow(
+            "the first part of the request body was not received within "
+            f"{idle_timeout_s} s"
+        )
+        with eventlet.Timeout(idle_timeout_s, timeout_error):
+            body.buffer_first_part(size_bytes)
+            if body.content_length is None and not body.is_ended:
+                # A chunked body that is not small: its size is still unknown.
+                left_bytes = PREREAD_BODY_LIMIT_BYTES - size_bytes
+                request.reservation = held.admit(
+                    HeldKind.LARGE_BODY, PREREAD_BODY_LIMIT_BYTES
+                )
+                body.extend_first_part(left_bytes)
+
     def _caller_host(self) -> str:
         try:
             return self._socket.getpeername()[0]
@@ -246,8 +310,16 @@
         while not body.is_ended and not pending.answered.ready():
             sleep_s(BODY_POLL_INTERVAL_S)
 
+    def _await_head_room(self) -> None:
+        """Leave further input unread while pipelined heads take up their share."""
+        held = self._port.held
+        while self._pending and not self._is_broken:
+            if held.has_room(HeldKind.PIPELINED_HEAD, PENDING_REQUEST_BYTES):
+                return
+            sleep_s(ROOM_POLL_INTERVAL_S)
+
     def _await_pipeline_slot(self) -> None:
-        while len(self._pending) >= PIPELINE_LIMIT:
+        while len(self._pending) >= PIPELINE_LIMIT and not self._is_broken:
             self._slot_released = eventlet.event.Event()
             self._slot_released.wait()
 
@@ -259,9 +331,18 @@
         if not self._has_pending.ready():
             self._has_pending.send()
 
-    def _reject_head(self, status: int, message: str) -> None:
-        answer = error_answer(status, message)
+    def _reject_head(
+        self,
+        status: int,
+        message: str,
+        retry_after_s: float | None = None,
+        head: tuple[re.Match, HeadFields] | None = None,
+    ) -> None:
+        answer = error_answer(status, message, retry_after_s)
         answer.closes_connection = True
+        if head is not None and passed_on_attempt_limit(head[1]) is not None:
+            # The instance that passed the request on may try another one.
+            answer.headers.append((OUTCOME, NOT_RUN))
         pending = PendingAnswer(False, True)
         pending.answered.send(answer)
         self._port.log_head_rejected(status, message)
@@ -281,7 +362,10 @@
                 self._write_next()
         except OSError:
             # The reader fails too, and cancels the pending requests.
+            self._is_broken = True
             self._shut_down(socket.SHUT_RDWR)
+            if not self._slot_released.ready():
+                self._slot_released.send()
 
     def _write_next(self) -> None:
         # In a method of its own, so that an idle connection refers to no answer.
@@ -295,7 +379,9 @@
             # behind this one still need an answer.
             is_last = True
         self._is_closing = is_last
-        self._socket.sendall(_answer_bytes(pending, answer, is_last))
+        head = _answer_head(pending, answer, is_last)
+        has_body = not (pending.is_head_request or _is_bodyless(answer))
+        self._send_answer(head, answer.body if has_body else b"")
         self._pending.popleft()
         if not self._slot_released.ready():
             self._slot_released.send()
@@ -303,10 +389,17 @@
             self._shut_down(socket.SHUT_WR)
             eventlet.spawn_after(LINGER_TIMEOUT_S, self._shut_down, socket.SHUT_RDWR)
 
+    def _send_answer(self, head: bytes, body: bytes | bytearray) -> None:
+        """Send an answer without a further copy of a large body."""
+        self._socket.sendall(head + body[:FIRST_PIECE_BYTES])
+        if len(body) > FIRST_PIECE_BYTES:
+            # A slice of a view refers to the bytes, also while a slow caller reads.
+            self._socket.sendall(memoryview(body)[FIRST_PIECE_BYTES:])
+
     def _discard_input(self) -> None:
         """Read and discard further input until the caller closes the connection."""
         with eventlet.Timeout(LINGER_TIMEOUT_S, False):
-            while self._reader.read1(65_536):
+            while self._reader.read1(DISCARD_PIECE_BYTES):
                 pass
 
     def _shut_down(self, how: int) -> None:
@@ -323,15 +416,15 @@
         self._pending.clear()
 
 
-def _answer_bytes(
-    pending: PendingAnswer, answer: GatewayAnswer, is_last: bool
-) -> bytes:
+def _is_bodyless(answer: GatewayAnswer) -> bool:
+    return answer.status in BODYLESS_STATUSES
+
+
+def _answer_head(pending: PendingAnswer, answer: GatewayAnswer, is_last: bool) -> bytes:
     lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
     lines += [f"{name}: {value}" for name, value in answer.headers]
-    is_bodyless = answer.status in BODYLESS_STATUSES
-    if not is_bodyless and not pending.is_head_request:
+    if not _is_bodyless(answer) and not pending.is_head_request:
         lines.append(f"Content-Length: {len(answer.body)}")
     if is_last:
         lines.append("Connection: close")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head if is_bodyless or pending.is_head_request else head + answer.body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -12,6 +12,7 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway.callers._caller_connection import CallerConnection
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
     GatewayRequest,
@@ -42,10 +43,13 @@
         Receives a line for each rejected head and each internal error.
     is_peer : callable
         Returns whether a host is that of another instance.
+    held : HeldBytes
+        The account of held bytes.
     """
 
     __slots__ = (
         "is_peer",
+        "held",
         "_application",
         "_routes",
         "dialect",
@@ -61,7 +65,10 @@
         dialect: Dialect,
         event_log: EventLog,
         is_peer: Callable[[str], bool],
+        held: HeldBytes,
     ) -> None:
+        # The account of the bytes held for callers and servers.
+        self.held = held
         # Whether a host is that of another instance.
         self.is_peer = is_peer
         self._application = application
@@ -139,7 +146,7 @@
             return answer
 
     def log_head_rejected(self, status: int, message: str) -> None:
-        """Log that a request head was rejected.
+        """Log that a request was rejected by its head.
 
         Parameters
         ----------
@@ -179,6 +186,10 @@
         The WSGI server.
     """
 
+    # The size of a connection's read buffer. Most heads fit, and larger reads of bodies
+    # bypass it; the default is 8,192 bytes.
+    rbufsize = 2_048
+
     def __init__(self, port: CallersPort, conn_state: list, server: object) -> None:
         self._port = port
         super().__init__(conn_state, server)
--- /dev/null
+++ b/berylhaven/gateway/callers/_held_bytes.py
@@ -0,0 +1,310 @@
+"""The account of all bytes that the instance holds for callers and servers."""
+
+import math
+from collections import deque
+
+import eventlet.event
+
+from berylhaven.clock import monotonic_s
+from berylhaven.event_log import EventLog
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.overload import (
+    Admission,
+    AdmissionDecision,
+    HeldKind,
+    ReleaseRate,
+    answer_kind,
+    decide_admission,
+    room_bytes,
+)
+
+# Answers alone had a bound of 24 MB, without their copies. A process takes 44 MB
+# without callers and 9 MB more for 350 connections, and is to stay under 60 MB; with
+# 6 MB it exceeded this by 0.4 MB.
+HELD_LIMIT_BYTES = 5_000_000
+# A kind that was full has room again once at least this part of the account is free
+# for it, so that the state does not change with every release.
+ROOM_RATIO = 1 / 32
+
+
+class NoRoom(Exception):
+    """The account has no room.
+
+    Parameters
+    ----------
+    message : str
+        One sentence with the details.
+    return_s : float
+        The time after which the caller may come back, in seconds.
+    """
+
+    def __init__(self, message: str, return_s: float) -> None:
+        super().__init__(message)
+        self.message = message
+        self.return_s = return_s
+
+
+class Reservation:
+    """Bytes in the account; released at the latest once nothing refers to it.
+
+    Parameters
+    ----------
+    account : HeldBytes
+        The account.
+    kind : HeldKind
+        The kind of the bytes.
+    size_bytes : int
+        Their number, already counted.
+    """
+
+    __slots__ = ("_account", "kind", "size_bytes")
+
+    def __init__(self, account: "HeldBytes", kind: HeldKind, size_bytes: int) -> None:
+        self._account = account
+        # The kind of the bytes.
+        self.kind = kind
+        # Their number; 0 after the release.
+        self.size_bytes = size_bytes
+
+    def release(self) -> None:
+        """Release the bytes; a second call does nothing."""
+        size_bytes, self.size_bytes = self.size_bytes, 0
+        if size_bytes:
+            self._account.release(self.kind, size_bytes)
+
+    __del__ = release
+
+
+class HeldBytes:
+    """Counts bytes by kind, and decides whether more are taken into memory.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        The size of the account.
+    event_log : EventLog or None
+        Receives a line when a kind becomes full and when it has room again.
+    metrics : GatewayMetrics or None
+        Counts the refusals and shows the bytes held.
+    """
+
+    __slots__ = (
+        "limit_bytes",
+        "held_bytes",
+        "_event_log",
+        "_refusals",
+        "_gauge",
+        "_rates",
+        "_waiting",
+        "_full_kinds",
+    )
+
+    def __init__(
+        self,
+        limit_bytes: int = HELD_LIMIT_BYTES,
+        event_log: EventLog | None = None,
+        metrics: GatewayMetrics | None = None,
+    ) -> None:
+        # The size of the account.
+        self.limit_bytes = limit_bytes
+        # The bytes held now, by kind.
+        self.held_bytes = dict.fromkeys(HeldKind, 0)
+        self._event_log = event_log
+        self._refusals = None
+        self._gauge = None
+        self._rates = {kind: ReleaseRate() for kind in HeldKind}
+        self._waiting: deque[eventlet.event.Event] = deque()
+        # The kinds for which there was no room when it was last requested, with the
+        # room that ends this state.
+        self._full_kinds: dict[HeldKind, float] = {}
+        if metrics is not None:
+            self._refusals = metrics.counter(
+                "held_refusals_total",
+                "Requests refused because the account of held bytes had no room.",
+            )
+            self._gauge = metrics.gauge(
+                "held_bytes", "Bytes held for callers and servers, by kind."
+            )
+            metrics.add_refresher(self._refresh)
+
+    @property
+    def reserved_bytes(self) -> int:
+        """The number of bytes held now."""
+        return sum(self.held_bytes.values())
+
+    def admit(
+        self, kind: HeldKind, size_bytes: int, wait_limit_s: float = 0.0
+    ) -> Reservation:
+        """Reserve memory, after a wait if room is expected to become free in time.
+
+        Parameters
+        ----------
+        kind : HeldKind
+            The kind of the bytes.
+        size_bytes : int
+            Their number.
+        wait_limit_s : float
+            How long they may wait, in seconds; infinite if they cannot be refused.
+
+        Returns
+        -------
+        Reservation
+            The reserved memory.
+
+        Raises
+        ------
+        NoRoom
+            If there is no room and none is expected in time.
+        """
+        began_at_s = monotonic_s()
+        left_s = wait_limit_s
+        decision = self._decide(kind, size_bytes, left_s)
+        while decision.admission is Admission.WAIT:
+            self._wait_for_release(left_s)
+            left_s = wait_limit_s - (monotonic_s() - began_at_s)
+            decision = self._decide(kind, size_bytes, left_s)
+        if decision.admission is Admission.ADMIT:
+            return self.add(kind, size_bytes)
+        if self._refusals is not None:
+            self._refusals.inc({"kind": kind.value})
+        raise NoRoom(
+            f"no room for {size_bytes} bytes of kind {kind.value}: "
+            f"{self.held_bytes[kind]} of this kind and {self.reserved_bytes} in all "
+            f"are held, the limit is {self.limit_bytes}",
+            decision.return_s,
+        )
+
+    def has_room(self, kind: HeldKind, size_bytes: int) -> bool:
+        """Return whether bytes of a kind fit now, without a reservation."""
+        return self._decide(kind, size_bytes, 0.0).admission is Admission.ADMIT
+
+    def reserve_answer(
+        self, size_bytes: int, expected: Reservation | None = None
+    ) -> Reservation:
+        """Reserve memory for an answer of a known size, after a wait if necessary.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The size of its body.
+        expected : Reservation or None
+            What was reserved for it before its request was sent.
+
+        Returns
+        -------
+        Reservation
+            The memory. A small answer never waits.
+        """
+        if expected is not None:
+            expected.release()
+        kind = answer_kind(size_bytes)
+        if kind is HeldKind.SMALL_ANSWER:
+            return self.add(kind, size_bytes)
+        return self.admit(kind, size_bytes, math.inf)
+
+    def add(self, kind: HeldKind, size_bytes: int) -> Reservation:
+        """Count bytes that are in memory, without a decision.
+
+        Parameters
+        ----------
+        kind : HeldKind
+            The kind of the bytes.
+        size_bytes : int
+            Their number.
+
+        Returns
+        -------
+        Reservation
+            The counted memory.
+        """
+        self.held_bytes[kind] += size_bytes
+        return Reservation(self, kind, size_bytes)
+
+    def extend(self, reservation: Reservation, size_bytes: int) -> None:
+        """Count more memory for an answer of unknown size, without a wait.
+
+        Two such answers would otherwise wait for one another.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            The reservation of the answer.
+        size_bytes : int
+            The additional size.
+        """
+        self.held_bytes[reservation.kind] -= reservation.size_bytes
+        reservation.size_bytes += size_bytes
+        reservation.kind = answer_kind(reservation.size_bytes)
+        self.held_bytes[reservation.kind] += reservation.size_bytes
+
+    def release(self, kind: HeldKind, size_bytes: int) -> None:
+        """Release bytes; called by their reservation.
+
+        Parameters
+        ----------
+        kind : HeldKind
+            The kind of the bytes.
+        size_bytes : int
+            Their number.
+        """
+        self.held_bytes[kind] -= size_bytes
+        self._rates[kind].record(size_bytes, monotonic_s())
+        if self._full_kinds:
+            self._log_room()
+        if self._waiting:
+            waiting, self._waiting = self._waiting, deque()
+            for released in waiting:
+                released.send()
+
+    def _decide(
+        self, kind: HeldKind, size_bytes: int, wait_limit_s: float
+    ) -> AdmissionDecision:
+        decision = decide_admission(
+            kind,
+            size_bytes,
+            self.held_bytes,
+            self.limit_bytes,
+            self._rates[kind].per_s(monotonic_s()),
+            wait_limit_s,
+        )
+        if decision.admission is not Admission.ADMIT and kind not in self._full_kinds:
+            room = ROOM_RATIO * self.limit_bytes
+            self._full_kinds[kind] = max(room, size_bytes)
+            self._log("full", kind, decision.admission.value)
+        return decision
+
+    def _wait_for_release(self, limit_s: float) -> None:
+        released = eventlet.event.Event()
+        self._waiting.append(released)
+        try:
+            if limit_s == math.inf:
+                released.wait()
+            else:
+                with eventlet.Timeout(limit_s, False):
+                    released.wait()
+        finally:
+            if released in self._waiting:
+                self._waiting.remove(released)
+
+    def _log_room(self) -> None:
+        for kind, needed_bytes in list(self._full_kinds.items()):
+            room = room_bytes(kind, self.held_bytes, self.limit_bytes)
+            if room >= needed_bytes or not self.held_bytes[kind]:
+                del self._full_kinds[kind]
+                self._log("has room", kind, None)
+
+    def _log(self, event: str, kind: HeldKind, admission: str | None) -> None:
+        if self._event_log is not None:
+            self._event_log.write_failure(
+                "memory",
+                event,
+                kind=kind.value,
+                admission=admission,
+                held_bytes=self.held_bytes[kind],
+                total_bytes=self.reserved_bytes,
+                limit_bytes=self.limit_bytes,
+            )
+
+    def _refresh(self) -> None:
+        for kind, size_bytes in self.held_bytes.items():
+            self._gauge.set({"kind": kind.value}, size_bytes)
--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from berylhaven.gateway.callers._answer_memory import Reservation
+from berylhaven.gateway.callers._held_bytes import Reservation
 from berylhaven.http1 import HeadFields, RequestBody
 
 
@@ -32,6 +32,10 @@
     # The number of servers that it may be sent to if another instance passed it on;
     # None if it comes from a caller.
     passed_on_attempt_limit: int | None = None
+    # The memory of the first part of its body; None without a body.
+    reservation: Reservation | None = None
+    # The memory reserved for the answer until its size is known.
+    expected_answer: Reservation | None = None
 
     @property
     def path(self) -> str:
@@ -55,10 +59,11 @@
     # Header names and values, without framing and connection headers.
     headers: list[tuple[str, str]] = field(default_factory=list)
     # The body.
-    body: bytes = b""
+    body: bytes | bytearray = b""
     # Whether the connection is closed after this answer.
     closes_connection: bool = False
-    # Held as long as the answer is; None without reserved memory.
+    # The memory of the body, released once the answer was written; None if the gateway
+    # generated the answer.
     reservation: Reservation | None = None
 
 
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -9,10 +9,15 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway.callers._answer_memory import AnswerMemory
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.requests._sent_request import SentRequest
+from berylhaven.gateway.requests._server_uploads import (
+    CHOICES_LIMIT,
+    UPLOADS_RETRY_AFTER_S,
+    ServerUploads,
+)
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_chooser import (
     Choice,
@@ -105,6 +110,8 @@
         Records the attempts that ended with their server.
     reach : ReachMonitor
         Records which servers answer.
+    memory : HeldBytes
+        The account of held bytes.
     """
 
     __slots__ = (
@@ -118,6 +125,7 @@
         "_event_log",
         "_metrics",
         "_memory",
+        "_uploads",
     )
 
     def __init__(
@@ -131,6 +139,7 @@
         metrics: GatewayMetrics,
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
+        memory: HeldBytes,
     ) -> None:
         self._reach = reach
         self._quarantine = quarantine
@@ -141,7 +150,8 @@
         self._random = random
         self._event_log = event_log
         self._metrics = metrics
-        self._memory = AnswerMemory()
+        self._memory = memory
+        self._uploads = ServerUploads(event_log)
 
     def choose(
         self, request: GatewayRequest, choice_request: ChoiceRequest
@@ -165,7 +175,7 @@
         NoServerAvailable
             If no server is expected to answer in time.
         """
-        choice = self._choose_after_wait(choice_request)
+        choice = self._choose_bearing(request, choice_request)
         server = choice.server
         self._event_log.write(
             "placement",
@@ -195,6 +205,24 @@
             raise NoServerAvailable(message, return_s)
         return server
 
+    def _choose_bearing(
+        self, request: GatewayRequest, choice_request: ChoiceRequest
+    ) -> Choice:
+        """Choose a server that bears the upload beside those it holds from here."""
+        for _ in range(CHOICES_LIMIT):
+            choice = self._choose_after_wait(choice_request)
+            server = choice.server
+            if server is None or self._uploads.admits(request, server):
+                return choice
+            excluded = choice_request.excluded | {server.entry.server_id}
+            choice_request = dataclasses.replace(choice_request, excluded=excluded)
+        service = choice_request.service.name
+        raise NoServerAvailable(
+            f'service "{service}": the servers hold as many uploads of this instance '
+            f"as they are known to bear ({self._uploads.limit_bytes(service)} bytes)",
+            UPLOADS_RETRY_AFTER_S,
+        )
+
     def _choose_after_wait(self, choice_request: ChoiceRequest) -> Choice:
         began_at_s = monotonic_s()
         choice = self._chooser.choose(choice_request)
@@ -234,11 +262,19 @@
         AttemptFailed
             With the stage at which the attempt ended.
         """
+        if not self._uploads.admits(request, server):
+            # Another upload took the room since the choice.
+            raise AttemptFailed(
+                AttemptEnd.CONNECTION_LIMIT,
+                f'server "{server.entry.server_id}" holds as many uploads of this '
+                "instance as it is known to bear",
+            )
         sent = SentRequest(server, choice_request.work)
         connection = self._pool.acquire(
             server.entry.address, choice_request.route.is_idempotent
         )
         server.in_flight_count += 1
+        self._uploads.add(request, server)
         answer = None
         try:
             answer = exchange(
@@ -252,11 +288,16 @@
         except AttemptFailed as failure:
             self._record_failure(request, server, failure, sent.sent_at_s)
             self._quarantine.record_failure(
-                request, server, failure.end, choice_request.service.health_path
+                request,
+                server,
+                failure.end,
+                choice_request.service.health_path,
+                self._uploads.crash_recorder(server),
             )
             raise
         finally:
             server.in_flight_count -= 1
+            self._uploads.remove(request, server, answer is not None)
             self._pool.release(connection, answer is not None and answer.is_reusable)
         duration_s = monotonic_s() - sent.sent_at_s
         self._record_answer(request, server, answer, duration_s)
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -10,6 +10,7 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.callers._held_bytes import HeldBytes, NoRoom
 from berylhaven.gateway.callers._passed_on import ANSWERED, NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
@@ -28,10 +29,16 @@
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.http1 import end_to_end_headers
-from berylhaven.overload import Crowding, wait_limit_s
+from berylhaven.overload import (
+    INITIAL_DOWNLOAD_BYTES,
+    Crowding,
+    ExpectedSize,
+    answer_kind,
+    wait_limit_s,
+)
 from berylhaven.quarantine import Hold, request_fingerprint
 from berylhaven.results import BodyTooLarge, CallRefused
-from berylhaven.routes import Route, ServiceSpec, SplitChooser
+from berylhaven.routes import RequestKind, Route, ServiceSpec, SplitChooser
 
 # How long before the caller's timeout a server's answer must be available, for the
 # way back to the caller.
@@ -78,6 +85,8 @@
         Tells which services this instance reaches.
     peers : PeerForwarder
         Passes requests for the others on.
+    held : HeldBytes
+        The account of held bytes.
     """
 
     __slots__ = (
@@ -96,6 +105,8 @@
         "_crowding_by_service",
         "_event_log",
         "_metrics",
+        "_held",
+        "_expected_sizes",
     )
 
     def __init__(
@@ -111,7 +122,11 @@
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
         peers: PeerForwarder,
+        held: HeldBytes,
     ) -> None:
+        self._held = held
+        # The sizes to expect of answers, by route and service.
+        self._expected_sizes: dict[tuple[str, str], ExpectedSize] = {}
         self._reach = reach
         self._peers = peers
         self._quarantine = quarantine
@@ -231,6 +246,18 @@
             wait_limit_s=wait_s,
         )
 
+        expected_size = self._expected_size(route, service)
+        kind = answer_kind(expected_size.size_bytes)
+        try:
+            # A request whose answer finds no room would hold a slot of its server.
+            request.expected_answer = self._held.admit(
+                kind, expected_size.size_bytes, wait_s
+            )
+        except NoRoom as refusal:
+            return self._refuse(
+                request, 503, refusal.message, refusal.return_s, choice_request
+            )
+
         def try_acquire_retry() -> bool:
             """Spend one retry of the shared budget if one is left."""
             return budget.try_acquire(self._instance_count(), monotonic_s())
@@ -248,8 +275,10 @@
             result = attempts.run()
         finally:
             attempts.cancel()
+            request.expected_answer.release()
         if result is not None:
             answer = result.answer
+            expected_size.record(len(answer.body))
             headers = end_to_end_headers(
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
@@ -358,6 +387,15 @@
             budget = self._budgets[service] = SharedRetryBudget(self._allowance)
         return budget
 
+    def _expected_size(self, route: Route, service: ServiceSpec) -> ExpectedSize:
+        key = (route.name, service.name)
+        expected = self._expected_sizes.get(key)
+        if expected is None:
+            is_download = route.kind is RequestKind.DOWNLOAD
+            expected = ExpectedSize(INITIAL_DOWNLOAD_BYTES if is_download else 0)
+            self._expected_sizes[key] = expected
+        return expected
+
     def _work(self, route: Route, service: ServiceSpec) -> RouteWork:
         # Versions of a route with the same name share their averages.
         key = (route.name, service.name)
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -13,7 +13,7 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway.callers._answer_memory import AnswerMemory
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._passed_on import (
     ANSWERED,
     NOT_RUN,
@@ -66,6 +66,8 @@
         Receives a line for each request that is passed on.
     metrics : GatewayMetrics
         Counts the requests.
+    memory : HeldBytes
+        The account of held bytes.
     """
 
     __slots__ = (
@@ -87,13 +89,14 @@
         random: Random,
         event_log: EventLog,
         metrics: GatewayMetrics,
+        memory: HeldBytes,
     ) -> None:
         self._members = members
         self._pool = pool
         self._dialect = dialect
         self._random = random
         self._event_log = event_log
-        self._memory = AnswerMemory()
+        self._memory = memory
         self._passed_on = metrics.counter(
             "requests_passed_on_total",
             "Requests that were passed on to other instances, by service and outcome.",
--- a/berylhaven/gateway/requests/_request_quarantine.py
+++ b/berylhaven/gateway/requests/_request_quarantine.py
@@ -1,5 +1,7 @@
 """Holds requests under which servers end, by the evidence of all instances."""
 
+from collections.abc import Callable
+
 import eventlet
 
 from berylhaven.attempts import AttemptEnd
@@ -156,6 +158,7 @@
         server: ServerRecord,
         end: AttemptEnd,
         health_path: str,
+        on_server_ended: Callable[[ServerEntry], None],
     ) -> None:
         """Check the server after a failed attempt if its connection broke.
 
@@ -169,6 +172,8 @@
             The end of the attempt.
         health_path : str
             The path of the server's health check.
+        on_server_ended : callable
+            Called with the server's entry if it has ended.
         """
         # A server that is leaving is expected to end.
         if end in BROKEN_ENDS and not server.is_leaving:
@@ -179,6 +184,7 @@
                 monotonic_s(),
                 wall_clock_ms(),
                 health_path,
+                on_server_ended,
             )
 
     def _record_broken(
@@ -188,9 +194,11 @@
         broken_at_s: float,
         broken_at_ms: int,
         health_path: str,
+        on_server_ended: Callable[[ServerEntry], None],
     ) -> None:
         if not self._check.has_ended(entry, health_path):
             return
+        on_server_ended(entry)
         run = f"{entry.server_id}/{entry.started_at_ms}"[:TEXT_LIMIT]
         strike = Strike(request.fingerprint, run, _short_id(request), broken_at_ms)
         news = self._evidence.merge(strike, broken_at_s)
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -8,7 +8,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway.callers._answer_memory import AnswerMemory, Reservation
+from berylhaven.gateway.callers._held_bytes import HeldBytes, Reservation
 from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.http1 import (
     CALLER_ERROR_ENDS,
@@ -23,6 +23,7 @@
     end_to_end_headers,
     parse_framing,
 )
+from berylhaven.overload import SMALL_BYTES, HeldKind
 
 # Within a region a TCP handshake takes milliseconds. A lost packet is retransmitted
 # only after a second, by which time another server is the better choice.
@@ -51,10 +52,10 @@
     # The header fields.
     fields: HeadFields
     # The complete body.
-    body: bytes
+    body: bytes | bytearray
     # Whether the connection can be used for another request.
     is_reusable: bool
-    # The memory of the body; None if it is small.
+    # The memory of the body; None without a body.
     reservation: Reservation | None
 
 
@@ -64,7 +65,7 @@
     dialect: Dialect,
     server_id: str,
     deadline_s: float,
-    memory: AnswerMemory,
+    memory: HeldBytes,
 ) -> ServerAnswer:
     """Send a request and read the complete answer.
 
@@ -80,8 +81,8 @@
         The id of the backend server that must run the request.
     deadline_s : float
         The deadline of the answer, on the hub's clock.
-    memory : AnswerMemory
-        Bounds the memory of large answers.
+    memory : HeldBytes
+        The account of held bytes.
 
     Returns
     -------
@@ -98,10 +99,12 @@
     if remaining_s <= 0:
         raise attempt.timeout_failure()
     timer = eventlet.Timeout(remaining_s)
+    answer = None
     try:
         attempt.connect(remaining_s)
         attempt.send()
-        return attempt.read()
+        answer = attempt.read()
+        return answer
     except eventlet.Timeout as timeout:
         if timeout is not timer:
             raise
@@ -109,6 +112,8 @@
     finally:
         timer.cancel()
         attempt.stop_sending()
+        if answer is None:
+            attempt.release()
 
 
 class _Exchange:
@@ -134,7 +139,7 @@
         dialect: Dialect,
         server_id: str,
         deadline_s: float,
-        memory: AnswerMemory,
+        memory: HeldBytes,
     ) -> None:
         self._connection = connection
         self._request = request
@@ -208,8 +213,11 @@
         try:
             for piece in self._request.body.pieces(PIECE_BYTES):
                 if is_chunked:
-                    piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-                self._connection.send(piece)
+                    self._connection.send(b"%x\r\n" % len(piece))
+                # Slices of a view are not copies, while the server reads slowly.
+                self._connection.send(memoryview(piece))
+                if is_chunked:
+                    self._connection.send(b"\r\n")
             if is_chunked:
                 self._connection.send(LAST_CHUNK)
         except tuple(CALLER_ERROR_ENDS) as error:
@@ -231,6 +239,14 @@
         if self._sender is not None:
             self._sender.kill()
 
+    def release(self) -> None:
+        """Release the memory of an incomplete answer.
+
+        The failure refers to it for as long as the request has further attempts.
+        """
+        if self._reservation is not None:
+            self._reservation.release()
+
     def _is_body_sent(self) -> bool:
         return self._sender is None or (
             self._sender.dead and self._send_failure is None
@@ -286,7 +302,7 @@
             head.status, head.reason, head.fields, body, keeps_open, self._reservation
         )
 
-    def _read_body(self, head: AnswerHead) -> tuple[bytes, bool]:
+    def _read_body(self, head: AnswerHead) -> tuple[bytes | bytearray, bool]:
         """Return the body, and whether its framing determines its end."""
         self._reservation = None
         reader = self._connection.reader
@@ -295,8 +311,17 @@
         framing = parse_framing(head.fields.pairs, head.version)
         if framing.content_length is None and not framing.is_chunked:
             return self._read_to_end(reader), False
-        self._reservation = self._memory.reserve(framing.content_length or 0)
+        if not framing.is_chunked:
+            self._reservation = self._memory.reserve_answer(
+                framing.content_length, self._request.expected_answer
+            )
         source = AnswerBodyReader(reader, framing)
+        length_bytes = framing.content_length or 0
+        if SMALL_BYTES < length_bytes <= ANSWER_LIMIT_BYTES:
+            # Joining pieces would take the memory twice.
+            body = bytearray(length_bytes)
+            source.read_into(memoryview(body))
+            return body, True
         pieces = []
         left_bytes = ANSWER_LIMIT_BYTES
         while not source.is_ended:
@@ -314,7 +339,9 @@
     def _count_piece(self, piece: bytes) -> None:
         """Count a piece of an answer whose size is not known in advance."""
         if self._reservation is None:
-            self._reservation = Reservation()
+            if self._request.expected_answer is not None:
+                self._request.expected_answer.release()
+            self._reservation = self._memory.add(HeldKind.SMALL_ANSWER, 0)
         self._memory.extend(self._reservation, len(piece))
 
     def _read_to_end(self, reader: io.BufferedReader) -> bytes:
--- a/berylhaven/gateway/tests/test_answer_memory.py
+++ b/berylhaven/gateway/tests/test_answer_memory.py
@@ -8,10 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylhaven.gateway.callers._answer_memory import (
-    SMALL_ANSWER_BYTES,
-    AnswerMemory,
-)
+from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.tests._gateway_path import (
     READS,
     GatewayPath,
@@ -19,18 +16,25 @@
     route,
 )
 from berylhaven.http1.tests._raw_backend import answers_raw
+from berylhaven.overload import SMALL_BYTES, HeldKind
 from berylhaven.routes import RequestKind
 
 LARGE_BYTES = 100_000
 
 
+def account(large_answers_bytes):
+    """Return an account in which large answers may take this much."""
+    # Six of sixteen parts are guaranteed to other kinds.
+    return HeldBytes(large_answers_bytes * 16 // 10)
+
+
 class AnswerMemoryTest(unittest.TestCase):
     def setUp(self):
-        self.memory = AnswerMemory(3 * LARGE_BYTES)
+        self.memory = account(3 * LARGE_BYTES)
 
     def test_an_answer_waits_until_another_one_is_released(self):
-        held = [self.memory.reserve(LARGE_BYTES) for _ in range(3)]
-        thread = eventlet.spawn(self.memory.reserve, LARGE_BYTES)
+        held = [self.memory.reserve_answer(LARGE_BYTES) for _ in range(3)]
+        thread = eventlet.spawn(self.memory.reserve_answer, LARGE_BYTES)
         eventlet.sleep(0)
         self.assertFalse(thread.dead)
         held.pop()
@@ -38,29 +42,33 @@
             self.assertIsNotNone(thread.wait())
 
     def test_an_answer_beyond_the_limit_is_read_alone(self):
-        self.assertIsNotNone(self.memory.reserve(10 * LARGE_BYTES))
+        self.assertIsNotNone(self.memory.reserve_answer(10 * LARGE_BYTES))
 
     def test_a_small_answer_never_waits(self):
-        held = self.memory.reserve(10 * LARGE_BYTES)
-        self.assertIsNone(self.memory.reserve(SMALL_ANSWER_BYTES))
+        held = self.memory.reserve_answer(10 * LARGE_BYTES)
+        with eventlet.Timeout(1.0):
+            small = self.memory.reserve_answer(SMALL_BYTES)
+        self.assertEqual(
+            self.memory.reserved_bytes, 10 * LARGE_BYTES + small.size_bytes
+        )
         del held
 
     def test_a_cancelled_wait_leaves_nothing_behind(self):
-        held = self.memory.reserve(3 * LARGE_BYTES)
+        held = self.memory.reserve_answer(3 * LARGE_BYTES)
         with eventlet.Timeout(0.01, False):
-            self.memory.reserve(LARGE_BYTES)
+            self.memory.reserve_answer(LARGE_BYTES)
         del held
         self.assertEqual(self.memory.reserved_bytes, 0)
-        self.assertIsNotNone(self.memory.reserve(LARGE_BYTES))
+        self.assertIsNotNone(self.memory.reserve_answer(LARGE_BYTES))
 
     @given(st.lists(st.integers(0, 5 * LARGE_BYTES), max_size=30))
     def test_the_limit_holds_and_all_answers_get_their_turn(self, sizes):
-        memory = AnswerMemory(3 * LARGE_BYTES)
+        memory = account(3 * LARGE_BYTES)
         highest = []
 
         def read(size):
-            reservation = memory.reserve(size)
-            highest.append(memory.reserved_bytes)
+            reservation = memory.reserve_answer(size)
+            highest.append(memory.held_bytes[HeldKind.LARGE_ANSWER])
             eventlet.sleep(0)
             del reservation
 
@@ -68,7 +76,7 @@
         with eventlet.Timeout(5.0):
             for thread in threads:
                 thread.wait()
-        single = max([size for size in sizes if size > SMALL_ANSWER_BYTES], default=0)
+        single = max([size for size in sizes if size > SMALL_BYTES], default=0)
         self.assertLessEqual(max(highest, default=0), max(3 * LARGE_BYTES, single))
         self.assertEqual(memory.reserved_bytes, 0)
 
@@ -89,16 +97,16 @@
         body = b"x" * self.ANSWER_BYTES
         self.path.answer_all(READS, answers_raw(head.encode() + body))
         runner = self.path.instance._forwarder._runner
-        self.memory = AnswerMemory(self.LIMIT_BYTES)
+        self.memory = account(self.LIMIT_BYTES)
         self.highest_bytes = 0
-        reserve = self.memory.reserve
+        reserve = self.memory.reserve_answer
 
-        def record(size_bytes):
-            reservation = reserve(size_bytes)
+        def record(size_bytes, expected=None):
+            reservation = reserve(size_bytes, expected)
             self.highest_bytes = max(self.highest_bytes, self.memory.reserved_bytes)
             return reservation
 
-        runner._memory = unittest.mock.Mock(wraps=self.memory, reserve=record)
+        runner._memory = unittest.mock.Mock(wraps=self.memory, reserve_answer=record)
 
     def test_all_answers_arrive_whole_within_the_limit(self):
         callers = [self.path.connect() for _ in range(self.CALLER_COUNT)]
--- /dev/null
+++ b/berylhaven/gateway/tests/test_held_bytes.py
@@ -0,0 +1,151 @@
+"""Tests of the account of held bytes, its decisions and refusals."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylhaven.gateway.tests._gateway_path import (
+    ORDERS,
+    READS,
+    GatewayPath,
+    request_bytes,
+)
+from berylhaven.overload import (
+    Admission,
+    ExpectedSize,
+    HeldKind,
+    UploadLimit,
+    decide_admission,
+    room_bytes,
+)
+
+EXPORT_BYTES = 540_000
+UPLOAD_BYTES = 360_000
+
+
+def room_of(held, kind):
+    """Return how many bytes of a kind fit into an account."""
+    return int(room_bytes(kind, held.held_bytes, held.limit_bytes))
+
+
+class RefusalTest(unittest.TestCase):
+    """A full account refuses bodies before they are read, and nothing else."""
+
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+        held = self.path.instance.held
+        self.held = held
+        size_bytes = int(
+            room_bytes(HeldKind.LARGE_BODY, held.held_bytes, held.limit_bytes)
+        )
+        self.reservation = held.add(HeldKind.LARGE_BODY, size_bytes)
+
+    def test_an_upload_is_refused_before_its_body_is_read(self):
+        """A caller that awaits 100 Continue must not send a body that has no room."""
+        head = request_bytes("/upload/1", "a", "POST", None, Expect="100-continue")
+        head = head[:-2] + b"Content-Length: 360000\r\n\r\n"
+        with self.path.connect() as caller:
+            caller.send(head)
+            answer = caller.answer()
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+            self.assertIsNone(caller.answer())
+        self.assertEqual(self.path.requests(ORDERS), [])
+
+    def test_small_bodies_and_answers_are_served(self):
+        with self.path.connect() as caller:
+            answer = caller.exchange("/order/1", "a", "POST", b"x" * 1_000)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(caller.exchange("/read/1", "b").status, 200)
+
+    def test_uploads_are_served_once_there_is_room(self):
+        self.reservation.release()
+        body = b"x" * 360_000
+        with self.path.connect() as caller:
+            self.assertEqual(
+                caller.exchange("/upload/1", "a", "POST", body).status, 200
+            )
+        self.assertEqual(self.path.requests(ORDERS)[0].body, body)
+
+    def test_a_download_without_room_for_its_answer_is_not_sent(self):
+        """Its answer would otherwise wait at the server and hold a slot."""
+        held = self.held
+        size_bytes = int(
+            room_bytes(HeldKind.LARGE_ANSWER, held.held_bytes, held.limit_bytes)
+        )
+        reservation = held.add(HeldKind.LARGE_ANSWER, size_bytes)
+        forwarder = self.path.instance._forwarder
+        with self.path.connect() as caller:
+            self.assertEqual(caller.exchange("/read/1", "a").status, 200)
+            for expected in forwarder._expected_sizes.values():
+                expected.record(EXPORT_BYTES)
+            answer = caller.exchange("/read/2", "b")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+        self.assertEqual([r.path for r in self.path.requests(READS)], ["/read/1"])
+        reservation.release()
+
+
+class UploadLimitTest(unittest.TestCase):
+    def test_a_server_that_ended_under_uploads_gets_half_as_many(self):
+        """Without the limit, the next server gets the same uploads and ends too."""
+        limit = UploadLimit()
+        self.assertTrue(limit.admits(UPLOAD_BYTES, 10 * UPLOAD_BYTES))
+        limit = limit.after_crash(10 * UPLOAD_BYTES)
+        self.assertEqual(limit.limit_bytes, 5 * UPLOAD_BYTES)
+        self.assertTrue(limit.admits(UPLOAD_BYTES, 4 * UPLOAD_BYTES))
+        self.assertFalse(limit.admits(UPLOAD_BYTES, 5 * UPLOAD_BYTES))
+
+    @given(st.lists(st.one_of(st.integers(0, 10**8), st.none())))
+    def test_a_single_upload_is_always_admitted(self, events):
+        limit = UploadLimit()
+        for held_bytes in events:
+            if held_bytes is None:
+                limit = limit.after_answer(UPLOAD_BYTES)
+            else:
+                limit = limit.after_crash(held_bytes)
+            self.assertTrue(limit.admits(10**9, 0))
+            self.assertGreater(limit.limit_bytes, 0)
+
+
+class DecideAdmissionTest(unittest.TestCase):
+    @given(
+        st.lists(st.tuples(st.sampled_from(list(HeldKind)), st.integers(0, 300_000)))
+    )
+    def test_admitted_items_keep_to_the_limit_and_no_kind_starves(self, items):
+        """One kind must not take the room that is guaranteed to another."""
+        limit_bytes = 1_600_000
+        held = dict.fromkeys(HeldKind, 0)
+        single = dict.fromkeys(HeldKind, 0)
+        for kind, size_bytes in items:
+            decision = decide_admission(kind, size_bytes, held, limit_bytes, 0.0, 0.0)
+            if decision.admission is Admission.ADMIT:
+                if not held[kind]:
+                    single[kind] = size_bytes
+                held[kind] += size_bytes
+        # Only the first item of a kind may exceed what is left.
+        self.assertLessEqual(sum(held.values()) - sum(single.values()), limit_bytes)
+        for kind in HeldKind:
+            if not held[kind]:
+                decision = decide_admission(kind, 1, held, limit_bytes, 0.0, 0.0)
+                self.assertIs(decision.admission, Admission.ADMIT)
+
+    def test_a_wait_is_only_as_long_as_the_release_takes(self):
+        held = dict.fromkeys(HeldKind, 0) | {HeldKind.LARGE_BODY: 800_000}
+        arguments = (HeldKind.LARGE_BODY, 100_000, held, 1_600_000)
+        waits = decide_admission(*arguments, 1_000_000.0, 0.2)
+        self.assertIs(waits.admission, Admission.WAIT)
+        refused = decide_admission(*arguments, 100_000.0, 0.2)
+        self.assertIs(refused.admission, Admission.REFUSE)
+        self.assertAlmostEqual(refused.return_s, 1.0)
+
+    def test_the_expected_size_follows_the_largest_answers(self):
+        expected = ExpectedSize()
+        expected.record(EXPORT_BYTES)
+        expected.record(1_000)
+        self.assertGreater(expected.size_bytes, 0.8 * EXPORT_BYTES)
+        for _ in range(200):
+            expected.record(1_000)
+        self.assertLess(expected.size_bytes, 2_000)
--- a/berylhaven/http1/_request_body.py
+++ b/berylhaven/http1/_request_body.py
@@ -13,6 +13,8 @@
 # The unread rest of a refused request's body is read and discarded up to this size, so
 # that the connection can serve the next request; a longer rest closes the connection.
 DISCARD_LIMIT_BYTES = 65_536
+# A read allocates memory for as much as it may return.
+PIECE_BYTES = 65_536
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -37,6 +39,7 @@
         "_sender_timeout_s",
         "_send_continue",
         "_first_part",
+        "buffered_bytes",
         "limit_bytes",
         "content_length",
         "position",
@@ -55,6 +58,8 @@
         self._sender_timeout_s = sender_timeout_s
         self._send_continue = send_continue
         self._first_part: bytes | None = None
+        # The size of the part that was read into memory, also once it was released.
+        self.buffered_bytes = 0
         # The size limit of the body in bytes; None until the service is known.
         self.limit_bytes: int | None = None
         # The length in bytes; None if the body is chunked.
@@ -140,7 +145,7 @@
                 raise SenderTooSlow(
                     f"the body was not received within {self._sender_timeout_s:g} s"
                 )
-            piece = self._read_piece(size_bytes - read_bytes)
+            piece = self._read_piece(min(PIECE_BYTES, size_bytes - read_bytes))
             read_bytes += len(piece)
             pieces.append(piece)
         return pieces[0] if len(pieces) == 1 else b"".join(pieces)
@@ -177,6 +182,18 @@
         """
         if self._first_part is None:
             self._first_part = self.read(size_bytes) if self.has_body else b""
+            self.buffered_bytes = len(self._first_part)
+
+    def extend_first_part(self, size_bytes: int) -> None:
+        """Read more of the body into memory, after `buffer_first_part`.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The maximum size of the addition, in bytes.
+        """
+        self._first_part = (self._first_part or b"") + self.read(size_bytes)
+        self.buffered_bytes = len(self._first_part)
 
     def pieces(self, size_bytes: int) -> Iterator[bytes]:
         """Yield the body from its start; only once, unless it is replayable.
--- /dev/null
+++ b/berylhaven/overload/_held_bytes.py
@@ -0,0 +1,202 @@
+"""Whether bytes for a caller or a server are taken into memory, wait, or are refused.
+
+Load pattern: hundreds of callers that read their answers slowly or not at all, while
+other callers send uploads to servers that read slowly. What is held for them all must
+fit into the memory of the instance, and what is held for one kind must not take the
+room of another.
+"""
+
+import enum
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+# Bodies and answers up to this size are small. A kind of their own keeps requests with
+# small bodies served while large ones take up their whole share.
+SMALL_BYTES = 65_536
+# The time constant of the release rate, in seconds.
+RELEASE_TIME_S = 1.0
+# The range of the Retry-After values.
+MIN_RETURN_S = 0.1
+MAX_RETURN_S = 2.0
+# The expected size of the answers of a download route before the first one.
+INITIAL_DOWNLOAD_BYTES = 131_072
+# The share of the difference by which the expected size decreases with each smaller
+# answer.
+SIZE_DECAY_RATIO = 1 / 8
+
+
+class HeldKind(enum.Enum):
+    """What bytes are held for; each kind has a share of the account."""
+
+    # The only pending request of its connection.
+    HEAD = "head"
+    # A request that was received before the ones in front of it were answered.
+    PIPELINED_HEAD = "pipelined-head"
+    # Request bodies up to `SMALL_BYTES`.
+    SMALL_BODY = "small-body"
+    # Larger request bodies.
+    LARGE_BODY = "large-body"
+    # Answers up to `SMALL_BYTES`.
+    SMALL_ANSWER = "small-answer"
+    # Larger answers.
+    LARGE_ANSWER = "large-answer"
+
+
+# The share of the account that is kept free for each kind. The rest is for any kind.
+GUARANTEED_RATIO = {
+    HeldKind.HEAD: 1 / 16,
+    HeldKind.PIPELINED_HEAD: 1 / 16,
+    HeldKind.SMALL_BODY: 1 / 16,
+    HeldKind.LARGE_BODY: 2 / 16,
+    HeldKind.SMALL_ANSWER: 1 / 16,
+    HeldKind.LARGE_ANSWER: 4 / 16,
+}
+
+
+class Admission(enum.Enum):
+    """What happens to bytes for which room in the account is requested."""
+
+    ADMIT = "admit"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@dataclass(slots=True, frozen=True)
+class AdmissionDecision:
+    """A decision, and when there is expected to be room."""
+
+    # What happens.
+    admission: Admission
+    # The time until there is expected to be room, within the range of Retry-After
+    # values, in seconds; 0 if there is room.
+    return_s: float = 0.0
+
+
+def body_kind(size_bytes: int) -> HeldKind:
+    """Return the kind of a request body of this size."""
+    return HeldKind.SMALL_BODY if size_bytes <= SMALL_BYTES else HeldKind.LARGE_BODY
+
+
+def answer_kind(size_bytes: int) -> HeldKind:
+    """Return the kind of an answer of this size."""
+    is_small = size_bytes <= SMALL_BYTES
+    return HeldKind.SMALL_ANSWER if is_small else HeldKind.LARGE_ANSWER
+
+
+def room_bytes(
+    kind: HeldKind, held_bytes: Mapping[HeldKind, int], limit_bytes: int
+) -> float:
+    """Return how many more bytes of a kind fit; negative if too many are held.
+
+    Parameters
+    ----------
+    kind : HeldKind
+        The kind of the bytes.
+    held_bytes : mapping of HeldKind to int
+        The bytes held now.
+    limit_bytes : int
+        The size of the account.
+
+    Returns
+    -------
+    float
+        What is left of the account beside what the other kinds hold, or are
+        guaranteed if that is more; at least what is guaranteed to this kind.
+    """
+    others = sum(
+        max(held_bytes[other], GUARANTEED_RATIO[other] * limit_bytes)
+        for other in HeldKind
+        if other is not kind
+    )
+    available = max(limit_bytes - others, GUARANTEED_RATIO[kind] * limit_bytes)
+    return available - held_bytes[kind]
+
+
+def decide_admission(
+    kind: HeldKind,
+    size_bytes: int,
+    held_bytes: Mapping[HeldKind, int],
+    limit_bytes: int,
+    release_per_s: float,
+    wait_limit_s: float,
+) -> AdmissionDecision:
+    """Return whether bytes are admitted, wait for room, or are refused.
+
+    Parameters
+    ----------
+    kind : HeldKind
+        The kind of the bytes.
+    size_bytes : int
+        Their number.
+    held_bytes : mapping of HeldKind to int
+        The bytes held now.
+    limit_bytes : int
+        The size of the account.
+    release_per_s : float
+        How many bytes of the kind are released in a second.
+    wait_limit_s : float
+        How long they may wait; infinite if they cannot be refused.
+
+    Returns
+    -------
+    AdmissionDecision
+        A single item of a kind is admitted at any size, since it could otherwise never
+        be.
+    """
+    missing_bytes = size_bytes - room_bytes(kind, held_bytes, limit_bytes)
+    if missing_bytes <= 0 or not held_bytes[kind]:
+        return AdmissionDecision(Admission.ADMIT)
+    expected_s = missing_bytes / release_per_s if release_per_s > 0 else math.inf
+    return_s = min(MAX_RETURN_S, max(MIN_RETURN_S, expected_s))
+    if expected_s <= wait_limit_s:
+        return AdmissionDecision(Admission.WAIT, return_s)
+    return AdmissionDecision(Admission.REFUSE, return_s)
+
+
+class ReleaseRate:
+    """How many bytes are released in a second, as a decaying average."""
+
+    __slots__ = ("_bytes", "_at_s")
+
+    def __init__(self) -> None:
+        self._bytes = 0.0
+        self._at_s = -math.inf
+
+    def record(self, size_bytes: int, now_s: float) -> None:
+        """Add released bytes."""
+        self._bytes = self._decayed_bytes(now_s) + size_bytes
+        self._at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        """Return the rate in bytes a second."""
+        return self._decayed_bytes(now_s) / RELEASE_TIME_S
+
+    def _decayed_bytes(self, now_s: float) -> float:
+        return self._bytes * math.exp((self._at_s - now_s) / RELEASE_TIME_S)
+
+
+class ExpectedSize:
+    """The size to expect of a route's next answer: near the largest recent ones.
+
+    With the mean, requests were sent whose answers then found no room, and held all
+    connections to their server.
+
+    Parameters
+    ----------
+    initial_bytes : int
+        The expected size before the first answer.
+    """
+
+    __slots__ = ("size_bytes",)
+
+    def __init__(self, initial_bytes: int = 0) -> None:
+        # The expected size.
+        self.size_bytes = initial_bytes
+
+    def record(self, size_bytes: int) -> None:
+        """Add an answer."""
+        if size_bytes >= self.size_bytes:
+            self.size_bytes = size_bytes
+        else:
+            self.size_bytes -= int((self.size_bytes - size_bytes) * SIZE_DECAY_RATIO)
