--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -297,6 +297,7 @@
                     HeldKind.LARGE_BODY, PREREAD_BODY_LIMIT_BYTES
                 )
                 body.extend_first_part(left_bytes)
+        request.reservation.shrink(body.buffered_bytes)
 
     def _caller_host(self) -> str:
         try:
--- a/berylhaven/gateway/callers/_held_bytes.py
+++ b/berylhaven/gateway/callers/_held_bytes.py
@@ -72,6 +72,18 @@
         if size_bytes:
             self._account.release(self.kind, size_bytes)
 
+    def shrink(self, size_bytes: int) -> None:
+        """Release what exceeds the actual size.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The actual number of bytes, not more than the present one.
+        """
+        excess_bytes = self.size_bytes - size_bytes
+        self.size_bytes = size_bytes
+        self._account.release(self.kind, excess_bytes)
+
     __del__ = release
 
 
--- a/berylhaven/gateway/tests/test_held_bytes.py
+++ b/berylhaven/gateway/tests/test_held_bytes.py
@@ -65,6 +65,16 @@
             self.assertEqual(answer.status, 200)
             self.assertEqual(caller.exchange("/read/1", "b").status, 200)
 
+    def test_a_chunked_body_is_refused_once_it_is_large(self):
+        """Its size is not known in advance; it must not be buffered without room."""
+        head = request_bytes("/upload/1", "a", "POST", Transfer_Encoding="chunked")
+        with self.path.connect() as caller:
+            caller.send(head + b"10\r\n" + b"x" * 16 + b"\r\n0\r\n\r\n")
+            self.assertEqual(caller.answer().status, 200)
+            caller.send(head + b"%x\r\n" % 360_000 + b"x" * 70_000)
+            self.assertEqual(caller.answer().status, 503)
+        self.assertEqual(len(self.path.requests(ORDERS)), 1)
+
     def test_uploads_are_served_once_there_is_room(self):
         self.reservation.release()
         body = b"x" * 360_000
