--- a/berylhaven/gateway/_settings.py
+++ b/berylhaven/gateway/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from berylhaven.gateway.callers._held_bytes import HELD_LIMIT_BYTES
 from berylhaven.gateway.requests._shared_retry_budget import RetryAllowance
 from berylhaven.hedging import HedgeLimit
 from berylhaven.ini import Field, parse_sections
@@ -105,6 +106,14 @@
         return WarmupTolerance(self.excess_ratio, self.slack_count)
 
 
+@dataclass(slots=True, frozen=True)
+class MemorySettings:
+    """The memory for what callers and servers have not read yet."""
+
+    # The bytes held at one time: request heads and bodies, and answers.
+    held_limit_bytes: int
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """All settings of one gateway instance."""
@@ -119,6 +128,8 @@
     retries: RetrySettings
     # The locate answers.
     locate: LocateSettings
+    # The memory for bodies and answers.
+    memory: MemorySettings
     # The limit of cold servers.
     warmup: WarmupSettings
     # The limit of hedges; None without the section: hedges are then sent within the
@@ -171,6 +182,18 @@
         LocateSettings,
         (Field("time_to_live_s", "number", default=5.0, minimum=0.5, maximum=300),),
     ),
+    "memory": (
+        MemorySettings,
+        (
+            Field(
+                "held_limit_bytes",
+                "integer",
+                default=HELD_LIMIT_BYTES,
+                minimum=1_000_000,
+                maximum=1_000_000_000_000,
+            ),
+        ),
+    ),
     "warmup": (
         WarmupSettings,
         (
@@ -187,7 +210,7 @@
         ),
     ),
 }
-OPTIONAL_SECTIONS = ("drain", "retries", "locate", "warmup", HEDGING)
+OPTIONAL_SECTIONS = ("drain", "retries", "locate", "memory", "warmup", HEDGING)
 
 
 class InvalidGatewaySettings(ExceptionGroup):
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -10,6 +10,7 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.callers._held_bytes import HeldBytes, NoRoom
 from berylhaven.gateway.callers._passed_on import ANSWERED, NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
@@ -30,10 +31,16 @@
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.hedging import HedgeLimit
 from berylhaven.http1 import end_to_end_headers
-from berylhaven.overload import Crowding, wait_limit_s
+from berylhaven.overload import (
+    INITIAL_DOWNLOAD_BYTES,
+    Crowding,
+    ExpectedSize,
+    answer_kind,
+    wait_limit_s,
+)
 from berylhaven.quarantine import Hold, request_fingerprint
 from berylhaven.results import BodyTooLarge, CallRefused
-from berylhaven.routes import Route, ServiceSpec, SplitChooser
+from berylhaven.routes import RequestKind, Route, ServiceSpec, SplitChooser
 
 # How long before the caller's timeout a server's answer must be available, for the
 # way back to the caller.
@@ -82,6 +89,8 @@
         Passes requests for the others on.
     hedger : Hedger
         Decides on hedges.
+    held : HeldBytes
+        The account of held bytes.
     """
 
     __slots__ = (
@@ -101,6 +110,8 @@
         "_crowding_by_service",
         "_event_log",
         "_metrics",
+        "_held",
+        "_expected_sizes",
     )
 
     def __init__(
@@ -117,8 +128,12 @@
         reach: ReachMonitor,
         peers: PeerForwarder,
         hedger: Hedger,
+        held: HeldBytes,
     ) -> None:
         self._hedger = hedger
+        self._held = held
+        # The sizes to expect of answers, by route and service.
+        self._expected_sizes: dict[tuple[str, str], ExpectedSize] = {}
         self._reach = reach
         self._peers = peers
         self._quarantine = quarantine
@@ -249,6 +264,18 @@
             wait_limit_s=wait_s,
         )
 
+        expected_size = self._expected_size(route, service)
+        kind = answer_kind(expected_size.size_bytes)
+        try:
+            # A request whose answer finds no room would hold a slot of its server.
+            request.expected_answer = self._held.admit(
+                kind, expected_size.size_bytes, wait_s
+            )
+        except NoRoom as refusal:
+            return self._refuse(
+                request, 503, refusal.message, refusal.return_s, choice_request
+            )
+
         def try_acquire_retry() -> bool:
             """Spend one retry of the shared budget if one is left."""
             return budget.try_acquire(self._instance_count(), monotonic_s())
@@ -272,8 +299,10 @@
             result = attempts.run()
         finally:
             attempts.cancel()
+            request.expected_answer.release()
         if result is not None:
             answer = result.answer
+            expected_size.record(len(answer.body))
             headers = end_to_end_headers(
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
@@ -384,6 +413,15 @@
             budget = self._budgets[service] = SharedRetryBudget(self._allowance)
         return budget
 
+    def _expected_size(self, route: Route, service: ServiceSpec) -> ExpectedSize:
+        key = (route.name, service.name)
+        expected = self._expected_sizes.get(key)
+        if expected is None:
+            is_download = route.kind is RequestKind.DOWNLOAD
+            expected = ExpectedSize(INITIAL_DOWNLOAD_BYTES if is_download else 0)
+            self._expected_sizes[key] = expected
+        return expected
+
     def _work(self, route: Route, service: ServiceSpec) -> RouteWork:
         # Versions of a route with the same name share their averages.
         key = (route.name, service.name)
