--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -25,7 +25,6 @@
         "_attempts",
         "_attempt_duration",
         "_probes",
-        "_choices",
         "_new_connections",
         "_store_calls",
         "_lateness",
@@ -54,10 +53,6 @@
         self._probes = self.counter(
             "probes_total", "Load probes of backend servers, by outcome."
         )
-        self._choices = self.counter(
-            "server_choices_total",
-            "Choices of a server, by whether it is in this instance's subset.",
-        )
         self._new_connections = self.counter(
             "server_connections_opened_total",
             "New connections to backend servers, by why none could be reused.",
@@ -120,17 +115,6 @@
         self._probes.add({"outcome": "answered"}, answered_count)
         self._probes.add({"outcome": "silent"}, unresponsive_count)
 
-    def record_choice(self, is_in_subset: bool | None) -> None:
-        """Count a chosen server.
-
-        Parameters
-        ----------
-        is_in_subset : bool or None
-            Whether the server is in this instance's subset; None without a subset.
-        """
-        subset = {None: "none", True: "inside", False: "outside"}[is_in_subset]
-        self._choices.inc({"subset": subset})
-
     def record_new_connection(self, cause: OpenCause) -> None:
         """Count a new connection to a backend server."""
         self._new_connections.inc({"cause": cause.value})
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -23,7 +23,6 @@
 from berylhaven.gateway.servers._server_limits import ServerLimits
 from berylhaven.gateway.servers._server_probe import ServerProber
 from berylhaven.gateway.servers._server_signals import ServerSignals
-from berylhaven.gateway.servers._server_subsets import ServerSubsets
 from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.servers._server_warmups import ServerWarmups
 from berylhaven.http1 import ConnectionPool
@@ -130,12 +129,6 @@
             prober,
             parts.random,
             lambda address: pool.counts(address).open_count > 0,
-            ServerSubsets(
-                parts.members,
-                parts.table,
-                lambda address: pool.counts(address).idle_count > 0,
-                parts.event_log,
-            ),
         )
         runner = AttemptRunner(
             chooser,
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -199,10 +199,7 @@
             report_age_s=choice.report_age_s,
             occupied=server.occupied_count if server else None,
             tried=len(choice_request.excluded),
-            in_subset=choice.is_in_subset,
         )
-        if server is not None:
-            self._metrics.record_choice(choice.is_in_subset)
         if server is None:
             problem = "accepts requests now" if choice.quiet_s else "can answer in time"
             message = (
--- a/berylhaven/gateway/servers/_finish_estimate.py
+++ b/berylhaven/gateway/servers/_finish_estimate.py
@@ -124,36 +124,6 @@
     return work.work_s * slowness_ratio(server, now_s) * server.warmup_ratio(now_s)
 
 
-def settling_finish_s(server: ServerRecord, work: RouteWork, now_s: float) -> float:
-    """Return the expected time until an answer if a spell of slowness passes meanwhile.
-
-    The speed approaches its mean within REPORT_DECAY_S, so that work longer than a
-    spell runs mostly at the mean speed.
-
-    Parameters
-    ----------
-    server : ServerRecord
-        The backend server.
-    work : RouteWork
-        The averages of the request's route.
-    now_s : float
-        The current time on the hub's clock, in seconds.
-
-    Returns
-    -------
-    float
-        The time from now, in seconds; never more than `expected_finish_s`.
-    """
-    finish_s = expected_finish_s(server, work, now_s)
-    slowness = slowness_ratio(server, now_s)
-    gained_s = (1 / MEAN_SLOWNESS_RATIO - 1 / slowness) * REPORT_DECAY_S
-    if gained_s <= 0:
-        return finish_s
-    # The finish time at the mean speed, and the work that the rest of the spell delays.
-    mean_finish_s = finish_s * MEAN_SLOWNESS_RATIO / slowness
-    return min(finish_s, mean_finish_s + gained_s * MEAN_SLOWNESS_RATIO)
-
-
 def expected_utility(
     finish_s: float,
     objective_remaining_s: float,
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -10,11 +10,9 @@
     expected_finish_s,
     expected_utility,
     remote_cost,
-    settling_finish_s,
 )
 from berylhaven.gateway.servers._server_probe import ServerProber
 from berylhaven.gateway.servers._server_record import ServerRecord
-from berylhaven.gateway.servers._server_subsets import FAILING_RATIO, ServerSubsets
 from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.overload import (
     StartDecision,
@@ -23,7 +21,6 @@
     decide_start,
 )
 from berylhaven.routes import Route, ServiceSpec
-from berylhaven.subsets import REUSE_PERIOD_S
 
 # The number of servers that are probed in one round.
 PROBES_PER_ROUND = 2
@@ -43,21 +40,6 @@
 # The number of remote servers in each round of probes; the later rounds have some,
 # because the whole local data centre may be overloaded.
 REMOTE_PROBE_COUNTS = (0, 0, 1, 2, 2)
-# The number of servers and of remote ones among them in each round.
-ROUNDS = tuple((PROBES_PER_ROUND, count) for count in REMOTE_PROBE_COUNTS)
-# The rounds of probes where the instance prefers a subset of servers: one server at a
-# time, as long as a good one is likely to be next, and then more at once.
-SUBSET_ROUNDS = ((1, 0), (1, 0), (1, 0), (1, 1), (2, 1), (2, 2), (2, 2))
-# The next round if no probe was answered, since each unanswered one takes its timeout.
-SILENT_SUBSET_ROUND = (4, 2)
-# A slow server ends the probing of a subset if its answer is expected within this share
-# of the time until the objective.
-SETTLING_SHARE = 0.9
-# The sort penalty of servers without an idle connection where there is a subset.
-NO_IDLE_CONNECTION_COST = 2.0
-# The sort penalty of servers outside the subset, higher than that of servers of the
-# subset without an idle connection.
-OUTSIDE_SUBSET_COST = 3.5
 # The initial utility, which stands for no server that can answer in time.
 MIN_UTILITY = 0.0
 # The sort penalty of cold servers, so that most warm ones with a connection are probed
@@ -93,8 +75,6 @@
     decision: StartDecision = StartDecision.REFUSE
     # The best concurrency of the best candidate.
     concurrency: int = 1
-    # Whether the server is in this instance's subset; None if it uses no subset.
-    is_in_subset: bool | None = None
 
 
 @dataclass(slots=True)
@@ -134,18 +114,9 @@
         The source of random numbers.
     has_connection : callable
         Returns whether a connection to an address is open.
-    subsets : ServerSubsets or None
-        The servers that this instance prefers; None if it prefers none.
     """
 
-    __slots__ = (
-        "_data_centre",
-        "_table",
-        "_prober",
-        "_random",
-        "_has_connection",
-        "_subsets",
-    )
+    __slots__ = ("_data_centre", "_table", "_prober", "_random", "_has_connection")
 
     def __init__(
         self,
@@ -154,9 +125,7 @@
         prober: ServerProber,
         random: Random,
         has_connection: Callable[[str], bool],
-        subsets: ServerSubsets | None = None,
     ) -> None:
-        self._subsets = subsets
         self._has_connection = has_connection
         self._data_centre = data_centre
         self._table = table
@@ -188,15 +157,12 @@
             return _choice_of_none(request, untried, now_s)
         if not untried and self._table.is_evacuated(request.service.name):
             return Choice(None, 0, 0, 0.0, 0.0, EVACUATED_RETRY_AFTER_S)
-        subset = self._subset(request, candidates)
-        local, remote = self._order_candidates(candidates, subset)
+        local, remote = self._order_candidates(candidates)
         compared: list[ServerRecord] = []
         best: ServerRecord | None = None
         utility = MIN_UTILITY
-        for count, remote_count in ROUNDS if subset is None else SUBSET_ROUNDS:
-            if subset is not None and best is not None and best.is_unresponsive:
-                count, remote_count = SILENT_SUBSET_ROUND
-            probed = _pop_next_servers(local, remote, count, remote_count)
+        for remote_count in REMOTE_PROBE_COUNTS:
+            probed = _pop_next_servers(local, remote, remote_count)
             if not probed:
                 break
             self._prober.refresh(probed, request.service.health_path)
@@ -206,34 +172,14 @@
                 compared, key=lambda server: self._utility(server, request, now_s)
             )
             utility = self._utility(best, request, now_s)
-            is_sufficient = utility >= SUFFICIENT_UTILITY - self._remote_cost(
-                best, request
-            )
-            if subset is not None:
-                is_sufficient = _has_room(best, request, now_s) and (
-                    is_sufficient or self._is_spell_acceptable(best, request, compared)
-                )
-            if is_sufficient:
+            if utility >= SUFFICIENT_UTILITY - self._remote_cost(best, request):
                 break
         choice = self._choice(request, candidates, compared, best)
         for server in compared:
             if server is not choice.server:
                 server.record_unused_probe(now_s)
-        if subset is not None and choice.server is not None:
-            choice.is_in_subset = choice.server.entry.server_id in subset
         return choice
 
-    def _subset(
-        self, request: ChoiceRequest, candidates: list[ServerRecord]
-    ) -> frozenset[str] | None:
-        """Return the ids of the preferred servers; None without a subset."""
-        if self._subsets is None:
-            return None
-        service = request.service.name
-        if not request.excluded and not request.waited_s:
-            self._subsets.count_request(service)
-        return self._subsets.subset(service, candidates, monotonic_s())
-
     def _choice(
         self,
         request: ChoiceRequest,
@@ -295,35 +241,13 @@
             concurrency=concurrency,
         )
 
-    def _is_spell_acceptable(
-        self, best: ServerRecord, request: ChoiceRequest, compared: list[ServerRecord]
-    ) -> bool:
-        """Return whether a slow server will do after several were probed.
-
-        Spells of slowness are shorter than most requests, so that its answer is still
-        expected within the objective.
-        """
-        now_s = monotonic_s()
-        finish_s = settling_finish_s(best, request.work, now_s)
-        objective_left_s = (
-            request.received_at_s + request.route.latency_objective_s - now_s
-        )
-        return (
-            len(compared) >= PROBES_PER_ROUND
-            and not best.is_unresponsive
-            and best.failure_ratio(now_s) <= FAILING_RATIO
-            and finish_s < SETTLING_SHARE * objective_left_s
-        )
-
     def _order_candidates(
-        self, candidates: list[ServerRecord], subset: frozenset[str] | None
+        self, candidates: list[ServerRecord]
     ) -> tuple[list[ServerRecord], list[ServerRecord]]:
         """Return local and remote candidates, each in the order of probing.
 
         The order is random, except that servers that were full, failed or did not
-        answer a probe recently, and those without an open connection, come later. If
-        there is a subset, its servers come first, those with an idle connection before
-        the others: a probe to a busy connection would open another one.
+        answer a probe recently, and those without an open connection, come later.
         """
         now_s = monotonic_s()
 
@@ -334,9 +258,6 @@
                 penalty += 1.0
             if now_s < server.backoff_until_s:
                 penalty += UNRESPONSIVE_COST
-            if subset is not None:
-                penalty += self._subset_cost(server, subset, now_s)
-                return penalty + self._random.random()
             is_new = now_s - server.first_seen_at_s < NEW_SERVER_PERIOD_S
             if server.is_cold(now_s):
                 # The few instances with a part of its rate should find it, also those
@@ -351,23 +272,6 @@
         remote = [s for s in ordered if s.entry.data_centre != self._data_centre]
         return local, remote
 
-    def _subset_cost(
-        self, server: ServerRecord, subset: frozenset[str], now_s: float
-    ) -> float:
-        """Return the sort penalty of a server where there is a subset.
-
-        Of the servers with an idle connection, those that were probed least recently
-        come first: their connections would expire next, and all get equal shares.
-        """
-        cost = NO_IDLE_CONNECTION_COST
-        if self._subsets.has_idle_connection(server.entry.address):
-            cost = max(0.0, 1.0 - server.report_age_s(now_s) / REUSE_PERIOD_S)
-        # A cold server is a candidate only where this instance has a part of its rate,
-        # and should be found there.
-        if server.entry.server_id not in subset and not server.is_cold(now_s):
-            cost += OUTSIDE_SUBSET_COST
-        return cost
-
     def _remote_cost(self, server: ServerRecord, request: ChoiceRequest) -> float:
         if server.entry.data_centre == self._data_centre:
             return 0.0
@@ -405,26 +309,15 @@
     return choice
 
 
-def _has_room(server: ServerRecord, request: ChoiceRequest, now_s: float) -> bool:
-    """Return whether a server would be sent the request without a wait."""
-    concurrency = best_concurrency(
-        server.slot_count, request.work.crowding.slowdown_ratio
-    )
-    return now_s >= server.full_until_s and server.occupied_count < concurrency
-
-
 def _pop_next_servers(
-    local: list[ServerRecord],
-    remote: list[ServerRecord],
-    count: int,
-    remote_count: int,
+    local: list[ServerRecord], remote: list[ServerRecord], remote_count: int
 ) -> list[ServerRecord]:
     """Remove and return the next servers to probe.
 
     If there are too few local or remote servers, the others take their places.
     """
-    remote_count = max(min(remote_count, len(remote)), count - len(local))
-    local_count = count - min(remote_count, len(remote))
+    remote_count = max(min(remote_count, len(remote)), PROBES_PER_ROUND - len(local))
+    local_count = PROBES_PER_ROUND - min(remote_count, len(remote))
     taken = local[:local_count] + remote[:remote_count]
     del local[:local_count], remote[:remote_count]
     return taken
