Keep a whole retry from hedges for a window after a failure

The reserve of 0.15 of the grant is 0.2 to 0.45 of a retry where an instance is granted 1.6 to 3, so that hedges could leave none to a request that fails.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -88,7 +88,8 @@
     choice_request : ChoiceRequest
         The input of the server choices.
     try_acquire_retry : callable
-        Spends one retry of the shared budget; returns whether one was left.
+        Spends one retry of the shared budget, on a hedge with a limit of its own if
+        `is_hedge` is set; returns whether one was left.
     quarantine : RequestQuarantine
         Tells whether the request may be sent again.
     reach : ReachMonitor
@@ -129,7 +130,7 @@
         runner: AttemptRunner,
         request: GatewayRequest,
         choice_request: ChoiceRequest,
-        try_acquire_retry: Callable[[], bool],
+        try_acquire_retry: Callable[..., bool],
         quarantine: RequestQuarantine,
         reach: ReachMonitor,
         peers: PeerForwarder,
@@ -415,7 +416,7 @@
         denial = self._hedge_denial()
         if denial is not None:
             return denial
-        if not self._try_acquire_retry():
+        if not self._try_acquire_retry(is_hedge=True):
             return HedgeDenial.RETRY_BUDGET
         self._choice_request = dataclasses.replace(
             self._choice_request, excluded=tried | {server.entry.server_id}
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -276,9 +276,9 @@
                 request, 503, refusal.message, refusal.return_s, choice_request
             )
 
-        def try_acquire_retry() -> bool:
+        def try_acquire_retry(is_hedge: bool = False) -> bool:
             """Spend one retry of the shared budget if one is left."""
-            return budget.try_acquire(self._instance_count(), monotonic_s())
+            return budget.try_acquire(self._instance_count(), monotonic_s(), is_hedge)
 
         def may_hedge() -> bool:
             """Return whether a hedge leaves the retries' reserve of the budget."""
--- a/berylhaven/gateway/requests/_shared_retry_budget.py
+++ b/berylhaven/gateway/requests/_shared_retry_budget.py
@@ -1,5 +1,6 @@
 """This instance's share of the retries that all instances together may make."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -11,6 +12,9 @@
 MIN_INSTANCE_COUNT = 16
 # The share of the allowance that hedges within a limit of their own leave to retries.
 RETRY_RESERVE_RATIO = 0.15
+# The least reserve, in retries, for a window after a failure that needed a retry: most
+# instances have a grant of 1.6 to 3 retries, of which the share above is none.
+RESERVE_AFTER_FAILURE = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,13 +38,16 @@
         The retries that all instances together may make.
     """
 
-    __slots__ = ("allowance", "_requests", "_retries")
+    __slots__ = ("allowance", "_requests", "_retries", "_retry_wanted_at_s")
 
     def __init__(self, allowance: RetryAllowance) -> None:
         # The retries that all instances together may make.
         self.allowance = allowance
         self._requests: deque[float] = deque()
+        # Hedges count as retries.
         self._retries: deque[float] = deque()
+        # When a failed attempt last needed a retry, granted or not.
+        self._retry_wanted_at_s = -math.inf
 
     def record_request(self, now_s: float) -> None:
         """Record a request.
@@ -95,9 +102,13 @@
         """
         remaining = self.remaining_count(instance_count, now_s)
         reserve = RETRY_RESERVE_RATIO * self._granted_count(instance_count)
+        if now_s - self._retry_wanted_at_s <= self.allowance.window_s:
+            reserve = max(reserve, RESERVE_AFTER_FAILURE)
         return remaining - 1.0 >= reserve
 
-    def try_acquire(self, instance_count: int, now_s: float) -> bool:
+    def try_acquire(
+        self, instance_count: int, now_s: float, is_hedge: bool = False
+    ) -> bool:
         """Spend one retry if the budget allows it.
 
         Parameters
@@ -106,12 +117,17 @@
             The highest number of instances seen at one time.
         now_s : float
             The current time on the hub's clock, in seconds.
+        is_hedge : bool
+            Whether it is spent on a hedge within a limit of its own; other retries
+            have precedence for a window.
 
         Returns
         -------
         bool
             Whether the retry is allowed.
         """
+        if not is_hedge:
+            self._retry_wanted_at_s = now_s
         if self.remaining_count(instance_count, now_s) < 1.0:
             return False
         self._retries.append(now_s)
--- a/berylhaven/gateway/tests/test_shared_retry_budget.py
+++ b/berylhaven/gateway/tests/test_shared_retry_budget.py
@@ -54,3 +54,19 @@
             self.assertTrue(budget.try_acquire(16, 0.0))
         self.assertTrue(budget.try_acquire(16, 0.0))
         self.assertFalse(budget.may_hedge(16, 0.0))
+
+    def test_hedges_leave_a_whole_retry_after_a_failure(self):
+        # Guards against hedges that use up the 2.5 retries of an instance with a
+        # request a second, after which a failed request is not sent again.
+        budget = SharedRetryBudget(RetryAllowance(0.2, 351, 10))
+        for _ in range(10):
+            budget.record_request(0.0)
+        self.assertTrue(budget.try_acquire(230, 0.0))
+        self.assertFalse(budget.may_hedge(230, 9.0))
+        self.assertTrue(budget.try_acquire(230, 9.0))
+        # Without failures in the window hedges may use it.
+        for _ in range(10):
+            budget.record_request(19.5)
+        self.assertTrue(budget.may_hedge(230, 19.5))
+        self.assertTrue(budget.try_acquire(230, 19.5, is_hedge=True))
+        self.assertTrue(budget.may_hedge(230, 19.5))
