--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -104,7 +104,7 @@
         "_allowance",
         "_instance_count",
         "_splits",
-        "_splits_version",
+        "_routes_version",
         "_budgets",
         "_work_by_route",
         "_crowding_by_service",
@@ -144,8 +144,8 @@
         self._allowance = allowance
         self._instance_count = instance_count
         self._splits = SplitChooser(random)
-        # The configuration version to which the splits belong.
-        self._splits_version: int | None = None
+        # The configuration version whose routes are kept.
+        self._routes_version: int | None = None
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._work_by_route: dict[tuple[str, str], RouteWork] = {}
         self._crowding_by_service: dict[str, Crowding] = {}
@@ -199,7 +199,7 @@
         if route.unusable_reason:
             message = f'route "{route.name}" is unusable: {route.unusable_reason}'
             return self._refuse(request, 503, message, UNUSABLE_ROUTE_RETRY_AFTER_S)
-        self._discard_outdated_splits()
+        self._discard_outdated_routes()
         service = self._routes.service(self._splits.choose(route))
         try:
             request.body.limit_bytes = self._routes.caller_limits.body_limit_bytes
@@ -401,11 +401,12 @@
         kind = choice_request.route.kind.value if choice_request else ""
         self._metrics.record_request(service, kind, outcome, duration_s)
 
-    def _discard_outdated_splits(self) -> None:
+    def _discard_outdated_routes(self) -> None:
         configuration = self._routes.configuration
-        if configuration.version != self._splits_version:
-            self._splits_version = configuration.version
+        if configuration.version != self._routes_version:
+            self._routes_version = configuration.version
             self._splits.retain(configuration.routes)
+            self._hedger.retain(configuration.routes)
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
--- a/berylhaven/gateway/requests/_hedger.py
+++ b/berylhaven/gateway/requests/_hedger.py
@@ -1,10 +1,12 @@
 """The hedges of an instance: when one is due, whether it is sent, and their counts."""
 
+from collections.abc import Iterable
+
 from berylhaven.clock import monotonic_s, wall_clock_ms
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway.members._members import MemberTable
-from berylhaven.gateway.servers._finish_estimate import RouteWork
+from berylhaven.gateway.servers._finish_estimate import RouteWork, has_free_slot
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.gateway.servers._server_table import ServerTable
@@ -17,7 +19,7 @@
     busy_ratio,
     fleet_place,
 )
-from berylhaven.overload import best_concurrency
+from berylhaven.routes import Route
 
 # The least time between two log lines about the room of a service.
 ROOM_LINE_INTERVAL_S = 5.0
@@ -96,6 +98,22 @@
             self._event_log.write("instance", "hedge limit changed", ratio=new_ratio)
         self.limit = limit
 
+    def retain(self, routes: Iterable[Route]) -> None:
+        """Remove what is kept of routes and services that are no longer active.
+
+        Parameters
+        ----------
+        routes : iterable of Route
+            All active routes.
+        """
+        active = {(r.name, part.service) for r in routes for part in r.parts}
+        services = {service for _, service in active}
+        for key in [key for key in self._times if key not in active]:
+            del self._times[key]
+        for by_service in (self._budgets, self._is_busy, self._room_line_at_s):
+            for service in [name for name in by_service if name not in services]:
+                del by_service[service]
+
     def record_request(self, service: str) -> None:
         """Record a request that this instance took from a caller.
 
@@ -202,8 +220,7 @@
         now_s = monotonic_s()
         if server.is_leaving or _is_unsuitable(server, now_s):
             return False
-        concurrency = best_concurrency(server.slot_count, work.crowding.slowdown_ratio)
-        return now_s >= server.full_until_s and server.occupied_count < concurrency
+        return has_free_slot(server, work, now_s)
 
     def has_hedge(self, service: str) -> bool:
         """Return whether the limit leaves a hedge for a service now."""
--- a/berylhaven/gateway/servers/_finish_estimate.py
+++ b/berylhaven/gateway/servers/_finish_estimate.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from berylhaven.gateway.servers._server_record import ServerRecord
-from berylhaven.overload import Crowding, is_crowded
+from berylhaven.overload import Crowding, best_concurrency, is_crowded
 
 # The assumed work of a request before the first answer, relative to its objective.
 INITIAL_WORK_RATIO = 0.4
@@ -124,6 +124,28 @@
     return work.work_s * slowness_ratio(server, now_s) * server.warmup_ratio(now_s)
 
 
+def has_free_slot(server: ServerRecord, work: RouteWork, now_s: float) -> bool:
+    """Return whether a server would run a request without a wait.
+
+    Parameters
+    ----------
+    server : ServerRecord
+        The backend server.
+    work : RouteWork
+        The averages of the request's route.
+    now_s : float
+        The current time on the hub's clock, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether it runs fewer requests than is best for it, and has refused none of
+        late.
+    """
+    concurrency = best_concurrency(server.slot_count, work.crowding.slowdown_ratio)
+    return now_s >= server.full_until_s and server.occupied_count < concurrency
+
+
 def expected_utility(
     finish_s: float,
     objective_remaining_s: float,
--- a/berylhaven/gateway/tests/test_hedging.py
+++ b/berylhaven/gateway/tests/test_hedging.py
@@ -9,6 +9,8 @@
 
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway import InvalidGatewaySettings, parse_gateway_settings
+from berylhaven.gateway.servers._finish_estimate import RouteWork
+from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.gateway.tests._gateway_path import (
     HEALTH_PATH,
     READS,
@@ -18,8 +20,9 @@
     route,
     settings_text,
 )
-from berylhaven.hedging import HedgeBudget, HedgeLimit
+from berylhaven.hedging import HedgeBudget, HedgeDenial, HedgeLimit
 from berylhaven.overload import LimitShare
+from berylhaven.routes import ServiceSpec
 
 ON = "[hedging]\nextra_request_ratio = 0.1\nbusy_slot_ratio = 0.7\n"
 OFF = "[hedging]\nextra_request_ratio = 0\n"
@@ -289,6 +292,27 @@
         self.assertLess(monotonic_s() - began_at_s, 0.35 * 0.5)
 
 
+class HedgerTablesTest(unittest.TestCase):
+    def test_routes_that_are_gone_are_forgotten(self):
+        # Guards against tables that grow with each route that was ever used.
+        path = GatewayPath(extra_settings=ON)
+        self.addCleanup(path.stop)
+        forwarder = path.instance._forwarder
+        hedger = forwarder._hedger
+        hedger.record_request("gone")
+        work = RouteWork(0.1)
+        gone = route("/gone/")
+        reads = ServiceSpec("gone", HEALTH_PATH, 100)
+        hedger.record_time(ChoiceRequest(gone, reads, work, 0.0, 1.0), 1.0)
+        hedger.record_denied("gone", HedgeDenial.BUSY)
+        forwarder._routes_version = None
+        with path.connect() as caller:
+            caller.exchange("/read/x")
+        self.assertEqual(set(hedger._budgets), {READS})
+        self.assertEqual((hedger._is_busy, hedger._room_line_at_s), ({}, {}))
+        self.assertNotIn("gone", {service for _, service in hedger._times})
+
+
 class HedgingSettingsTest(unittest.TestCase):
     def test_the_section_is_optional_and_checked(self):
         self.assertIsNone(parse_gateway_settings(settings_text()).hedge_limit)
