--- a/berylhaven/gateway/servers/_server_warmups.py
+++ b/berylhaven/gateway/servers/_server_warmups.py
@@ -23,6 +23,9 @@
 # How long an instance that is not live counts as possibly running. The member table
 # forgets it earlier; a partition of a data centre must not double the rate then.
 REMEMBER_S = 300.0
+# A turn lapses after so many intervals, since an instance may receive fewer requests
+# than it has turns. The least time between two requests bounds those of one second.
+KEPT_TURNS = 2
 
 
 class ServerWarmups:
@@ -143,8 +146,7 @@
         elif share.interval_s != interval_s:
             limit_per_s = self.limit_per_s(server.entry.service)
             share.update(limit_per_s, interval_s, now_s)
-        # A turn may be used until the next one begins: requests are few here.
-        share.turn_duration_s = max(TURN_DURATION_S, interval_s)
+        share.turn_duration_s = max(TURN_DURATION_S, KEPT_TURNS * interval_s)
         share.gap_s = self._plan(server).gap_s(interval_s)
         return min(left_s, share.wait_s(now_s))
 
--- a/berylhaven/gateway/tests/test_server_warmups.py
+++ b/berylhaven/gateway/tests/test_server_warmups.py
@@ -45,6 +45,8 @@
 COLD_SERVER_COUNT = 24
 # The requests a second of one instance for a service of `weitblick`.
 DEMAND_PER_S = 1.03
+# The same for another of its services.
+LOW_DEMAND_PER_S = 0.51
 
 
 class ColdServerMachine(RuleBasedStateMachine):
@@ -184,6 +186,19 @@
                         TOLERANCE.peak_count(limit_per_s),
                     )
 
+    def test_most_of_the_rate_is_used_where_instances_receive_few_requests(self):
+        # Guards against turns that lapse before the next request of their instance.
+        for seed in (1, 2, 3):
+            with self.subTest(f"seed {seed}"):
+                fleet = WarmupFleet(58, 3.4, seed)
+                self.clock.advance_s(2 * DISCOVERY_S)
+                fleet.put(entry("s", warmup_left_s=600.0))
+                self.serve(fleet, 120.0, LOW_DEMAND_PER_S)
+                times_s = fleet.sent_at_s["s"]
+                self.assertGreater(len(times_s) / 120.0, 0.7 * 3.4)
+                self.assertLessEqual(len(times_s) / 120.0, 3.4)
+                self.assertLessEqual(peak_count(times_s), TOLERANCE.peak_count(3.4))
+
     def test_all_servers_of_a_service_are_cold_at_once(self):
         # A data centre of `weitblick`: 58 of 230 instances, 6 of 24 servers.
         fleet = WarmupFleet(58, 3.4)
