Probe other servers if the first ones say that they are cold

A request whose first two probes found servers cold was refused although warm servers had room, with a Retry-After of a few milliseconds if all were cold.

--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -168,9 +168,11 @@
             self._prober.refresh(probed, request.service.health_path)
             compared += probed
             now_s = monotonic_s()
-            best = max(
-                compared, key=lambda server: self._utility(server, request, now_s)
-            )
+            # The answers to the probes may say that servers are cold.
+            usable = [s for s in compared if s.warmup_wait_s(now_s) == 0]
+            if not usable:
+                continue
+            best = max(usable, key=lambda server: self._utility(server, request, now_s))
             utility = self._utility(best, request, now_s)
             if utility >= SUFFICIENT_UTILITY - self._remote_cost(best, request):
                 break
@@ -202,6 +204,9 @@
                 default=None,
             )
         if best is None:
+            cold = [s for s in candidates if s.warmup_wait_s(now_s) > 0]
+            if cold and not current:
+                return _choice_of_none(request, cold, now_s)
             return Choice(None, len(candidates), len(compared), 0.0, 0.0)
         finish_s = expected_finish_s(best, request.work, now_s)
         concurrency = best_concurrency(
--- a/berylhaven/gateway/tests/test_server_warmups.py
+++ b/berylhaven/gateway/tests/test_server_warmups.py
@@ -376,6 +376,34 @@
         self.assertIs(chooser.choose(choice_request()).server, record)
         self.assertIsNone(chooser.choose(choice_request()).server)
 
+    def choose_among_unnoticed(self, cold_count):
+        """Choose among six servers of which some say only now that they are cold."""
+        for number in range(6):
+            self.instance.table.put(entry(f"s{number}"), monotonic_s())
+        # The turns begin at random, all of them later than the probes here.
+        self.fleet.random.random = lambda: 0.5
+        prober = WarmupProber(cold_count)
+        chooser = ServerChooser(
+            "here",
+            self.instance.table,
+            prober,
+            random.Random(1),
+            lambda address: False,
+        )
+        return chooser.choose(choice_request()), prober
+
+    def test_a_request_is_sent_elsewhere_if_the_first_probed_servers_are_cold(self):
+        # Guards against a refusal although warm servers have room.
+        choice, prober = self.choose_among_unnoticed(2)
+        self.assertIsNotNone(choice.server)
+        self.assertNotIn(choice.server.entry.server_id, prober.probed[:2])
+
+    def test_a_refusal_names_the_next_turn_if_all_probed_servers_are_cold(self):
+        # Guards against callers that come back at once and probe the servers again.
+        choice, _ = self.choose_among_unnoticed(6)
+        self.assertIsNone(choice.server)
+        self.assertEqual(choice.quiet_s, 0.5)
+
     def test_nothing_queues_at_a_cold_server(self):
         record = self.put(is_start=True)
         self.clock.advance_s(record.quiet_s(monotonic_s()))
@@ -391,6 +419,20 @@
         self.assertIs(choice.decision, StartDecision.REFUSE)
 
 
+class WarmupProber(FakeProber):
+    """Reports idle servers, of which the first ones say that they are cold."""
+
+    def __init__(self, cold_count):
+        super().__init__()
+        self.cold_count = cold_count
+
+    def refresh(self, servers, health_path):
+        super().refresh(servers, health_path)
+        for server in servers:
+            if server.entry.server_id in self.probed[: self.cold_count]:
+                server.record_warmup_left(WARMUP_S, monotonic_s())
+
+
 class SilentProber:
     """Reports nothing."""
 
