--- a/berylhaven/gateway/servers/_server_warmups.py
+++ b/berylhaven/gateway/servers/_server_warmups.py
@@ -26,6 +26,8 @@
 # A turn lapses after so many intervals, since an instance may receive fewer requests
 # than it has turns. The least time between two requests bounds those of one second.
 KEPT_TURNS = 2
+# The number of intervals that are kept; most belong to servers that are warm again.
+INTERVALS_LIMIT = 1_024
 
 
 class ServerWarmups:
@@ -195,6 +197,8 @@
         limit_per_s = self.limit_per_s(server.entry.service)
         key = (server.entry.server_id, limit_per_s, self.tolerance)
         if key not in self._intervals_s:
+            if len(self._intervals_s) >= INTERVALS_LIMIT:
+                self._intervals_s.clear()
             self._intervals_s[key] = warmup_interval_s(
                 server.entry.server_id,
                 own.peers_address,
--- a/berylhaven/gateway/tests/test_server_warmups.py
+++ b/berylhaven/gateway/tests/test_server_warmups.py
@@ -21,6 +21,7 @@
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest, ServerChooser
 from berylhaven.gateway.servers._server_limits import ServerLimits
 from berylhaven.gateway.servers._server_signals import ServerSignals
+from berylhaven.gateway.servers._server_warmups import INTERVALS_LIMIT
 from berylhaven.gateway.tests._gateway_path import READS, FakeDialect, configuration
 from berylhaven.gateway.tests._warmup_fleet import (
     SLOT_COUNT,
@@ -404,6 +405,15 @@
         self.assertIsNone(choice.server)
         self.assertEqual(choice.quiet_s, 0.5)
 
+    def test_servers_that_come_and_go_for_days_are_forgotten(self):
+        # Guards against memory that grows with each restart under a new id.
+        for number in range(INTERVALS_LIMIT + 1):
+            server = entry(f"s{number}")
+            record = self.instance.table.put(server, monotonic_s(), is_start=True)
+            record.quiet_s(monotonic_s())
+            self.instance.table.remove(server.server_id)
+        self.assertLessEqual(len(self.instance.warmups._intervals_s), INTERVALS_LIMIT)
+
     def test_nothing_queues_at_a_cold_server(self):
         record = self.put(is_start=True)
         self.clock.advance_s(record.quiet_s(monotonic_s()))
