--- a/berylhaven/gateway/servers/_server_record.py
+++ b/berylhaven/gateway/servers/_server_record.py
@@ -160,9 +160,14 @@
         self._says_leaving = True
         return is_news
 
-    def reported_entry(self) -> ServerEntry:
-        """Return the entry as peers should see it, leaving if the server said so."""
-        return dataclasses.replace(self.entry, is_leaving=self.is_leaving)
+    def reported_entry(self, now_s: float) -> ServerEntry:
+        """Return the entry as peers should see it, leaving or cold if that is known."""
+        left_s = self.entry.warmup_left_s
+        if self.is_cold(now_s):
+            left_s = self.warmup_end_s - now_s
+        return dataclasses.replace(
+            self.entry, is_leaving=self.is_leaving, warmup_left_s=left_s
+        )
 
     def is_quiet(self, now_s: float) -> bool:
         """Return whether nothing may be sent to the server now."""
--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -132,7 +132,8 @@
 
     def snapshot(self) -> FleetUpdate:
         """Return a snapshot for a peer that cannot read the store."""
-        changes: list[Change] = [r.reported_entry() for r in self._table.records()]
+        now_s = monotonic_s()
+        changes: list[Change] = [r.reported_entry(now_s) for r in self._table.records()]
         if self._routes.configuration is not None:
             changes.append(self._routes.configuration)
         evacuations = self._table.evacuations
--- a/berylhaven/gateway/tests/test_server_warmups.py
+++ b/berylhaven/gateway/tests/test_server_warmups.py
@@ -323,6 +323,15 @@
         record.record_warmup_left(0.0, monotonic_s())
         self.assertFalse(record.is_cold(monotonic_s()))
 
+    def test_a_peer_that_starts_now_is_told_which_servers_are_cold(self):
+        # Guards against a peer that takes a server for warm whose entry names no time.
+        record = self.put(is_start=True)
+        self.clock.advance_s(5.0)
+        left_s = record.reported_entry(monotonic_s()).warmup_left_s
+        self.assertAlmostEqual(left_s, WARMUP_S - 5.0)
+        self.clock.advance_s(WARMUP_S)
+        self.assertEqual(record.reported_entry(monotonic_s()), record.entry)
+
     def test_without_a_limit_nothing_changes(self):
         fleet = WarmupFleet(1, 0.0)
         server = entry("s", warmup_left_s=9.0)
@@ -330,6 +339,7 @@
         record.record_warmup_left(30.0, monotonic_s())
         record.record_possible_cold(monotonic_s())
         self.assertEqual(self.left_s(record), 9.0)
+        self.assertEqual(record.reported_entry(monotonic_s()), server)
         self.assertFalse(record.is_quiet(monotonic_s()))
 
     def test_nothing_is_sent_before_the_other_instances_are_known(self):
