--- a/berylhaven/gateway/tests/test_server_warmups.py
+++ b/berylhaven/gateway/tests/test_server_warmups.py
@@ -21,6 +21,7 @@
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest, ServerChooser
 from berylhaven.gateway.servers._server_limits import ServerLimits
 from berylhaven.gateway.servers._server_signals import ServerSignals
+from berylhaven.gateway.servers._server_warmups import INTERVALS_LIMIT
 from berylhaven.gateway.tests._gateway_path import READS, FakeDialect, configuration
 from berylhaven.gateway.tests._warmup_fleet import (
     SLOT_COUNT,
@@ -45,6 +46,8 @@
 COLD_SERVER_COUNT = 24
 # The requests a second of one instance for a service of `weitblick`.
 DEMAND_PER_S = 1.03
+# The same for another of its services.
+LOW_DEMAND_PER_S = 0.51
 
 
 class ColdServerMachine(RuleBasedStateMachine):
@@ -184,6 +187,19 @@
                         TOLERANCE.peak_count(limit_per_s),
                     )
 
+    def test_most_of_the_rate_is_used_where_instances_receive_few_requests(self):
+        # Guards against turns that lapse before the next request of their instance.
+        for seed in (1, 2, 3):
+            with self.subTest(f"seed {seed}"):
+                fleet = WarmupFleet(58, 3.4, seed)
+                self.clock.advance_s(2 * DISCOVERY_S)
+                fleet.put(entry("s", warmup_left_s=600.0))
+                self.serve(fleet, 120.0, LOW_DEMAND_PER_S)
+                times_s = fleet.sent_at_s["s"]
+                self.assertGreater(len(times_s) / 120.0, 0.7 * 3.4)
+                self.assertLessEqual(len(times_s) / 120.0, 3.4)
+                self.assertLessEqual(peak_count(times_s), TOLERANCE.peak_count(3.4))
+
     def test_all_servers_of_a_service_are_cold_at_once(self):
         # A data centre of `weitblick`: 58 of 230 instances, 6 of 24 servers.
         fleet = WarmupFleet(58, 3.4)
@@ -307,6 +323,15 @@
         record.record_warmup_left(0.0, monotonic_s())
         self.assertFalse(record.is_cold(monotonic_s()))
 
+    def test_a_peer_that_starts_now_is_told_which_servers_are_cold(self):
+        # Guards against a peer that takes a server for warm whose entry names no time.
+        record = self.put(is_start=True)
+        self.clock.advance_s(5.0)
+        left_s = record.reported_entry(monotonic_s()).warmup_left_s
+        self.assertAlmostEqual(left_s, WARMUP_S - 5.0)
+        self.clock.advance_s(WARMUP_S)
+        self.assertEqual(record.reported_entry(monotonic_s()), record.entry)
+
     def test_without_a_limit_nothing_changes(self):
         fleet = WarmupFleet(1, 0.0)
         server = entry("s", warmup_left_s=9.0)
@@ -314,6 +339,7 @@
         record.record_warmup_left(30.0, monotonic_s())
         record.record_possible_cold(monotonic_s())
         self.assertEqual(self.left_s(record), 9.0)
+        self.assertEqual(record.reported_entry(monotonic_s()), server)
         self.assertFalse(record.is_quiet(monotonic_s()))
 
     def test_nothing_is_sent_before_the_other_instances_are_known(self):
@@ -361,6 +387,43 @@
         self.assertIs(chooser.choose(choice_request()).server, record)
         self.assertIsNone(chooser.choose(choice_request()).server)
 
+    def choose_among_unnoticed(self, cold_count):
+        """Choose among six servers of which some say only now that they are cold."""
+        for number in range(6):
+            self.instance.table.put(entry(f"s{number}"), monotonic_s())
+        # The turns begin at random, all of them later than the probes here.
+        self.fleet.random.random = lambda: 0.5
+        prober = WarmupProber(cold_count)
+        chooser = ServerChooser(
+            "here",
+            self.instance.table,
+            prober,
+            random.Random(1),
+            lambda address: False,
+        )
+        return chooser.choose(choice_request()), prober
+
+    def test_a_request_is_sent_elsewhere_if_the_first_probed_servers_are_cold(self):
+        # Guards against a refusal although warm servers have room.
+        choice, prober = self.choose_among_unnoticed(2)
+        self.assertIsNotNone(choice.server)
+        self.assertNotIn(choice.server.entry.server_id, prober.probed[:2])
+
+    def test_a_refusal_names_the_next_turn_if_all_probed_servers_are_cold(self):
+        # Guards against callers that come back at once and probe the servers again.
+        choice, _ = self.choose_among_unnoticed(6)
+        self.assertIsNone(choice.server)
+        self.assertEqual(choice.quiet_s, 0.5)
+
+    def test_servers_that_come_and_go_for_days_are_forgotten(self):
+        # Guards against memory that grows with each restart under a new id.
+        for number in range(INTERVALS_LIMIT + 1):
+            server = entry(f"s{number}")
+            record = self.instance.table.put(server, monotonic_s(), is_start=True)
+            record.quiet_s(monotonic_s())
+            self.instance.table.remove(server.server_id)
+        self.assertLessEqual(len(self.instance.warmups._intervals_s), INTERVALS_LIMIT)
+
     def test_nothing_queues_at_a_cold_server(self):
         record = self.put(is_start=True)
         self.clock.advance_s(record.quiet_s(monotonic_s()))
@@ -376,6 +439,20 @@
         self.assertIs(choice.decision, StartDecision.REFUSE)
 
 
+class WarmupProber(FakeProber):
+    """Reports idle servers, of which the first ones say that they are cold."""
+
+    def __init__(self, cold_count):
+        super().__init__()
+        self.cold_count = cold_count
+
+    def refresh(self, servers, health_path):
+        super().refresh(servers, health_path)
+        for server in servers:
+            if server.entry.server_id in self.probed[: self.cold_count]:
+                server.record_warmup_left(WARMUP_S, monotonic_s())
+
+
 class SilentProber:
     """Reports nothing."""
 
