Admit requests by priority and use compared servers with room

Cause: routes of different priority took the slots of shared servers alike, the one with the longer objective more; a request was refused or waited while another probed server had room; a server that refused a request with free slots was treated as full.

If the best server has no room, the other compared servers are tried in the order of utility.

Changed test: test_a_request_that_waited_for_a_slot_is_sent_elsewhere listed the results of decide_start by call, one for each look; other servers are now decided on too. It decides WAIT until the evacuation and SEND after it.

Not run: the whole suite.

--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -190,6 +190,9 @@
             occupied=server.occupied_count if server else None,
             tried=len(choice_request.excluded),
             in_subset=choice.is_in_subset,
+            priority=choice_request.route.priority,
+            keeps_slot_free=choice_request.keeps_slot_free,
+            slot_kept=choice.is_slot_kept,
         )
         if server is not None:
             self._metrics.record_choice(choice.is_in_subset)
@@ -315,7 +318,12 @@
         if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(now_s)
-        server.record_refusal(now_s, FULL_SERVER_BACKOFF_S)
+        is_free = is_own_answer and server.is_known_free(now_s)
+        if is_free:
+            # It rejects requests for another reason, and may accept the next one.
+            server.record_attempt(True, now_s)
+        else:
+            server.record_refusal(now_s, FULL_SERVER_BACKOFF_S)
         end = AttemptEnd.SHED
         self._metrics.record_attempt(server.entry.service, end.value, duration_s)
         self._event_log.write_failure(
@@ -325,6 +333,7 @@
             server=server.entry.server_id,
             status=answer.status,
             occupied=server.occupied_count,
+            is_free=is_free,
         )
         message = (
             f'server "{server.entry.server_id}" refused with status {answer.status}'
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -30,7 +30,7 @@
 from berylhaven.gateway.servers._server_chooser import ChoiceRequest
 from berylhaven.hedging import HedgeLimit
 from berylhaven.http1 import end_to_end_headers
-from berylhaven.overload import Crowding, wait_limit_s
+from berylhaven.overload import Crowding, must_keep_slot_free, wait_limit_s
 from berylhaven.quarantine import Hold, request_fingerprint
 from berylhaven.results import BodyTooLarge, CallRefused
 from berylhaven.routes import Route, ServiceSpec, SplitChooser
@@ -50,6 +50,7 @@
 REPLAYABLE_BODY_LIMIT_BYTES = 1_000_000
 # Statuses of error answers to requests that may have run.
 UNKNOWN_STATUSES = frozenset({502, 504})
+HTTP_STATUS_UNAVAILABLE = 503
 CONTENT_LENGTH = frozenset({"content-length"})
 
 
@@ -89,6 +90,7 @@
         "_peers",
         "_hedger",
         "_quarantine",
+        "_random",
         "_routes",
         "_runner",
         "_dialect",
@@ -123,6 +125,7 @@
         self._peers = peers
         self._quarantine = quarantine
         self._metrics = metrics
+        self._random = random
         self._routes = routes
         self._runner = runner
         self._dialect = dialect
@@ -240,6 +243,7 @@
         time_limit_s = route.timeout_s
         if request.remaining_s is not None:
             time_limit_s = min(time_limit_s, request.remaining_s - RETURN_MARGIN_S)
+        is_less_urgent = self._routes.has_more_urgent(route, service.name)
         choice_request = ChoiceRequest(
             route,
             service,
@@ -247,6 +251,9 @@
             request.received_at_s,
             request.received_at_s + time_limit_s,
             wait_limit_s=wait_s,
+            is_less_urgent=is_less_urgent,
+            keeps_slot_free=is_less_urgent
+            and must_keep_slot_free(self._random.random()),
         )
 
         def try_acquire_retry() -> bool:
@@ -324,6 +331,10 @@
     ) -> GatewayAnswer:
         duration_s = monotonic_s() - request.received_at_s
         self._count(choice_request, f"refused-{status}", duration_s)
+        if choice_request is not None and status == HTTP_STATUS_UNAVAILABLE:
+            self._metrics.record_refusal(
+                choice_request.service.name, choice_request.route.priority
+            )
         answer = error_answer(status, message, retry_after_s)
         answer.closes_connection = not request.body.is_ended
         is_passed_on = request.passed_on_attempt_limit is not None
@@ -336,6 +347,7 @@
             host=request.host,
             path=request.path,
             route=choice_request.route.name if choice_request else None,
+            priority=choice_request.route.priority if choice_request else None,
             configuration=self._routes.version,
             status=status,
             retry_after_s=retry_after_s,
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -20,7 +20,9 @@
     StartDecision,
     StartOutlook,
     best_concurrency,
+    decide_less_urgent_start,
     decide_start,
+    keeps_slot_free,
 )
 from berylhaven.routes import Route, ServiceSpec
 from berylhaven.subsets import REUSE_PERIOD_S
@@ -95,6 +97,8 @@
     concurrency: int = 1
     # Whether the server is in this instance's subset; None if it uses no subset.
     is_in_subset: bool | None = None
+    # Whether a slot of the best candidate was left to more urgent requests.
+    is_slot_kept: bool = False
 
 
 @dataclass(slots=True)
@@ -117,6 +121,11 @@
     waited_s: float = 0.0
     # For how long it may wait for a slot in all, in seconds.
     wait_limit_s: float = 0.0
+    # Whether a more urgent route shares the service; more servers are then probed until
+    # one has room, since a long objective makes also full servers look good.
+    is_less_urgent: bool = False
+    # Whether it has to keep a slot free for more urgent requests of the service.
+    keeps_slot_free: bool = False
 
 
 class ServerChooser:
@@ -210,8 +219,12 @@
                 best, request
             )
             if subset is not None:
-                is_sufficient = _has_room(best, request, now_s) and (
-                    is_sufficient or self._is_spell_acceptable(best, request, compared)
+                is_sufficient = is_sufficient or self._is_spell_acceptable(
+                    best, request, compared
+                )
+            if subset is not None or request.is_less_urgent:
+                is_sufficient = is_sufficient and _has_room(
+                    best, request, compared, now_s
                 )
             if is_sufficient:
                 break
@@ -248,52 +261,22 @@
             for server in self._table.candidates(request.service.name)
             if not server.is_quiet(now_s)
         ]
-        if best is not None and best not in current:
-            staying = [server for server in compared if server in current]
-            best = max(
-                staying,
-                key=lambda server: self._utility(server, request, now_s),
-                default=None,
-            )
-        if best is None:
-            return Choice(None, len(candidates), len(compared), 0.0, 0.0)
-        finish_s = expected_finish_s(best, request.work, now_s)
-        concurrency = best_concurrency(
-            best.slot_count, request.work.crowding.slowdown_ratio
-        )
-        request_count = best.occupied_count + 1
-        if now_s < best.full_until_s:
-            request_count = max(request_count, concurrency + 1)
-            finish_s = max(finish_s, request.route.latency_objective_s)
-        decision = decide_start(
-            StartOutlook(
-                request_count=request_count,
-                best_concurrency=concurrency,
-                slot_count=best.slot_count,
-                finish_s=finish_s,
-                objective_remaining_s=request.received_at_s
-                + request.route.latency_objective_s
-                - now_s,
-                deadline_remaining_s=request.deadline_s - now_s,
-                waited_s=request.waited_s,
-                wait_limit_s=request.wait_limit_s,
-                is_trial=self._random.random() < TRIAL_SHARE,
-            )
-        )
-        if best.is_cold(now_s) and request_count > concurrency:
-            # Nothing queues at a cold server.
-            decision = StartDecision.REFUSE
-        if decision is StartDecision.SEND:
-            best.record_send(now_s)
-        return Choice(
-            server=best if decision is StartDecision.SEND else None,
-            candidate_count=len(candidates),
-            compared_count=len(compared),
-            finish_s=finish_s,
-            report_age_s=best.report_age_s(now_s),
-            decision=decision,
-            concurrency=concurrency,
+        staying = sorted(
+            (server for server in compared if server in current),
+            key=lambda server: (server is best, self._utility(server, request, now_s)),
+            reverse=True,
         )
+        if not staying:
+            return Choice(None, len(candidates), len(compared), 0.0, 0.0)
+        is_trial = self._random.random() < TRIAL_SHARE
+        choice = _start(staying[0], request, staying, now_s, is_trial)
+        if choice.server is None:
+            choice = _start_elsewhere(choice, request, staying, now_s)
+        if choice.server is not None:
+            choice.server.record_send(now_s)
+        choice.candidate_count = len(candidates)
+        choice.compared_count = len(compared)
+        return choice
 
     def _is_spell_acceptable(
         self, best: ServerRecord, request: ChoiceRequest, compared: list[ServerRecord]
@@ -405,12 +388,117 @@
     return choice
 
 
-def _has_room(server: ServerRecord, request: ChoiceRequest, now_s: float) -> bool:
-    """Return whether a server would be sent the request without a wait."""
-    concurrency = best_concurrency(
-        server.slot_count, request.work.crowding.slowdown_ratio
+def _start(
+    server: ServerRecord,
+    request: ChoiceRequest,
+    compared: list[ServerRecord],
+    now_s: float,
+    is_trial: bool = False,
+) -> Choice:
+    """Return the choice for one server, which may be to send nothing there."""
+    finish_s = expected_finish_s(server, request.work, now_s)
+    concurrency = _concurrency(server, request)
+    request_count = server.occupied_count + 1
+    if now_s < server.full_until_s:
+        request_count = max(request_count, concurrency + 1)
+        finish_s = max(finish_s, request.route.latency_objective_s)
+    outlook = StartOutlook(
+        request_count=request_count,
+        best_concurrency=concurrency,
+        slot_count=server.slot_count,
+        finish_s=finish_s,
+        objective_remaining_s=_objective_left_s(request, now_s),
+        deadline_remaining_s=request.deadline_s - now_s,
+        waited_s=request.waited_s,
+        wait_limit_s=request.wait_limit_s,
+        is_trial=is_trial,
+    )
+    is_slot_kept = False
+    if request.keeps_slot_free:
+        other_free_count = _other_free_count(server, request, compared, now_s)
+        decision = decide_less_urgent_start(outlook, other_free_count)
+        has_room = request_count <= concurrency
+        is_slot_kept = has_room and decision is not StartDecision.SEND
+    else:
+        decision = decide_start(outlook)
+    if server.is_cold(now_s) and request_count > concurrency:
+        # Nothing queues at a cold server.
+        decision = StartDecision.REFUSE
+    return Choice(
+        server=server if decision is StartDecision.SEND else None,
+        candidate_count=0,
+        compared_count=0,
+        finish_s=finish_s,
+        report_age_s=server.report_age_s(now_s),
+        decision=decision,
+        concurrency=concurrency,
+        is_slot_kept=is_slot_kept,
+    )
+
+
+def _start_elsewhere(
+    choice: Choice,
+    request: ChoiceRequest,
+    compared: list[ServerRecord],
+    now_s: float,
+) -> Choice:
+    """Return the choice of the first other server that has room.
+
+    A request that may wait is sent there only if the answer is expected within the
+    objective; one that would be refused, if it is expected before the deadline.
+    """
+    for server in compared[1:]:
+        # What is known of the load of these servers may be old.
+        if server.is_unresponsive or now_s < server.full_until_s:
+            continue
+        other = _start(server, request, compared, now_s)
+        is_late = other.finish_s > _objective_left_s(request, now_s)
+        if other.server is not None and not (
+            is_late and choice.decision is StartDecision.WAIT
+        ):
+            return other
+    return choice
+
+
+def _objective_left_s(request: ChoiceRequest, now_s: float) -> float:
+    return request.received_at_s + request.route.latency_objective_s - now_s
+
+
+def _concurrency(server: ServerRecord, request: ChoiceRequest) -> int:
+    return best_concurrency(server.slot_count, request.work.crowding.slowdown_ratio)
+
+
+def _other_free_count(
+    server: ServerRecord,
+    request: ChoiceRequest,
+    compared: list[ServerRecord],
+    now_s: float,
+) -> int:
+    """Return the free slots on the compared servers except one."""
+    return sum(
+        max(0, _concurrency(other, request) - other.occupied_count)
+        for other in compared
+        if other is not server
+        and not other.is_unresponsive
+        and now_s >= other.full_until_s
     )
-    return now_s >= server.full_until_s and server.occupied_count < concurrency
+
+
+def _has_room(
+    server: ServerRecord,
+    request: ChoiceRequest,
+    compared: list[ServerRecord],
+    now_s: float,
+) -> bool:
+    """Return whether a server would be sent the request without a wait."""
+    if now_s < server.full_until_s:
+        return False
+    request_count = server.occupied_count + 1
+    concurrency = _concurrency(server, request)
+    if not request.keeps_slot_free:
+        return request_count <= concurrency
+    other_free_count = _other_free_count(server, request, compared, now_s)
+    return keeps_slot_free(request_count, concurrency, other_free_count)
 
 
 def _pop_next_servers(
--- a/berylhaven/gateway/tests/test_evacuation.py
+++ b/berylhaven/gateway/tests/test_evacuation.py
@@ -159,10 +159,12 @@
             before.append(self.received(0))
             self.table.evacuations.evacuate("here")
 
-        decisions = [StartDecision.WAIT, StartDecision.SEND]
+        def decide(outlook):
+            return StartDecision.SEND if before else StartDecision.WAIT
+
         with (
             unittest.mock.patch.object(
-                _server_chooser, "decide_start", side_effect=decisions
+                _server_chooser, "decide_start", side_effect=decide
             ),
             unittest.mock.patch.object(
                 _attempt_runner, "sleep_s", evacuate_during_wait
