--- a/berylhaven/gateway/_active_routes.py
+++ b/berylhaven/gateway/_active_routes.py
@@ -2,7 +2,6 @@
 
 from berylhaven.routes import (
     CallerLimits,
-    Route,
     RouteTable,
     RoutingConfiguration,
     ServiceSpec,
@@ -15,12 +14,10 @@
 class ActiveRoutes:
     """The newest configuration; older versions never replace it."""
 
-    __slots__ = ("_configuration", "_highest_priorities", "table", "caller_limits")
+    __slots__ = ("_configuration", "table", "caller_limits")
 
     def __init__(self) -> None:
         self._configuration: RoutingConfiguration | None = None
-        # By service, the lowest priority number of the routes that send requests to it.
-        self._highest_priorities: dict[str, int] = {}
         # Finds the route of a request.
         self.table = RouteTable(())
         # The limits for callers' requests.
@@ -54,32 +51,8 @@
         self._configuration = configuration
         self.table = RouteTable(configuration.routes)
         self.caller_limits = configuration.caller_limits
-        self._highest_priorities = {}
-        for route in configuration.routes:
-            for part in route.parts:
-                highest = self._highest_priorities.get(part.service, route.priority)
-                self._highest_priorities[part.service] = min(highest, route.priority)
         return True
 
-    def has_more_urgent(self, route: Route, service: str) -> bool:
-        """Return whether a more urgent route sends requests to a service.
-
-        Parameters
-        ----------
-        route : Route
-            The route that is compared with the others.
-        service : str
-            The name of the service.
-
-        Returns
-        -------
-        bool
-            Whether a route with a lower priority number has the service among its
-            parts.
-        """
-        highest = self._highest_priorities.get(service, route.priority)
-        return highest < route.priority
-
     def service(self, name: str) -> ServiceSpec:
         """Return the settings that apply to a service's backend servers.
 
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -200,8 +200,6 @@
             occupied=server.occupied_count if server else None,
             tried=len(choice_request.excluded),
             priority=choice_request.route.priority,
-            keeps_slot_free=choice_request.keeps_slot_free,
-            slot_kept=choice.is_slot_kept,
         )
         if server is None:
             problem = "accepts requests now" if choice.quiet_s else "can answer in time"
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -36,7 +36,6 @@
     Crowding,
     ExpectedSize,
     answer_kind,
-    must_keep_slot_free,
     wait_limit_s,
 )
 from berylhaven.quarantine import Hold, request_fingerprint
@@ -100,7 +99,6 @@
         "_peers",
         "_hedger",
         "_quarantine",
-        "_random",
         "_routes",
         "_runner",
         "_dialect",
@@ -141,7 +139,6 @@
         self._peers = peers
         self._quarantine = quarantine
         self._metrics = metrics
-        self._random = random
         self._routes = routes
         self._runner = runner
         self._dialect = dialect
@@ -259,7 +256,6 @@
         time_limit_s = route.timeout_s
         if request.remaining_s is not None:
             time_limit_s = min(time_limit_s, request.remaining_s - RETURN_MARGIN_S)
-        is_less_urgent = self._routes.has_more_urgent(route, service.name)
         choice_request = ChoiceRequest(
             route,
             service,
@@ -267,9 +263,6 @@
             request.received_at_s,
             request.received_at_s + time_limit_s,
             wait_limit_s=wait_s,
-            is_less_urgent=is_less_urgent,
-            keeps_slot_free=is_less_urgent
-            and must_keep_slot_free(self._random.random()),
         )
 
         expected_size = self._expected_size(route, service)
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -18,9 +18,7 @@
     StartDecision,
     StartOutlook,
     best_concurrency,
-    decide_less_urgent_start,
     decide_start,
-    keeps_slot_free,
 )
 from berylhaven.routes import Route, ServiceSpec
 
@@ -77,8 +75,6 @@
     decision: StartDecision = StartDecision.REFUSE
     # The best concurrency of the best candidate.
     concurrency: int = 1
-    # Whether a slot of the best candidate was left to more urgent requests.
-    is_slot_kept: bool = False
 
 
 @dataclass(slots=True)
@@ -101,11 +97,6 @@
     waited_s: float = 0.0
     # For how long it may wait for a slot in all, in seconds.
     wait_limit_s: float = 0.0
-    # Whether a more urgent route shares the service; more servers are then probed until
-    # one has room, since a long objective makes also full servers look good.
-    is_less_urgent: bool = False
-    # Whether it has to keep a slot free for more urgent requests of the service.
-    keeps_slot_free: bool = False
 
 
 class ServerChooser:
@@ -183,14 +174,7 @@
                 continue
             best = max(usable, key=lambda server: self._utility(server, request, now_s))
             utility = self._utility(best, request, now_s)
-            is_sufficient = utility >= SUFFICIENT_UTILITY - self._remote_cost(
-                best, request
-            )
-            if request.is_less_urgent:
-                is_sufficient = is_sufficient and _has_room(
-                    best, request, compared, now_s
-                )
-            if is_sufficient:
+            if utility >= SUFFICIENT_UTILITY - self._remote_cost(best, request):
                 break
         choice = self._choice(request, candidates, compared, best)
         for server in compared:
@@ -223,7 +207,7 @@
                 return _choice_of_none(request, cold, now_s)
             return Choice(None, len(candidates), len(compared), 0.0, 0.0)
         is_trial = self._random.random() < TRIAL_SHARE
-        choice = _start(staying[0], request, staying, now_s, is_trial)
+        choice = _start(staying[0], request, now_s, is_trial)
         if choice.server is None:
             choice = _start_elsewhere(choice, request, staying, now_s)
         if choice.server is not None:
@@ -303,7 +287,6 @@
 def _start(
     server: ServerRecord,
     request: ChoiceRequest,
-    compared: list[ServerRecord],
     now_s: float,
     is_trial: bool = False,
 ) -> Choice:
@@ -325,14 +308,7 @@
         wait_limit_s=request.wait_limit_s,
         is_trial=is_trial,
     )
-    is_slot_kept = False
-    if request.keeps_slot_free:
-        other_free_count = _other_free_count(server, request, compared, now_s)
-        decision = decide_less_urgent_start(outlook, other_free_count)
-        has_room = request_count <= concurrency
-        is_slot_kept = has_room and decision is not StartDecision.SEND
-    else:
-        decision = decide_start(outlook)
+    decision = decide_start(outlook)
     if server.is_cold(now_s) and request_count > concurrency:
         # Nothing queues at a cold server.
         decision = StartDecision.REFUSE
@@ -344,7 +320,6 @@
         report_age_s=server.report_age_s(now_s),
         decision=decision,
         concurrency=concurrency,
-        is_slot_kept=is_slot_kept,
     )
 
 
@@ -363,7 +338,7 @@
         # What is known of the load of these servers may be old.
         if server.is_unresponsive or now_s < server.full_until_s:
             continue
-        other = _start(server, request, compared, now_s)
+        other = _start(server, request, now_s)
         is_late = other.finish_s > _objective_left_s(request, now_s)
         if other.server is not None and not (
             is_late and choice.decision is StartDecision.WAIT
@@ -380,39 +355,6 @@
     return best_concurrency(server.slot_count, request.work.crowding.slowdown_ratio)
 
 
-def _other_free_count(
-    server: ServerRecord,
-    request: ChoiceRequest,
-    compared: list[ServerRecord],
-    now_s: float,
-) -> int:
-    """Return the free slots on the compared servers except one."""
-    return sum(
-        max(0, _concurrency(other, request) - other.occupied_count)
-        for other in compared
-        if other is not server
-        and not other.is_unresponsive
-        and now_s >= other.full_until_s
-    )
-
-
-def _has_room(
-    server: ServerRecord,
-    request: ChoiceRequest,
-    compared: list[ServerRecord],
-    now_s: float,
-) -> bool:
-    """Return whether a server would be sent the request without a wait."""
-    if now_s < server.full_until_s:
-        return False
-    request_count = server.occupied_count + 1
-    concurrency = _concurrency(server, request)
-    if not request.keeps_slot_free:
-        return request_count <= concurrency
-    other_free_count = _other_free_count(server, request, compared, now_s)
-    return keeps_slot_free(request_count, concurrency, other_free_count)
-
-
 def _pop_next_servers(
     local: list[ServerRecord], remote: list[ServerRecord], remote_count: int
 ) -> list[ServerRecord]:
--- a/berylhaven/overload/__init__.py
+++ b/berylhaven/overload/__init__.py
@@ -20,11 +20,6 @@
     parse_limit_per_s,
     turn_interval_s,
 )
-from berylhaven.overload._priority_admission import (
-    decide_less_urgent_start,
-    keeps_slot_free,
-    must_keep_slot_free,
-)
 from berylhaven.overload._return_time import return_after_s
 from berylhaven.overload._service_reach import Reach, ServiceReach
 from berylhaven.overload._start_decision import (
@@ -64,11 +59,8 @@
     "best_concurrency",
     "body_kind",
     "decide_admission",
-    "decide_less_urgent_start",
     "decide_start",
     "is_crowded",
-    "keeps_slot_free",
-    "must_keep_slot_free",
     "parse_limit_per_s",
     "plan_warmup",
     "return_after_s",
