--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -22,7 +22,6 @@
         "_refreshers",
         "_requests",
         "_request_duration",
-        "_refusals",
         "_attempts",
         "_attempt_duration",
         "_probes",
@@ -43,10 +42,6 @@
             "Time from a request's head to its final answer.",
             DURATION_BUCKETS_S,
         )
-        self._refusals = self.counter(
-            "refusals_by_priority_total",
-            "Requests refused with 503, by service and priority of their route.",
-        )
         self._attempts = self.counter(
             "attempts_total", "Attempts at backend servers, by service and end."
         )
@@ -92,18 +87,6 @@
         self._requests.inc(labels)
         self._request_duration.observe({"service": service, "kind": kind}, duration_s)
 
-    def record_refusal(self, service: str, priority: int) -> None:
-        """Count a request that did not run and was refused with 503.
-
-        Parameters
-        ----------
-        service : str
-            The service of the request.
-        priority : int
-            The priority of the request's route; 0 is the highest.
-        """
-        self._refusals.inc({"service": service, "priority": str(priority)})
-
     def record_attempt(self, service: str, end: str, duration_s: float) -> None:
         """Count an attempt.
 
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -199,7 +199,6 @@
             report_age_s=choice.report_age_s,
             occupied=server.occupied_count if server else None,
             tried=len(choice_request.excluded),
-            priority=choice_request.route.priority,
         )
         if server is None:
             problem = "accepts requests now" if choice.quiet_s else "can answer in time"
@@ -354,12 +353,7 @@
         if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(now_s)
-        is_free = is_own_answer and server.is_known_free(now_s)
-        if is_free:
-            # It rejects requests for another reason, and may accept the next one.
-            server.record_attempt(True, now_s)
-        else:
-            server.record_refusal(now_s, FULL_SERVER_BACKOFF_S)
+        server.record_refusal(now_s, FULL_SERVER_BACKOFF_S)
         end = AttemptEnd.SHED
         self._metrics.record_attempt(server.entry.service, end.value, duration_s)
         self._event_log.write_failure(
@@ -369,7 +363,6 @@
             server=server.entry.server_id,
             status=answer.status,
             occupied=server.occupied_count,
-            is_free=is_free,
         )
         message = (
             f'server "{server.entry.server_id}" refused with status {answer.status}'
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -57,7 +57,6 @@
 REPLAYABLE_BODY_LIMIT_BYTES = 1_000_000
 # Statuses of error answers to requests that may have run.
 UNKNOWN_STATUSES = frozenset({502, 504})
-HTTP_STATUS_UNAVAILABLE = 503
 CONTENT_LENGTH = frozenset({"content-length"})
 
 
@@ -354,10 +353,6 @@
     ) -> GatewayAnswer:
         duration_s = monotonic_s() - request.received_at_s
         self._count(choice_request, f"refused-{status}", duration_s)
-        if choice_request is not None and status == HTTP_STATUS_UNAVAILABLE:
-            self._metrics.record_refusal(
-                choice_request.service.name, choice_request.route.priority
-            )
         answer = error_answer(status, message, retry_after_s)
         answer.closes_connection = not request.body.is_ended
         is_passed_on = request.passed_on_attempt_limit is not None
@@ -370,7 +365,6 @@
             host=request.host,
             path=request.path,
             route=choice_request.route.name if choice_request else None,
-            priority=choice_request.route.priority if choice_request else None,
             configuration=self._routes.version,
             status=status,
             retry_after_s=retry_after_s,
--- a/berylhaven/gateway/servers/_server_chooser.py
+++ b/berylhaven/gateway/servers/_server_chooser.py
@@ -196,25 +196,55 @@
             for server in self._table.candidates(request.service.name)
             if not server.is_quiet(now_s)
         ]
-        staying = sorted(
-            (server for server in compared if server in current),
-            key=lambda server: (server is best, self._utility(server, request, now_s)),
-            reverse=True,
-        )
-        if not staying:
+        if best is not None and best not in current:
+            staying = [server for server in compared if server in current]
+            best = max(
+                staying,
+                key=lambda server: self._utility(server, request, now_s),
+                default=None,
+            )
+        if best is None:
             cold = [s for s in candidates if s.warmup_wait_s(now_s) > 0]
             if cold and not current:
                 return _choice_of_none(request, cold, now_s)
             return Choice(None, len(candidates), len(compared), 0.0, 0.0)
-        is_trial = self._random.random() < TRIAL_SHARE
-        choice = _start(staying[0], request, now_s, is_trial)
-        if choice.server is None:
-            choice = _start_elsewhere(choice, request, staying, now_s)
-        if choice.server is not None:
-            choice.server.record_send(now_s)
-        choice.candidate_count = len(candidates)
-        choice.compared_count = len(compared)
-        return choice
+        finish_s = expected_finish_s(best, request.work, now_s)
+        concurrency = best_concurrency(
+            best.slot_count, request.work.crowding.slowdown_ratio
+        )
+        request_count = best.occupied_count + 1
+        if now_s < best.full_until_s:
+            request_count = max(request_count, concurrency + 1)
+            finish_s = max(finish_s, request.route.latency_objective_s)
+        decision = decide_start(
+            StartOutlook(
+                request_count=request_count,
+                best_concurrency=concurrency,
+                slot_count=best.slot_count,
+                finish_s=finish_s,
+                objective_remaining_s=request.received_at_s
+                + request.route.latency_objective_s
+                - now_s,
+                deadline_remaining_s=request.deadline_s - now_s,
+                waited_s=request.waited_s,
+                wait_limit_s=request.wait_limit_s,
+                is_trial=self._random.random() < TRIAL_SHARE,
+            )
+        )
+        if best.is_cold(now_s) and request_count > concurrency:
+            # Nothing queues at a cold server.
+            decision = StartDecision.REFUSE
+        if decision is StartDecision.SEND:
+            best.record_send(now_s)
+        return Choice(
+            server=best if decision is StartDecision.SEND else None,
+            candidate_count=len(candidates),
+            compared_count=len(compared),
+            finish_s=finish_s,
+            report_age_s=best.report_age_s(now_s),
+            decision=decision,
+            concurrency=concurrency,
+        )
 
     def _order_candidates(
         self, candidates: list[ServerRecord]
@@ -284,77 +314,6 @@
     return choice
 
 
-def _start(
-    server: ServerRecord,
-    request: ChoiceRequest,
-    now_s: float,
-    is_trial: bool = False,
-) -> Choice:
-    """Return the choice for one server, which may be to send nothing there."""
-    finish_s = expected_finish_s(server, request.work, now_s)
-    concurrency = _concurrency(server, request)
-    request_count = server.occupied_count + 1
-    if now_s < server.full_until_s:
-        request_count = max(request_count, concurrency + 1)
-        finish_s = max(finish_s, request.route.latency_objective_s)
-    outlook = StartOutlook(
-        request_count=request_count,
-        best_concurrency=concurrency,
-        slot_count=server.slot_count,
-        finish_s=finish_s,
-        objective_remaining_s=_objective_left_s(request, now_s),
-        deadline_remaining_s=request.deadline_s - now_s,
-        waited_s=request.waited_s,
-        wait_limit_s=request.wait_limit_s,
-        is_trial=is_trial,
-    )
-    decision = decide_start(outlook)
-    if server.is_cold(now_s) and request_count > concurrency:
-        # Nothing queues at a cold server.
-        decision = StartDecision.REFUSE
-    return Choice(
-        server=server if decision is StartDecision.SEND else None,
-        candidate_count=0,
-        compared_count=0,
-        finish_s=finish_s,
-        report_age_s=server.report_age_s(now_s),
-        decision=decision,
-        concurrency=concurrency,
-    )
-
-
-def _start_elsewhere(
-    choice: Choice,
-    request: ChoiceRequest,
-    compared: list[ServerRecord],
-    now_s: float,
-) -> Choice:
-    """Return the choice of the first other server that has room.
-
-    A request that may wait is sent there only if the answer is expected within the
-    objective; one that would be refused, if it is expected before the deadline.
-    """
-    for server in compared[1:]:
-        # What is known of the load of these servers may be old.
-        if server.is_unresponsive or now_s < server.full_until_s:
-            continue
-        other = _start(server, request, now_s)
-        is_late = other.finish_s > _objective_left_s(request, now_s)
-        if other.server is not None and not (
-            is_late and choice.decision is StartDecision.WAIT
-        ):
-            return other
-    return choice
-
-
-def _objective_left_s(request: ChoiceRequest, now_s: float) -> float:
-    return request.received_at_s + request.route.latency_objective_s - now_s
-
-
-def _concurrency(server: ServerRecord, request: ChoiceRequest) -> int:
-    return best_concurrency(server.slot_count, request.work.crowding.slowdown_ratio)
-
-
 def _pop_next_servers(
     local: list[ServerRecord], remote: list[ServerRecord], remote_count: int
 ) -> list[ServerRecord]:
--- a/berylhaven/gateway/servers/_server_record.py
+++ b/berylhaven/gateway/servers/_server_record.py
@@ -19,9 +19,6 @@
 # How many times slower a server is just after its start; it reaches its normal speed
 # gradually.
 WARMUP_RATIO = 2.0
-# A load report up to this age tells whether a server was full when it refused a
-# request; older ones are out of date, since other instances send requests meanwhile.
-RECENT_REPORT_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -320,22 +317,6 @@
             0, self.reported_count + self.in_flight_count - self._in_flight_at_report
         )
 
-    def is_known_free(self, now_s: float) -> bool:
-        """Return whether a load report of late shows a free slot.
-
-        Parameters
-        ----------
-        now_s : float
-            The current time on the hub's clock, in seconds.
-
-        Returns
-        -------
-        bool
-            False also if there is no such report.
-        """
-        is_recent = self.report_age_s(now_s) <= RECENT_REPORT_S
-        return is_recent and self.occupied_count < self.slot_count
-
     @property
     def slot_count(self) -> int:
         """The number of requests that the server runs concurrently."""
--- a/berylhaven/gateway/tests/test_evacuation.py
+++ b/berylhaven/gateway/tests/test_evacuation.py
@@ -159,12 +159,10 @@
             before.append(self.received(0))
             self.table.evacuations.evacuate("here")
 
-        def decide(outlook):
-            return StartDecision.SEND if before else StartDecision.WAIT
-
+        decisions = [StartDecision.WAIT, StartDecision.SEND]
         with (
             unittest.mock.patch.object(
-                _server_chooser, "decide_start", side_effect=decide
+                _server_chooser, "decide_start", side_effect=decisions
             ),
             unittest.mock.patch.object(
                 _attempt_runner, "sleep_s", evacuate_during_wait
