--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,8 +23,8 @@
 )
 
 DEADLINE_MS = 1_500
-INTERVAL_S = 0.05
-WORK_S = 0.4
+INTERVAL_S = 0.1
+WORK_S = 0.45
 LATE_S = 3.0
 
 
