--- a/review/harness.py
+++ b/review/harness.py
@@ -11,7 +11,6 @@
 import os
 import random
 import re
-import resource
 import signal
 import socket
 import sys
@@ -430,8 +429,6 @@
         }
         self._path = folder / f"gateway-{index}.ini"
         self.log_path = folder / f"gateway-{index}.log"
-        # The descriptors of its machine; None for those of the shell.
-        self.descriptor_limit: int | None = None
         self.process: asyncio.subprocess.Process | None = None
 
     @property
@@ -455,19 +452,9 @@
         }
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *role["run"].split(),
-                cwd=ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
-                preexec_fn=self._limit_descriptors,
+                *role["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
-    def _limit_descriptors(self) -> None:
-        if self.descriptor_limit is not None:
-            limits = (self.descriptor_limit, self.descriptor_limit)
-            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-
     async def wait_until_ready(self) -> None:
         """Wait until the readiness check is answered with 200."""
         host, _, port = self.listen["Ready"].rpartition(":")
@@ -517,18 +504,10 @@
         The record of the case.
     gateway_count : int
         The number of gateways.
-    descriptor_limit : int or None
-        The descriptors of each gateway's machine.
     """
 
-    def __init__(
-        self,
-        record: Record,
-        gateway_count: int = 3,
-        descriptor_limit: int | None = None,
-    ) -> None:
+    def __init__(self, record: Record, gateway_count: int = 3) -> None:
         self.record = record
-        self._descriptor_limit = descriptor_limit
         self.prefix = random_prefix()
         self.store = Store(f"{self.prefix}.1")
         self.servers: list[Server] = []
@@ -554,9 +533,7 @@
         folder = Path(self._folder.name)
         for index in range(self._gateway_count):
             ip = f"{self.prefix}.{10 + index}"
-            gateway = Gateway(index, ip, self.store.address, folder)
-            gateway.descriptor_limit = self._descriptor_limit
-            self.gateways.append(gateway)
+            self.gateways.append(Gateway(index, ip, self.store.address, folder))
         seeds = [gateway.listen["Control"] for gateway in self.gateways[:3]]
         try:
             for gateway in self.gateways:
