Review: keep case 1 inside the dose of early answers

Cause: it answered all uploads early, at all servers. Change: two of five uploads at two servers of three, for 6 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -24,18 +25,45 @@
 RECORD_BYTES = 512
 RECORD_COUNT = 16_000
 EARLY_S = 0.7
-UPLOAD_COUNT = 3
+ROUND_COUNT = 3
+# The dose of the site file: two in five of the uploads at two servers of three, 6 s.
+EARLY_SERVER_COUNT = 2
+EARLY_PLACES = (1, 3)
+EARLY_EVERY = 5
+DURATION_S = 6.0
+
+
+class EarlyAnswers:
+    """Tells which uploads are answered early."""
+
+    def __init__(self) -> None:
+        self.began_at_s = 0.0
+        self.server_ids: set[str] = set()
+        self.count = 0
+
+    def next_is_early(self, server_id: str) -> bool:
+        """Count an upload; return whether it is answered early."""
+        passed_s = time.monotonic() - self.began_at_s
+        if not WITH_TROUBLE or server_id not in self.server_ids:
+            return False
+        self.count += 1
+        is_due = self.count % EARLY_EVERY in EARLY_PLACES
+        return is_due and passed_s + EARLY_S < DURATION_S
+
+
+EARLY = EarlyAnswers()
 
 
 async def work(exchange: Exchange) -> None:
     """Run a request; with trouble, answer an upload before its body was read."""
     is_upload = exchange.request.target.startswith("/upload/")
-    if is_upload and WITH_TROUBLE:
+    is_early = is_upload and EARLY.next_is_early(exchange.server.server_id)
+    if is_early:
         await asyncio.sleep(EARLY_S)
         exchange.answer(b"stored")
         await exchange.writer.drain()
     body = await exchange.read_body()
-    if is_upload and WITH_TROUBLE:
+    if is_early:
         return
     await asyncio.sleep(0.1)
     exchange.answer(b"stored" if is_upload else b"confirmed %d" % len(body))
@@ -84,16 +112,23 @@
         rule("/order/", "unsafe", "nominator", 1.5),
     ]
     for service in ("meterdesk", "nominator"):
-        for _ in range(2):
+        for _ in range(3):
             deployment.add_server(service, work)
+    for server in deployment.servers[:EARLY_SERVER_COUNT]:
+        EARLY.server_ids.add(server.server_id)
     async with deployment:
         await asyncio.sleep(3.0)
         sent: set[str] = set()
         archived_id = new_id()
         body = archive(archived_id)
         record(f"the body has {len(body)} bytes; its records name {archived_id}")
-        for gateway in deployment.gateways[:UPLOAD_COUNT]:
-            foreign += await upload(record, gateway.front, body, sent)
+        EARLY.began_at_s = time.monotonic()
+        for _ in range(ROUND_COUNT):
+            uploads = (
+                upload(record, gateway.front, body, sent)
+                for gateway in deployment.gateways
+            )
+            foreign += sum(await asyncio.gather(*uploads))
         await asyncio.sleep(0.5)
         runs = [run for server in deployment.servers for run in server.runs]
     unasked = [run for run in runs if run[0] not in sent]
