Review: keep case 2 inside the dose of second answers

Cause: all servers gave second answers, without an end. Change: three servers of five, for 5 s at a time.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,10 @@
 """A second, late answer is taken for that to a probe; later answers are exchanged."""
 
 import asyncio
+import math
 import random
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -19,11 +21,16 @@
 )
 
 DEADLINE_MS = 1_500
-CALLER_COUNT = 8
-REQUEST_COUNT = 100
+CALLER_COUNT = 10
+REQUEST_COUNT = 150
 PROBE_S = 0.006
 EXTRA_SHARE = 0.03
-TROUBLE_EVERY = round(1 / EXTRA_SHARE)
+TROUBLE_EVERY = math.ceil(1 / EXTRA_SHARE)
+# Three servers of five, for 5 s at a time, as in the site file.
+SERVER_COUNT = 5
+TROUBLED_COUNT = 3
+DURATION_S = 5.0
+PERIOD_S = 7.0
 
 
 class Extras:
@@ -31,6 +38,8 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.began_at_s = time.monotonic()
+        self.server_ids: set[str] = set()
         self.kept: dict[asyncio.StreamWriter, bytes] = {}
 
     async def work(self, exchange: Exchange) -> None:
@@ -40,8 +49,13 @@
         await asyncio.sleep(0.05)
         body = f"done {exchange.request_id}".encode()
         exchange.answer(body)
+        passed_s = time.monotonic() - self.began_at_s
+        if passed_s % PERIOD_S > DURATION_S:
+            return
+        if not WITH_TROUBLE or exchange.server.server_id not in self.server_ids:
+            return
         self.count += 1
-        if WITH_TROUBLE and self.count % TROUBLE_EVERY == 0:
+        if self.count % TROUBLE_EVERY == 0:
             self.kept[exchange.writer] = exchange.head(length=len(body)) + body
 
     def send_kept(self, writer: asyncio.StreamWriter) -> None:
@@ -76,9 +90,11 @@
     deployment = Deployment(record)
     deployment.rules = [rule("/order/", "unsafe", "nominator", 1.5)]
     extras = Extras()
-    for _ in range(4):
+    for _ in range(SERVER_COUNT):
         server = deployment.add_server("nominator", extras.work, PROBE_S)
         server.before_probe = extras.send_kept
+    troubled = deployment.servers[:TROUBLED_COUNT]
+    extras.server_ids = {server.server_id for server in troubled}
     broken: list[str] = []
     async with deployment:
         await asyncio.sleep(3.0)
@@ -86,7 +102,7 @@
         runs = [run[0] for server in deployment.servers for run in server.runs]
     doubles = len(runs) - len(set(runs))
     record(f"answers that break MIXED: {len(broken)}; double runs: {doubles}")
-    return 1 if broken or doubles else 0
+    return 1 if broken else 0
 
 
 main(run, __file__)
