Skip second answers while a probe is answered

Cause: a second copy of an earlier answer, sent where the answer to a probe was due, ended the probe. The connection went back to the pool with the answer to the probe still due, and the next request took it, as an answer without an id. Evidence: the load report of the chosen server was 0.2 ms old where probes take 6 ms, and the attempt was answered after 6 ms where the work takes 50 ms. Change: an answer that names a request is not that to a probe; it is skipped and counted. The test stand-in of the servers names the request in its answers, as servers do.

--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -4,7 +4,7 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
-from berylhaven.http1 import OpenCause
+from berylhaven.http1 import AnswerMatch, OpenCause
 
 TEXT_CONTENT_TYPE = "text/plain"
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
@@ -25,6 +25,7 @@
         "_attempts",
         "_attempt_duration",
         "_probes",
+        "_foreign_answers",
         "_new_connections",
         "_store_calls",
         "_lateness",
@@ -53,6 +54,10 @@
         self._probes = self.counter(
             "probes_total", "Load probes of backend servers, by outcome."
         )
+        self._foreign_answers = self.counter(
+            "foreign_answers_total",
+            "Answers of backend servers that were not used, by what they name.",
+        )
         self._new_connections = self.counter(
             "server_connections_opened_total",
             "New connections to backend servers, by why none could be reused.",
@@ -115,6 +120,18 @@
         self._probes.add({"outcome": "answered"}, answered_count)
         self._probes.add({"outcome": "silent"}, unresponsive_count)
 
+    def record_foreign_answers(self, match: AnswerMatch, count: int) -> None:
+        """Count answers that are not, or not provably, those to the request sent.
+
+        Parameters
+        ----------
+        match : AnswerMatch
+            What they name.
+        count : int
+            Their number.
+        """
+        self._foreign_answers.add({"names": match.value}, count)
+
     def record_new_connection(self, cause: OpenCause) -> None:
         """Count a new connection to a backend server."""
         self._new_connections.inc({"cause": cause.value})
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -110,7 +110,9 @@
         limits = ServerLimits(sharer_count, parts.random, parts.event_log)
         signals = ServerSignals(parts.dialect, pool, limits, parts.event_log)
         evacuations = parts.table.evacuations
-        prober = ServerProber(pool, signals, parts.metrics, reach, evacuations)
+        prober = ServerProber(
+            pool, parts.dialect, signals, parts.metrics, reach, evacuations
+        )
         # The prober records its results in the monitor, which has it probe servers.
         reach.check = lambda servers: prober.check(
             servers, parts.routes.service(servers[0].entry.service).health_path
--- a/berylhaven/gateway/servers/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -6,6 +6,7 @@
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
+from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
@@ -14,8 +15,13 @@
 from berylhaven.gateway.servers._server_signals import ServerSignals
 from berylhaven.http1 import (
     CONNECTION_ERRORS,
+    SKIPPED_ANSWERS_LIMIT,
     AnswerBodyError,
+    AnswerMatch,
     ConnectionPool,
+    UpstreamAnswer,
+    UpstreamConnection,
+    match_answer,
     read_answer,
 )
 from berylhaven.results import CallRefused
@@ -40,6 +46,8 @@
     ----------
     pool : ConnectionPool
         The connections to backend servers.
+    dialect : Dialect
+        The header names of the deployment.
     signals : ServerSignals
         Records the headers of answers.
     metrics : GatewayMetrics
@@ -52,6 +60,7 @@
 
     __slots__ = (
         "_pool",
+        "_dialect",
         "_signals",
         "_metrics",
         "_reach",
@@ -62,6 +71,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        dialect: Dialect,
         signals: ServerSignals,
         metrics: GatewayMetrics,
         reach: ReachMonitor,
@@ -71,6 +81,7 @@
         self._reach = reach
         self._metrics = metrics
         self._pool = pool
+        self._dialect = dialect
         self._signals = signals
         # Running probes by server id; concurrent requests share them.
         self._running_probes: dict[str, eventlet.greenthread.GreenThread] = {}
@@ -183,8 +194,7 @@
             self._evacuations.check_sending(entry.server_id, entry.data_centre)
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
-            head = connection.read_head()
-            answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
+            answer = self._read(connection, entry.server_id)
             is_reusable = (
                 answer.is_complete
                 and answer.keeps_connection
@@ -193,8 +203,35 @@
         finally:
             self._pool.release(connection, is_reusable)
         is_own_answer = self._signals.record(
-            server, head.status, head.fields, is_probe=True
+            server, answer.status, answer.fields, is_probe=True
         )
         if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(monotonic_s())
+
+    def _read(self, connection: UpstreamConnection, server_id: str) -> UpstreamAnswer:
+        """Read the answer to a probe, skipping those to requests.
+
+        Probes have no id, so an answer that names a request is not theirs: it is a
+        second copy, and the answer to the probe is still due. Any answer without an id
+        is taken for it, since requests on the connection check the ids themselves.
+        """
+        for _ in range(SKIPPED_ANSWERS_LIMIT):
+            head = connection.read_head()
+            answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
+            match = match_answer(
+                self._dialect.request_id(answer.fields),
+                None,
+                is_first_answer=connection.answer_count == 1,
+            )
+            if match is not AnswerMatch.OTHER_REQUEST:
+                return answer
+            self._metrics.record_foreign_answers(match, 1)
+            if not answer.keeps_connection:
+                break
+            while not answer.is_complete:
+                answer.body_reader.read1(ANSWER_LIMIT_BYTES)
+        raise AttemptFailed(
+            AttemptEnd.FOREIGN_ANSWER,
+            f'server "{server_id}" answered a probe with the answer to a request',
+        )
--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -16,6 +16,7 @@
 )
 from berylhaven.gateway.tests._gateway_path import (
     ANSWER_TIMEOUT_S,
+    ID_HEADER,
     ORDERS,
     READS,
     Caller,
@@ -106,7 +107,7 @@
     def _new_server(self, service=READS):
         server_id = f"{service}-{self._next_server}"
         self._next_server += 1
-        backend = self.backends[server_id] = RawBackend()
+        backend = self.backends[server_id] = RawBackend(ID_HEADER)
         return ServerEntry(server_id, service, backend.address, "here", 4, False)
 
     def add_member(self):
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -33,16 +33,18 @@
 ORDERS = "orders"
 ANSWER_TIMEOUT_S = 5.0
 HEALTH_PATH = "/health"
+ID_HEADER = "Wordy-Id"
 
 
 class FakeDialect:
     """Headers for tests, which no deployment uses."""
 
+    request_id_header = ID_HEADER
     replaced_request_headers = frozenset({"wordy-left-ms", "wordy-server"})
     dropped_answer_headers = frozenset({"wordy-load"})
 
     def request_id(self, fields):
-        return fields.get("Wordy-Id")
+        return fields.get(ID_HEADER)
 
     def remaining_s(self, fields):
         text = fields.get("Wordy-Left-Ms")
@@ -204,7 +206,10 @@
     """An instance with two backend servers for reads and two for orders."""
 
     def __init__(self, config=None, settings_path=None, extra_settings=""):
-        self.backends = {name: [RawBackend(), RawBackend()] for name in (READS, ORDERS)}
+        self.backends = {
+            name: [RawBackend(ID_HEADER), RawBackend(ID_HEADER)]
+            for name in (READS, ORDERS)
+        }
         entries = [
             ServerEntry(f"{name}-{index}", name, backend.address, "here", 4, False)
             for name, backends in self.backends.items()
@@ -277,7 +282,7 @@
 
 def request_bytes(path, request_id="a", method="GET", body=None, **headers):
     """Return the bytes of a request."""
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Wordy-Id: {request_id}"]
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"{ID_HEADER}: {request_id}"]
     lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -231,7 +231,7 @@
         with_load = OK.replace(b"Wordy-Id: a", b"Wordy-Id: a\r\nWordy-Load: 0,0,4,3")
         responsive, unresponsive = self.path.backends[ORDERS]
         responsive.answers = {
-            HEALTH_PATH: Answers(with_load),
+            HEALTH_PATH: Answers(with_load.replace(b"Wordy-Id: a\r\n", b"")),
             "/order/x": Answers(with_load),
         }
         unresponsive.answers = {HEALTH_PATH: never, "/order/x": never}
--- /dev/null
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -0,0 +1,90 @@
+"""Tests against backend servers that send an answer twice on a kept connection."""
+
+import unittest
+
+import eventlet
+
+from berylhaven.gateway.servers._server_probe import FRESH_REPORT_S
+from berylhaven.gateway.tests._gateway_path import (
+    HEALTH_PATH,
+    ID_HEADER,
+    ORDERS,
+    GatewayPath,
+)
+
+PROBE_S = 0.006
+WORK_S = 0.02
+LOAD_LINE = "Wordy-Load: 0,0,4,1\r\n"
+PROBE_ANSWER = f"HTTP/1.1 200 OK\r\n{LOAD_LINE}Content-Length: 2\r\n\r\nok".encode()
+
+
+def success(request_id):
+    """Return an answer that names its request in the head and in the body."""
+    body = f"done {request_id}"
+    return (
+        f"HTTP/1.1 200 OK\r\n{ID_HEADER}: {request_id}\r\n{LOAD_LINE}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+class RepeatingServer:
+    """Answers all paths; sends a second copy where the next answer is due."""
+
+    def __init__(self, first_answer, repeated_answer, repeats_at_probes=False):
+        self.first_answer = first_answer
+        self.repeats_at_probes = repeats_at_probes
+        self.repeated_answer = repeated_answer
+        # The copies that are still due, by connection.
+        self.kept = {}
+        self.run_ids = []
+
+    def get(self, path, default):
+        return self.answer_probe if path == HEALTH_PATH else self.answer_request
+
+    def answer_probe(self, sock, request):
+        if self.repeats_at_probes:
+            self.send_kept(request.sock)
+        eventlet.sleep(PROBE_S)
+        request.sock.sendall(PROBE_ANSWER)
+
+    def answer_request(self, sock, request):
+        request_id = request.header(ID_HEADER)
+        if self.send_kept(request.sock) or self.first_answer is None:
+            self.run_ids.append(request_id)
+            eventlet.sleep(WORK_S)
+            request.sock.sendall(success(request_id))
+        else:
+            request.sock.sendall(self.first_answer(request_id))
+        self.kept[request.sock] = self.repeated_answer(request_id)
+
+    def send_kept(self, sock):
+        """Send the second copy of the last answer; return whether there was one."""
+        copy = self.kept.pop(sock, None)
+        if copy is not None:
+            sock.sendall(copy)
+        return copy is not None
+
+
+class RepeatedAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+
+    def set_servers(self, *args, **kwargs):
+        servers = []
+        for backend in self.path.backends[ORDERS]:
+            backend.answers = RepeatingServer(*args, **kwargs)
+            servers.append(backend.answers)
+        return servers
+
+    def test_a_second_answer_is_not_taken_for_the_answer_to_a_probe(self):
+        # Guards against a success with the body of a health check (MIXED).
+        self.path.remove_server("orders-1")
+        self.set_servers(None, success, repeats_at_probes=True)
+        bodies = []
+        with self.path.connect() as caller:
+            for number in range(8):
+                answer = caller.exchange("/order/x", str(number), "POST", b"1")
+                bodies.append(answer.body.decode())
+                eventlet.sleep(2 * FRESH_REPORT_S)
+        self.assertEqual(bodies, [f"done {number}" for number in range(8)])
--- a/berylhaven/gateway/tests/test_slow_callers.py
+++ b/berylhaven/gateway/tests/test_slow_callers.py
@@ -12,6 +12,7 @@
 from berylhaven.gateway.callers._held_bytes import HELD_LIMIT_BYTES
 from berylhaven.gateway.tests._gateway_path import (
     HEALTH_PATH,
+    ID_HEADER,
     Caller,
     free_address,
     request_bytes,
@@ -75,7 +76,7 @@
     PIPELINING_CALLERS = 100
 
     def setUp(self):
-        self.server = RawBackend()
+        self.server = RawBackend(ID_HEADER)
         self.server.answers = _ForAllPaths()
         self.upload_server = UnreadBackend()
         self.callers_address = free_address()
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -1,5 +1,10 @@
 """HTTP/1.1 towards callers and backend servers: heads, framing, bodies, connections."""
 
+from berylhaven.http1._answer_match import (
+    SKIPPED_ANSWERS_LIMIT,
+    AnswerMatch,
+    match_answer,
+)
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, parse_framing
 from berylhaven.http1._chunked_reader import ChunkedBodyError, ChunkedReader
 from berylhaven.http1._connection_pool import (
@@ -37,8 +42,10 @@
     "END_OF_HEAD",
     "NO_BODY",
     "REQUEST_FRAMING",
+    "SKIPPED_ANSWERS_LIMIT",
     "AnswerBodyError",
     "AnswerHead",
+    "AnswerMatch",
     "AnswerBodyReader",
     "BodyFraming",
     "ChunkedBodyError",
@@ -54,6 +61,7 @@
     "answer_bytes",
     "answer_status",
     "end_to_end_headers",
+    "match_answer",
     "read_answer",
     "read_fields",
     "parse_framing",
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -105,6 +105,7 @@
         "used_at_s",
         "was_open_attempted",
         "idle_limit_s",
+        "answer_count",
         "_head_limit_bytes",
         "_http",
         "_socket_reader",
@@ -122,6 +123,8 @@
         self.was_open_attempted = False
         # The idle limit derived from the server's Keep-Alive header; infinite without.
         self.idle_limit_s = math.inf
+        # The number of final answers whose heads were read.
+        self.answer_count = 0
         self._head_limit_bytes = head_limit_bytes
         # urllib3 sets TCP_NODELAY on its connections.
         self._http = HTTPConnection(host, int(port))
@@ -231,6 +234,7 @@
                 version.decode(), int(status), reason.decode("latin-1"), fields
             )
             if head.status >= FIRST_FINAL_STATUS:
+                self.answer_count += 1
                 self._update_idle_limit(head.fields)
                 return head
             if head.status == HTTP_STATUS_SWITCHING_PROTOCOLS:
--- a/berylhaven/http1/tests/_raw_backend.py
+++ b/berylhaven/http1/tests/_raw_backend.py
@@ -32,10 +32,33 @@
         return None
 
 
+class NamingSocket:
+    """Adds the id of the request to the answers that are sent without one."""
+
+    def __init__(self, sock, id_header, request_id):
+        self.sock = sock
+        self.id_line = f"{id_header}: {request_id}\r\n".encode()
+        self.id_start = f"\r\n{id_header}:".encode()
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def sendall(self, data):
+        line, end, rest = data.partition(b"\r\n")
+        fields = end + rest.partition(b"\r\n\r\n")[0]
+        if line.startswith(b"HTTP/1.") and end and self.id_start not in fields:
+            data = line + end + self.id_line + rest
+        self.sock.sendall(data)
+
+
 class RawBackend:
-    """Answers each path with a function of the socket and the request."""
+    """Answers each path with a function of the socket and the request.
+
+    Answers name the request in `id_header`, unless they are sent by its own socket.
+    """
 
-    def __init__(self):
+    def __init__(self, id_header=""):
+        self.id_header = id_header
         self.listener = eventlet.listen(("127.0.0.1", 0), backlog=512)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.requests = []
@@ -83,6 +106,9 @@
         finally:
             self.ended_count += 1
         answer = self.answers.get(request.path, answer_ok)
+        request_id = request.header(self.id_header) if self.id_header else None
+        if request_id is not None:
+            sock = NamingSocket(sock, self.id_header, request_id)
         return answer(sock, request) is not False
 
     def _read_body(self, request, reader):
