Take no unnamed answer on a reused connection for the own one

Callers were told that a request had not run while its server ran it, or it ran at two servers, after a faulty server had repeated an earlier refusal without an id on a kept connection. Cause: an answer without an id counted as that to the request in flight. Change: it counts only as the first answer on its connection, which is closed after it. Otherwise the attempt ends as "unproven-answer" with an unknown outcome. Requests without an id use new connections. Answers to requests that an instance passed on name the request. The memory of skipped answers is released.

--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -53,6 +53,8 @@
     ANSWER_WITHOUT_LENGTH = "answer-without-length"
     # The answer carries the id of another call.
     FOREIGN_ANSWER = "foreign-answer"
+    # The answer names no call, and may be one to an earlier call on its connection.
+    UNPROVEN_ANSWER = "unproven-answer"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
 
@@ -107,6 +109,9 @@
         Outcome.RUN, False, AnswerWithoutLength
     ),
     AttemptEnd.FOREIGN_ANSWER: EndClassification(Outcome.UNKNOWN, True, UpstreamBroken),
+    AttemptEnd.UNPROVEN_ANSWER: EndClassification(
+        Outcome.UNKNOWN, True, UpstreamBroken
+    ),
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
--- a/berylhaven/gateway/_dialect.py
+++ b/berylhaven/gateway/_dialect.py
@@ -9,6 +9,8 @@
 class Dialect(Protocol):
     """Header names and their interpretation in one deployment."""
 
+    # The header that names a request, in requests and in the answers to them.
+    request_id_header: str
     # Request headers that the gateway replaces by its own, in lower case.
     replaced_request_headers: frozenset[str]
     # Answer headers that are not forwarded to callers, in lower case.
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -83,6 +83,9 @@
     answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
     # The green thread that processes the request.
     thread: eventlet.greenthread.GreenThread | None = None
+    # The id header of a request that another instance passed on: it can't use an answer
+    # that does not name the request. None for callers' requests.
+    naming_header: tuple[str, str] | None = None
     # The memory of the request's head; None if the head was rejected.
     reservation: Reservation | None = None
 
@@ -252,6 +255,8 @@
             version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
         )
         pending = PendingAnswer(request.method == "HEAD", must_close)
+        if request.passed_on_attempt_limit is not None:
+            pending.naming_header = self._naming_header(fields)
         pending.reservation = self._reserve_head(match, fields)
         if body.has_body:
             body.limit_bytes = limits.body_limit_bytes
@@ -341,14 +346,20 @@
     ) -> None:
         answer = error_answer(status, message, retry_after_s)
         answer.closes_connection = True
+        pending = PendingAnswer(False, True)
         if head is not None and passed_on_attempt_limit(head[1]) is not None:
             # The instance that passed the request on may try another one.
             answer.headers.append((OUTCOME, NOT_RUN))
-        pending = PendingAnswer(False, True)
+            pending.naming_header = self._naming_header(head[1])
         pending.answered.send(answer)
         self._port.log_head_rejected(status, message)
         self._enqueue(pending)
 
+    def _naming_header(self, fields: HeadFields) -> tuple[str, str] | None:
+        dialect = self._port.dialect
+        request_id = dialect.request_id(fields)
+        return (dialect.request_id_header, request_id) if request_id else None
+
     def _send_continue(self) -> None:
         if not self._pending:
             self._socket.sendall(CONTINUE_LINE)
@@ -421,9 +432,17 @@
     return answer.status in BODYLESS_STATUSES
 
 
+def _has_header(answer: GatewayAnswer, sought: str) -> bool:
+    return any(name.lower() == sought.lower() for name, _ in answer.headers)
+
+
 def _answer_head(pending: PendingAnswer, answer: GatewayAnswer, is_last: bool) -> bytes:
     lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
-    lines += [f"{name}: {value}" for name, value in answer.headers]
+    headers = answer.headers
+    naming_header = pending.naming_header
+    if naming_header is not None and not _has_header(answer, naming_header[0]):
+        headers = [*headers, naming_header]
+    lines += [f"{name}: {value}" for name, value in headers]
     if not _is_bodyless(answer) and not pending.is_head_request:
         lines.append(f"Content-Length: {len(answer.body)}")
     if is_last:
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -28,7 +28,7 @@
 from berylhaven.gateway.servers._server_exchange import ServerAnswer, exchange
 from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.gateway.servers._server_signals import ServerSignals
-from berylhaven.http1 import ConnectionPool
+from berylhaven.http1 import AnswerMatch, ConnectionPool
 from berylhaven.overload import (
     StartDecision,
     return_after_s,
@@ -284,7 +284,10 @@
             )
         sent = SentRequest(server, choice_request.work)
         connection = self._pool.acquire(
-            server.entry.address, choice_request.route.is_idempotent
+            server.entry.address,
+            choice_request.route.is_idempotent,
+            # Without an id only the first answer on a connection is surely its own.
+            requires_new_connection=not request.request_id,
         )
         server.in_flight_count += 1
         self._uploads.add(request, server)
@@ -319,6 +322,9 @@
             self._uploads.remove(request, server, answer is not None)
             self._pool.release(connection, is_reusable)
         duration_s = monotonic_s() - sent.sent_at_s
+        self._metrics.record_foreign_answers(
+            AnswerMatch.OTHER_REQUEST, answer.skipped_count
+        )
         self._record_answer(request, server, answer, duration_s)
         self._metrics.record_attempt(server.entry.service, "answered", duration_s)
         sent.record_duration(duration_s, request.body.position + len(answer.body))
@@ -381,6 +387,8 @@
         self._metrics.record_attempt(
             server.entry.service, failure.end.value, duration_s
         )
+        if failure.end is AttemptEnd.UNPROVEN_ANSWER:
+            self._metrics.record_foreign_answers(AnswerMatch.UNPROVEN, 1)
         if failure.end not in ENDS_UNRELATED_TO_SERVER:
             server.record_attempt(True, now_s)
         if failure.end in SILENT_ENDS:
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -206,7 +206,9 @@
     ) -> ServerAnswer:
         # A connection that the other instance closes for idleness must not take a
         # request with it that cannot be repeated.
-        connection = self._pool.acquire(member.callers_address)
+        connection = self._pool.acquire(
+            member.callers_address, requires_new_connection=not request.request_id
+        )
         answer = None
         try:
             answer = exchange(
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -16,12 +16,15 @@
     CONNECTION_ERRORS,
     MALFORMED_ANSWER_ERRORS,
     REQUEST_FRAMING,
+    SKIPPED_ANSWERS_LIMIT,
     AnswerBodyError,
     AnswerBodyReader,
     AnswerHead,
+    AnswerMatch,
     HeadFields,
     UpstreamConnection,
     end_to_end_headers,
+    match_answer,
     parse_framing,
 )
 from berylhaven.overload import SMALL_BYTES, HeldKind
@@ -33,9 +36,6 @@
 # the socket's send buffer.
 SMALL_BODY_BYTES = 8_192
 PIECE_BYTES = 65_536
-# The maximum number of answers read from the connection while their request ids don't
-# match.
-MISMATCHED_ANSWERS_LIMIT = 4
 # The maximum size of an answer body, which is held in memory.
 ANSWER_LIMIT_BYTES = 32_000_000
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -58,6 +58,8 @@
     is_reusable: bool
     # The memory of the body; None without a body.
     reservation: Reservation | None
+    # The number of answers to other requests that were received before it.
+    skipped_count: int = 0
 
 
 def exchange(
@@ -282,12 +284,29 @@
         return "\r\n".join(lines).encode("latin-1")
 
     def read(self) -> ServerAnswer:
-        """Read the answer with the id of this request, skipping those of others."""
-        for _ in range(MISMATCHED_ANSWERS_LIMIT):
+        """Read the answer to this request, skipping those to others."""
+        for skipped_count in range(SKIPPED_ANSWERS_LIMIT):
             answer = self._read_one()
             named_id = self._dialect.request_id(answer.fields)
-            if named_id is None or named_id == self._request.request_id:
+            match = match_answer(
+                named_id,
+                self._request.request_id or None,
+                is_first_answer=self._connection.answer_count == 1,
+            )
+            if match is AnswerMatch.OWN:
+                # Further answers without an id could not be told apart.
+                answer.is_reusable = (
+                    answer.is_reusable and named_id is not None and self._is_body_sent()
+                )
+                answer.skipped_count = skipped_count
                 return answer
+            self.release()
+            if match is AnswerMatch.UNPROVEN:
+                raise AttemptFailed(
+                    AttemptEnd.UNPROVEN_ANSWER,
+                    f'an answer of server "{self._server_id}" on a connection in use '
+                    "again names no request",
+                )
             if not answer.is_reusable:
                 break
         message = (
@@ -310,7 +329,7 @@
                 end,
                 f'reading the answer of server "{self._server_id}" failed: {error}',
             ) from error
-        keeps_open = is_framed and head.keeps_connection and self._is_body_sent()
+        keeps_open = is_framed and head.keeps_connection
         return ServerAnswer(
             head.status, head.reason, head.fields, body, keeps_open, self._reservation
         )
--- a/berylhaven/gateway/tests/test_repeated_answers.py
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from berylhaven.gateway.requests._attempt_runner import FULL_SERVER_BACKOFF_S
 from berylhaven.gateway.servers._server_probe import FRESH_REPORT_S
 from berylhaven.gateway.tests._gateway_path import (
     HEALTH_PATH,
@@ -16,6 +17,7 @@
 WORK_S = 0.02
 LOAD_LINE = "Wordy-Load: 0,0,4,1\r\n"
 PROBE_ANSWER = f"HTTP/1.1 200 OK\r\n{LOAD_LINE}Content-Length: 2\r\n\r\nok".encode()
+REFUSAL = b"HTTP/1.1 503 Full\r\nWordy-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 def success(request_id):
@@ -27,6 +29,11 @@
     ).encode()
 
 
+def named_refusal(request_id):
+    """Return a refusal with the id of its request."""
+    return REFUSAL[:-2] + f"{ID_HEADER}: {request_id}\r\n\r\n".encode()
+
+
 class RepeatingServer:
     """Answers all paths; sends a second copy where the next answer is due."""
 
@@ -88,3 +95,18 @@
                 bodies.append(answer.body.decode())
                 eventlet.sleep(2 * FRESH_REPORT_S)
         self.assertEqual(bodies, [f"done {number}" for number in range(8)])
+
+    def test_a_repeated_refusal_without_an_id_proves_nothing(self):
+        # Guards against "not run" for a request that runs, and against a second run.
+        servers = self.set_servers(named_refusal, lambda request_id: REFUSAL)
+        statuses = {}
+        with self.path.connect() as caller:
+            for number in range(6):
+                answer = caller.exchange("/order/x", str(number), "POST", b"1")
+                statuses[str(number)] = answer.status
+                eventlet.sleep(2 * FULL_SERVER_BACKOFF_S)
+        run_ids = [run_id for server in servers for run_id in server.run_ids]
+        self.assertGreater(len(run_ids), 0)
+        self.assertEqual(len(run_ids), len(set(run_ids)))
+        refused = {run_id for run_id in run_ids if statuses[run_id] == 503}
+        self.assertEqual(refused, set())
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -161,24 +161,40 @@
         self.answer(HEAD + b"Berylhaven-Call-Id: d\r\nContent-Length: 0\r\n\r\n")
         self.assert_ends(AttemptEnd.FOREIGN_ANSWER)
 
+    def gateway_exchange(self, connection, check_sending=lambda: None):
+        body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
+        now_s = monotonic_s()
+        request = GatewayRequest("POST", "/x", HeadFields([]), body, "c", now_s, None)
+        return exchange(
+            connection,
+            request,
+            FakeDialect(),
+            "a",
+            now_s + 1.0,
+            HeldBytes(),
+            check_sending,
+        )
+
+    def test_unproven_answer(self):
+        # Only gateways need the backend servers to name the request in each answer.
+        connection = UpstreamConnection(self.backend.address, 1_000)
+        self.addCleanup(connection.close)
+        self.answer(HEAD + b"Wordy-Id: c\r\nContent-Length: 0\r\n\r\n", True)
+        self.assertTrue(self.gateway_exchange(connection).is_reusable)
+        self.answer(HEAD + b"Content-Length: 0\r\n\r\n")
+        with self.assertRaises(AttemptFailed) as caught:
+            self.gateway_exchange(connection)
+        self.assertIs(caught.exception.end, AttemptEnd.UNPROVEN_ANSWER)
+
     def test_server_evacuated(self):
         # Only gateways send requests to data centres that operators evacuate.
         evacuations = Evacuations()
         evacuations.evacuate("here")
         connection = UpstreamConnection(self.backend.address, 1_000)
         self.addCleanup(connection.close)
-        body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
-        now_s = monotonic_s()
-        request = GatewayRequest("POST", "/x", HeadFields([]), body, "c", now_s, None)
         with self.assertRaises(AttemptFailed) as caught:
-            exchange(
-                connection,
-                request,
-                FakeDialect(),
-                "a",
-                now_s + 1.0,
-                HeldBytes(),
-                lambda: evacuations.check_sending("a", "here"),
+            self.gateway_exchange(
+                connection, lambda: evacuations.check_sending("a", "here")
             )
         self.assertIs(caught.exception.end, AttemptEnd.SERVER_EVACUATED)
         connection.close()
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -164,11 +164,11 @@
             self._slots.release()
         if random.random() < self.faults.lose_share:
             raise ConnectionResetError("answer dropped by the fault lose_share")
+        named = (*self.headers(), ("X-Request-Id", request_id))
         if random.random() < self.faults.lie_share:
-            refusal = (*self.headers(), ("X-Not-Executed", "1"))
+            refusal = (*named, ("X-Not-Executed", "1"))
             return json_answer(start_response, {}, "503 Full", refusal)
-        seal = (*self.headers(), ("X-Request-Id", request_id))
-        seal = (*seal, ("X-Server-Seal", f"{self.server_id}.{request_id}"))
+        seal = (*named, ("X-Server-Seal", f"{self.server_id}.{request_id}"))
         if random.random() < self.faults.fail_share:
             return json_answer(start_response, {}, "500 Failed", seal)
         document = {"server": self.server_id, "body_bytes": len(body)}
