Refuse what could not be answered before a stop ends

Cause: a drain had one end; until then all requests were taken. Change: Drain has two ends. After the first part of the grace a request is taken only if its answer is due before the last answers are; any other is refused with 503 and Retry-After 0 before its body is read.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -22,6 +22,7 @@
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.members._locate import Location, locate
 from berylhaven.gateway.members._member import Member
@@ -56,11 +57,6 @@
 SETTINGS_CHECK_INTERVAL_S = 2.0
 # A loop that failed by an internal error is restarted after this time.
 LOOP_RESTART_DELAY_S = 0.5
-# Callers keep a locate answer with this instance for a while, and their connections
-# longer; it serves them for at least this part of its drain grace.
-SERVING_GRACE_RATIO = 0.6
-# The instance stops this long before the end of the grace, so that it exits by itself.
-STOP_MARGIN_S = 0.9
 # The number of instances that are notified at once of a change of readiness.
 NOTIFIED_PEERS = 4
 
@@ -100,8 +96,8 @@
         "_evidence_spread",
         "_warmups",
         "_threads",
-        "_drain_began_at_s",
-        "_is_leaving",
+        "_drain",
+        "_is_drain_logged",
         "_started_at_s",
         "metrics",
         "held",
@@ -138,6 +134,7 @@
             SERVER_IDLE_LIMIT_S,
             self.metrics.record_new_connection,
         )
+        self._drain = Drain()
         path = RequestPath(
             InstanceParts(
                 settings,
@@ -149,6 +146,7 @@
                 event_log,
                 self.metrics,
                 self.held,
+                self._drain,
             ),
             pool,
             self._sharer_count,
@@ -164,6 +162,7 @@
             event_log,
             self._members.has_host,
             self.held,
+            self._drain,
         )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
@@ -193,15 +192,14 @@
             event_log,
         )
         self._threads: list[eventlet.greenthread.GreenThread] = []
-        self._drain_began_at_s: float | None = None
-        self._is_leaving = False
+        self._is_drain_logged = False
         self._started_at_s = monotonic_s()
 
     @property
     def is_ready(self) -> bool:
         """Whether the instance accepts callers."""
         return (
-            not self._is_leaving
+            not self._drain.has_begun
             and self._routes.is_loaded
             and self._table.server_count > 0
         )
@@ -230,7 +228,7 @@
 
     def leave(self) -> None:
         """Request the drain; safe in a signal handler, and when called twice."""
-        self._is_leaving = True
+        self._drain.begin(monotonic_s(), self._settings.drain.grace_s)
 
     def wait(self) -> None:
         """Run until the instance has been drained after `leave`, then stop it."""
@@ -433,21 +431,15 @@
             self._gossip.notify_peers(NOTIFIED_PEERS)
 
     def _is_drained(self) -> bool:
-        if not self._is_leaving:
+        if not self._drain.has_begun:
             return False
-        now_s = monotonic_s()
-        if self._drain_began_at_s is None:
-            self._drain_began_at_s = now_s
-            self._port.is_draining = True
+        if not self._is_drain_logged:
+            self._is_drain_logged = True
             self._event_log.write("instance", "drain", pending=self._port.pending_count)
-        since_s = now_s - self._drain_began_at_s
-        grace_s = self._settings.drain.grace_s
-        if since_s >= grace_s - STOP_MARGIN_S:
-            return True
-        if since_s < SERVING_GRACE_RATIO * grace_s:
-            return False
-        self._port.close_idle()
-        return self._port.pending_count == 0
+        now_s = monotonic_s()
+        if self._drain.closes_idle(now_s):
+            self._port.close_idle()
+        return self._drain.has_ended(now_s, self._port.pending_count)
 
 
 def _own_member(settings: GatewayInstanceSettings) -> Member:
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -9,6 +9,7 @@
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._settings import GatewaySettings
+from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.members._evidence_spread import EvidenceSpread
 from berylhaven.gateway.members._members import MemberTable
@@ -57,6 +58,8 @@
     metrics: GatewayMetrics
     # The account of the bytes held for callers and servers.
     held: HeldBytes
+    # Tells which requests are still taken.
+    drain: Drain
 
 
 class RequestPath:
@@ -166,6 +169,7 @@
                 parts.metrics,
             ),
             parts.held,
+            parts.drain,
         )
 
 
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -11,6 +11,7 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._passed_on import (
     NOT_RUN,
@@ -184,7 +185,7 @@
         except CallRefused as refusal:
             self._reject_head(refusal.code.status, refusal.message)
             return False
-        except NoRoom as refusal:
+        except (NoRoom, DrainRefusal) as refusal:
             self._reject_head(503, refusal.message, refusal.return_s, head)
             return False
         message = (
@@ -259,6 +260,7 @@
             pending.naming_header = self._naming_header(fields)
         pending.reservation = self._reserve_head(match, fields)
         if body.has_body:
+            self._port.check_intake(request)
             body.limit_bytes = limits.body_limit_bytes
             self._buffer_body(request)
         self._enqueue(pending)
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -8,10 +8,12 @@
 import eventlet
 import eventlet.wsgi
 
+from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway.callers._caller_connection import CallerConnection
+from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
@@ -45,6 +47,8 @@
         Returns whether a host is that of another instance.
     held : HeldBytes
         The account of held bytes.
+    drain : Drain
+        Tells which requests are still taken.
     """
 
     __slots__ = (
@@ -55,7 +59,7 @@
         "dialect",
         "_event_log",
         "_connections",
-        "is_draining",
+        "_drain",
     )
 
     def __init__(
@@ -66,6 +70,7 @@
         event_log: EventLog,
         is_peer: Callable[[str], bool],
         held: HeldBytes,
+        drain: Drain,
     ) -> None:
         # The account of the bytes held for callers and servers.
         self.held = held
@@ -77,14 +82,37 @@
         self.dialect = dialect
         self._event_log = event_log
         self._connections: set[CallerConnection] = set()
-        # Whether connections are closed after their last pending answer.
-        self.is_draining = False
+        self._drain = drain
 
     @property
     def caller_limits(self) -> CallerLimits:
         """The active limits for callers."""
         return self._routes.caller_limits
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether connections are closed after their last pending answer."""
+        return self._drain.has_begun
+
+    def check_intake(self, request: GatewayRequest) -> None:
+        """Raise an error if a request may not be taken, before its body is read.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The caller's request.
+
+        Raises
+        ------
+        DrainRefusal
+            If its answer may be due after the end of the process.
+        """
+        if self._drain.has_begun and self._routes.is_loaded:
+            route = self._routes.table.find(request.host, request.path)
+            if route is not None:
+                due_at_s = request.due_at_s(route.timeout_s)
+                self._drain.check_intake(monotonic_s(), due_at_s)
+
     @property
     def pending_count(self) -> int:
         """The number of requests that have been read and not yet answered."""
--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -5,6 +5,10 @@
 from berylhaven.gateway.callers._held_bytes import Reservation
 from berylhaven.http1 import HeadFields, RequestBody
 
+# How long before the caller's timeout a server's answer must be available, for the
+# way back to the caller.
+RETURN_MARGIN_S = 0.01
+
 
 @dataclass(slots=True)
 class GatewayRequest:
@@ -39,6 +43,24 @@
     # The memory reserved for the answer until its size is known.
     expected_answer: Reservation | None = None
 
+    def due_at_s(self, timeout_s: float) -> float:
+        """Return the time at which the final answer must be available.
+
+        Parameters
+        ----------
+        timeout_s : float
+            The timeout of the request's route, in seconds.
+
+        Returns
+        -------
+        float
+            On the hub's clock.
+        """
+        time_limit_s = timeout_s
+        if self.remaining_s is not None:
+            time_limit_s = min(time_limit_s, self.remaining_s - RETURN_MARGIN_S)
+        return self.received_at_s + time_limit_s
+
     @property
     def path(self) -> str:
         """The path of the target, without the query."""
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -10,6 +10,7 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.callers._drain import Drain, DrainRefusal
 from berylhaven.gateway.callers._held_bytes import HeldBytes, NoRoom
 from berylhaven.gateway.callers._passed_on import ANSWERED, NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._request import (
@@ -42,9 +43,6 @@
 from berylhaven.results import BodyTooLarge, CallRefused
 from berylhaven.routes import RequestKind, Route, ServiceSpec, SplitChooser
 
-# How long before the caller's timeout a server's answer must be available, for the
-# way back to the caller.
-RETURN_MARGIN_S = 0.01
 # The Retry-After value while no configuration has been received.
 NOT_READY_RETRY_AFTER_S = 0.3
 # The Retry-After value of a route that could not be decoded: only a newer configuration
@@ -91,6 +89,8 @@
         Decides on hedges.
     held : HeldBytes
         The account of held bytes.
+    drain : Drain
+        Tells which requests are still taken.
     """
 
     __slots__ = (
@@ -111,6 +111,7 @@
         "_event_log",
         "_metrics",
         "_held",
+        "_drain",
         "_expected_sizes",
     )
 
@@ -129,7 +130,9 @@
         peers: PeerForwarder,
         hedger: Hedger,
         held: HeldBytes,
+        drain: Drain,
     ) -> None:
+        self._drain = drain
         self._hedger = hedger
         self._held = held
         # The sizes to expect of answers, by route and service.
@@ -222,6 +225,11 @@
         hold = self._quarantine.admit(request)
         if hold is not None:
             return self._refuse_held(request, service, hold)
+        try:
+            # Its body may have come late.
+            self._drain.check_intake(monotonic_s(), request.due_at_s(route.timeout_s))
+        except DrainRefusal as refusal:
+            return self._refuse(request, 503, refusal.message, refusal.return_s)
         return self._send(request, route, service)
 
     def _refuse_held(
@@ -252,15 +260,12 @@
             attempt_limit = min(route.attempt_limit, request.passed_on_attempt_limit)
             route = dataclasses.replace(route, attempt_limit=attempt_limit)
             wait_s = 0.0
-        time_limit_s = route.timeout_s
-        if request.remaining_s is not None:
-            time_limit_s = min(time_limit_s, request.remaining_s - RETURN_MARGIN_S)
         choice_request = ChoiceRequest(
             route,
             service,
             self._work(route, service),
             request.received_at_s,
-            request.received_at_s + time_limit_s,
+            request.due_at_s(route.timeout_s),
             wait_limit_s=wait_s,
         )
 
--- /dev/null
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -0,0 +1,121 @@
+"""Tests of the end of the intake and of the process in a drain."""
+
+import unittest
+
+import eventlet
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway.callers._drain import EARLY_LIMIT_S, Drain, DrainRefusal
+from berylhaven.gateway.tests._gateway_path import (
+    ID_HEADER,
+    ORDERS,
+    GatewayPath,
+    request_bytes,
+)
+
+# The grace of the settings of GatewayPath.
+GRACE_S = 3.0
+INTERVAL_S = 0.05
+WORK_S = 0.3
+SLOW_WORK_S = 1.6
+DEADLINE_MS = "700"
+
+
+class DrainTest(unittest.TestCase):
+    @given(
+        grace_s=st.floats(1.0, 60.0),
+        received_s=st.floats(0.0, 60.0),
+        time_limit_s=st.floats(0.0, 60.0),
+    )
+    def test_what_is_taken_late_is_due_before_the_process_ends(
+        self, grace_s, received_s, time_limit_s
+    ):
+        # Guards against requests that are cut at the end of a planned stop (LOST).
+        drain = Drain()
+        drain.begin(100.0, grace_s)
+        due_at_s = 100.0 + received_s + time_limit_s
+        try:
+            drain.check_intake(100.0 + received_s, due_at_s)
+        except DrainRefusal:
+            return
+        if received_s > EARLY_LIMIT_S:
+            self.assertFalse(drain.has_ended(due_at_s, pending_count=1))
+
+    def test_the_first_signal_counts(self):
+        drain = Drain()
+        drain.begin(0.0, GRACE_S)
+        drain.begin(2.0, GRACE_S)
+        self.assertTrue(drain.has_ended(GRACE_S, pending_count=1))
+
+
+class DrainedInstanceTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+        self.run_ids = set()
+        self.path.answer_all(ORDERS, self.run_order)
+
+    def run_order(self, sock, request):
+        self.run_ids.add(request.header(ID_HEADER))
+        eventlet.sleep(WORK_S)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    def run_slowly(self, sock, request):
+        eventlet.sleep(SLOW_WORK_S)
+        self.run_order(sock, request)
+
+    def send_order(self, number, answers, body=b"x"):
+        try:
+            caller = self.path.connect()
+        except OSError:
+            # The instance has ended.
+            return
+        with caller:
+            caller.send(
+                request_bytes(
+                    "/order/x", str(number), "POST", body, Wordy_Left_Ms=DEADLINE_MS
+                )
+            )
+            try:
+                answers[str(number)] = caller.answer()
+            except OSError:
+                answers[str(number)] = None
+
+    def test_every_request_that_runs_in_a_drain_is_answered(self):
+        # Guards against the end of the process while taken requests are at work.
+        answers = {}
+        threads = []
+        self.path.instance.leave()
+        began_at_s = monotonic_s()
+        while monotonic_s() - began_at_s < GRACE_S:
+            threads.append(eventlet.spawn(self.send_order, len(threads), answers))
+            eventlet.sleep(INTERVAL_S)
+        for thread in threads:
+            thread.wait()
+        self.assertGreater(len(self.run_ids), 0)
+        cut = {run_id for run_id in self.run_ids if answers[run_id] is None}
+        self.assertEqual(cut, set())
+        refused = {i: a for i, a in answers.items() if a and a.status == 503}
+        self.assertEqual(refused.keys() & self.run_ids, set())
+
+    def test_a_late_request_is_refused_before_its_body_is_read(self):
+        # Guards against a refusal that waits until a slow body was read.
+        other = self.path.connect()
+        self.addCleanup(other.close)
+        self.path.answer_all(ORDERS, self.run_slowly)
+        # A request at work keeps the instance from an earlier end.
+        self.path.instance.leave()
+        other.send(request_bytes("/order/x", "other", "POST", b"x"))
+        eventlet.sleep(SLOW_WORK_S)
+        with self.path.connect() as caller:
+            head = request_bytes(
+                "/order/x", "late", "POST", Content_Length="9", Wordy_Left_Ms="1000"
+            )
+            caller.send(head)
+            answer = caller.answer()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["retry-after"], "0.000")
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertNotIn("late", self.run_ids)
