Close a connection whose request body was not read to its end

Change: the connection decides for all answers, with a reason by name (close_reason), and its reader takes no request behind an unread body. The two other copies are gone.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -163,6 +163,7 @@
             self._members.has_host,
             self.held,
             self._drain,
+            self.metrics,
         )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -11,6 +11,7 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.gateway.callers._close_reason import CloseReason, close_reason
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._passed_on import (
@@ -78,8 +79,10 @@
 
     # Whether the request's method is HEAD, so that the answer has no body.
     is_head_request: bool
-    # Whether the caller requested a close, or uses HTTP/1.0 without keep-alive.
-    must_close: bool
+    # Why its head makes it the last request; None if it does not.
+    must_close: CloseReason | None
+    # Its body; None if the head was rejected.
+    body: RequestBody | None = None
     # Carries the answer once it is available.
     answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
     # The green thread that processes the request.
@@ -126,7 +129,7 @@
         self._has_pending = eventlet.event.Event()
         self._slot_released = eventlet.event.Event()
         self._writer: eventlet.greenthread.GreenThread | None = None
-        # Whether the last answer is being sent; further input is ignored.
+        # Whether the last answer is being sent; further input is discarded.
         self._is_closing = False
         # Whether an answer could not be written.
         self._is_broken = False
@@ -140,14 +143,12 @@
         """Serve requests until the caller or the port closes the connection."""
         self._writer = eventlet.spawn(self._write_answers)
         try:
-            while not self._is_closing:
-                if not self._await_request():
-                    break
+            reads_on = True
+            while reads_on and not self._is_closing and self._await_request():
                 self._await_head_room()
-                if not self._read_request():
-                    # The error is the last answer.
-                    self._writer.wait()
-                    break
+                reads_on = self._read_request()
+            if not reads_on:
+                self._writer.wait()
             if self._is_closing:
                 self._discard_input()
         except OSError:
@@ -172,7 +173,7 @@
                 return False
 
     def _read_request(self) -> bool:
-        """Read a request and start it; False if its head was rejected."""
+        """Read a request and start it; False if the next byte begins no other one."""
         received_at_s = monotonic_s()
         limits = self._port.caller_limits
         head = None
@@ -180,8 +181,7 @@
             with eventlet.Timeout(limits.header_timeout_s, False):
                 head = self._read_head(limits.header_limit_bytes)
             if head is not None:
-                self._start_request(head, received_at_s)
-                return True
+                return self._start_request(head, received_at_s)
         except CallRefused as refusal:
             self._reject_head(refusal.code.status, refusal.message)
             return False
@@ -223,7 +223,8 @@
 
     def _start_request(
         self, head: tuple[re.Match, HeadFields], received_at_s: float
-    ) -> None:
+    ) -> bool:
+        """Start a request and read its body; False if a part of it stays unread."""
         match, fields = head
         version = match["version"].decode()
         target = match["target"].decode("latin-1")
@@ -255,7 +256,9 @@
         must_close = fields.has_token("connection", "close") or (
             version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
         )
-        pending = PendingAnswer(request.method == "HEAD", must_close)
+        pending = PendingAnswer(
+            request.method == "HEAD", CloseReason.CALLER if must_close else None, body
+        )
         if request.passed_on_attempt_limit is not None:
             pending.naming_header = self._naming_header(fields)
         pending.reservation = self._reserve_head(match, fields)
@@ -266,7 +269,10 @@
         self._enqueue(pending)
         pending.thread = eventlet.spawn(self._answer, request, pending)
         self._await_body(body, pending)
+        if not body.is_ended:
+            return False
         self._await_pipeline_slot()
+        return True
 
     def _reserve_head(self, match: re.Match, fields: HeadFields) -> Reservation:
         text_bytes = match.end() + sum(len(n) + len(v) for n, v in fields.pairs)
@@ -347,8 +353,7 @@
         head: tuple[re.Match, HeadFields] | None = None,
     ) -> None:
         answer = error_answer(status, message, retry_after_s)
-        answer.closes_connection = True
-        pending = PendingAnswer(False, True)
+        pending = PendingAnswer(False, CloseReason.REJECTED_HEAD)
         if head is not None and passed_on_attempt_limit(head[1]) is not None:
             # The instance that passed the request on may try another one.
             answer.headers.append((OUTCOME, NOT_RUN))
@@ -387,12 +392,15 @@
         self._write(pending, pending.answered.wait())
 
     def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
-        is_last = answer.closes_connection or pending.must_close
-        if self._port.is_draining and len(self._pending) == 1:
-            # While draining, the last pending answer closes the connection; requests
-            # behind this one still need an answer.
-            is_last = True
-        self._is_closing = is_last
+        reason = close_reason(
+            pending.must_close,
+            pending.body is None or pending.body.is_ended,
+            self._port.is_draining,
+            len(self._pending),
+        )
+        is_last = self._is_closing = reason is not None
+        if is_last:
+            self._port.record_close(reason)
         head = _answer_head(pending, answer, is_last)
         has_body = not (pending.is_head_request or _is_bodyless(answer))
         self._send_answer(head, answer.body if has_body else b"")
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -12,7 +12,9 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
+from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway.callers._caller_connection import CallerConnection
+from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import (
@@ -49,6 +51,8 @@
         The account of held bytes.
     drain : Drain
         Tells which requests are still taken.
+    metrics : GatewayMetrics
+        Counts the connections that are closed after an answer.
     """
 
     __slots__ = (
@@ -60,6 +64,7 @@
         "_event_log",
         "_connections",
         "_drain",
+        "_closed_connections",
     )
 
     def __init__(
@@ -71,6 +76,7 @@
         is_peer: Callable[[str], bool],
         held: HeldBytes,
         drain: Drain,
+        metrics: GatewayMetrics,
     ) -> None:
         # The account of the bytes held for callers and servers.
         self.held = held
@@ -83,6 +89,10 @@
         self._event_log = event_log
         self._connections: set[CallerConnection] = set()
         self._drain = drain
+        self._closed_connections = metrics.counter(
+            "caller_connections_closed_total",
+            "Connections of callers that were closed after an answer, by reason.",
+        )
 
     @property
     def caller_limits(self) -> CallerLimits:
@@ -169,9 +179,7 @@
                 error=type(error).__name__,
                 trace=traceback.format_exc(),
             )
-            answer = error_answer(500, f"internal error of type {type(error).__name__}")
-            answer.closes_connection = not request.body.is_ended
-            return answer
+            return error_answer(500, f"internal error of type {type(error).__name__}")
 
     def log_head_rejected(self, status: int, message: str) -> None:
         """Log that a request was rejected by its head.
@@ -187,6 +195,10 @@
             "callers", "head refused", status=status, reason=message
         )
 
+    def record_close(self, reason: CloseReason) -> None:
+        """Count a connection that is closed after an answer."""
+        self._closed_connections.inc({"reason": reason.value})
+
     def add(self, connection: CallerConnection) -> None:
         """Register an open connection."""
         self._connections.add(connection)
--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -84,8 +84,6 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     # The body.
     body: bytes | bytearray = b""
-    # Whether the connection is closed after this answer.
-    closes_connection: bool = False
     # The memory of the body, released once the answer was written; None if the gateway
     # generated the answer.
     reservation: Reservation | None = None
--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -359,7 +359,6 @@
         duration_s = monotonic_s() - request.received_at_s
         self._count(choice_request, f"refused-{status}", duration_s)
         answer = error_answer(status, message, retry_after_s)
-        answer.closes_connection = not request.body.is_ended
         is_passed_on = request.passed_on_attempt_limit is not None
         if is_passed_on and status not in UNKNOWN_STATUSES:
             answer.headers.append((OUTCOME, NOT_RUN))
--- /dev/null
+++ b/berylhaven/gateway/tests/test_early_answers.py
@@ -0,0 +1,90 @@
+"""Tests against servers that answer before they have read the body of a request."""
+
+import unittest
+
+import eventlet
+import eventlet.event
+
+from berylhaven.gateway.tests._gateway_path import (
+    HOST,
+    ID_HEADER,
+    ORDERS,
+    READS,
+    GatewayPath,
+    request_bytes,
+)
+
+EARLY_BYTES = 1_200_000
+EARLY = (
+    f"HTTP/1.1 200 OK\r\n{ID_HEADER}: up\r\nContent-Length: 6\r\n\r\nstored".encode()
+)
+PREAMBLE_BYTES = 64
+RECORD_BYTES = 512
+# More than the sockets on the way hold.
+RECORD_COUNT = 64_000
+
+
+def archive():
+    """Return a body of records each of which begins with the head of a request."""
+    head = (
+        f"POST /order/archived HTTP/1.1\r\nHost: {HOST}\r\n{ID_HEADER}: old\r\nNote: "
+    )
+    padding = "-" * (RECORD_BYTES - len(head) - 4)
+    return b"p" * PREAMBLE_BYTES + f"{head}{padding}\r\n\r\n".encode() * RECORD_COUNT
+
+
+class EarlyAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+        for backend in self.path.backends[ORDERS]:
+            backend.early_answers["/upload/x"] = (EARLY_BYTES, EARLY)
+
+    def upload(self, caller):
+        """Send an upload from a green thread, since its end may never be read."""
+
+        def send():
+            try:
+                caller.send(request_bytes("/upload/x", "up", "POST", archive()))
+            except OSError:
+                # The connection was closed after the early answer.
+                return
+
+        return eventlet.spawn(send)
+
+    def assert_nothing_else_runs(self):
+        eventlet.sleep(0.3)
+        paths = {request.path for request in self.path.requests(ORDERS)}
+        self.assertEqual(paths, {"/upload/x"})
+
+    def test_the_unread_rest_of_a_body_is_not_read_as_requests(self):
+        # Guards against requests that no caller sent (UNASKED).
+        with self.path.connect() as caller:
+            sender = self.upload(caller)
+            answer = caller.answer()
+            self.assertEqual((answer.status, answer.body), (200, b"stored"))
+            self.assertEqual(answer.headers["connection"], "close")
+            self.assert_nothing_else_runs()
+            self.assertIsNone(caller.answer())
+            sender.kill()
+
+    def test_an_early_answer_that_waits_for_an_earlier_one_ends_the_input(self):
+        # Guards against reading on while the answer that closes is not yet written.
+        release = eventlet.event.Event()
+
+        def answer(sock, request):
+            release.wait()
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        self.path.answer_all(READS, answer)
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/slow", "slow"))
+            sender = self.upload(caller)
+            with eventlet.Timeout(2.0):
+                while not self.path.requests(ORDERS):
+                    eventlet.sleep(0.01)
+            self.assert_nothing_else_runs()
+            release.send()
+            self.assertEqual([caller.answer().body for _ in "ab"], [b"ok", b"stored"])
+            self.assertIsNone(caller.answer())
+            sender.kill()
--- a/berylhaven/http1/tests/_raw_backend.py
+++ b/berylhaven/http1/tests/_raw_backend.py
@@ -5,6 +5,8 @@
 import eventlet
 
 TIMEOUT_S = 10.0
+# How long a body is left unread after an early answer.
+EARLY_PAUSE_S = 0.2
 # Load probes of the program are answered but not counted as requests of a test.
 LOAD_PROBE_START = b"GET /load "
 
@@ -63,6 +65,9 @@
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.requests = []
         self.answers = {}
+        # Answers that are sent while a body is read, with the number of its bytes after
+        # which they are, by path; those of `answers` are not sent then.
+        self.early_answers = {}
         self.connections_count = 0
         # Requests whose body was received completely or truncated.
         self.ended_count = 0
@@ -105,6 +110,8 @@
             self._read_body(request, reader)
         finally:
             self.ended_count += 1
+        if request.path in self.early_answers:
+            return True
         answer = self.answers.get(request.path, answer_ok)
         request_id = request.header(self.id_header) if self.id_header else None
         if request_id is not None:
@@ -122,11 +129,16 @@
                     return
             return
         length = int(request.header("content-length") or 0)
+        early_bytes, early = self.early_answers.get(request.path, (length, None))
         while len(request.body) < length:
             piece = reader.read1(length - len(request.body))
             if not piece:
                 return
             request.body += piece
+            if early is not None and len(request.body) >= early_bytes:
+                request.sock.sendall(early)
+                early = None
+                eventlet.sleep(EARLY_PAUSE_S)
         request.is_complete = True
 
     def count_requests(self, path):
