Send the last answer whole while further input is discarded

Cause: input during the last answer ended the reader, which discarded input for one second and then killed the thread that was still sending.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -147,10 +147,8 @@
             while reads_on and not self._is_closing and self._await_request():
                 self._await_head_room()
                 reads_on = self._read_request()
-            if not reads_on:
-                self._writer.wait()
-            if self._is_closing:
-                self._discard_input()
+            if self._is_closing or not reads_on:
+                self._finish()
         except OSError:
             # The caller's connection broke; its requests are cancelled below.
             return
@@ -418,11 +416,14 @@
             # A slice of a view refers to the bytes, also while a slow caller reads.
             self._socket.sendall(memoryview(body)[FIRST_PIECE_BYTES:])
 
-    def _discard_input(self) -> None:
-        """Read and discard further input until the caller closes the connection."""
-        with eventlet.Timeout(LINGER_TIMEOUT_S, False):
-            while self._reader.read1(DISCARD_PIECE_BYTES):
-                pass
+    def _finish(self) -> None:
+        """Discard input while the last answers are sent, until the caller closes."""
+        while self._reader.read1(DISCARD_PIECE_BYTES):
+            pass
+        # A caller that has closed its sending side may still read its answers, but
+        # waits for no request that is at work.
+        if self._pending and all(p.answered.ready() for p in self._pending):
+            self._writer.wait()
 
     def _shut_down(self, how: int) -> None:
         with contextlib.suppress(OSError):
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -7,10 +7,12 @@
 from hypothesis import strategies as st
 
 from berylhaven.clock import monotonic_s
+from berylhaven.gateway.callers._caller_connection import LINGER_TIMEOUT_S
 from berylhaven.gateway.callers._drain import EARLY_LIMIT_S, Drain, DrainRefusal
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
     ORDERS,
+    READS,
     GatewayPath,
     request_bytes,
 )
@@ -20,6 +22,8 @@
 INTERVAL_S = 0.05
 WORK_S = 0.3
 SLOW_WORK_S = 1.6
+# More than the sockets of a loopback connection hold.
+LARGE_BYTES = 16_000_000
 DEADLINE_MS = "700"
 
 
@@ -119,3 +123,18 @@
         self.assertEqual(answer.headers["retry-after"], "0.000")
         self.assertEqual(answer.headers["connection"], "close")
         self.assertNotIn("late", self.run_ids)
+
+    def test_a_slow_reader_gets_its_whole_last_answer(self):
+        # Guards against an answer that is cut by another request behind it (LOST).
+        body = b"x" * LARGE_BYTES
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE_BYTES
+        self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
+        with self.path.connect() as caller:
+            self.path.instance.leave()
+            caller.send(request_bytes("/read/large", "large"))
+            eventlet.sleep(0.5)
+            caller.send(request_bytes("/read/next", "next"))
+            # Longer than a connection is read after its last answer.
+            eventlet.sleep(LINGER_TIMEOUT_S + 0.2)
+            answer = caller.answer()
+        self.assertEqual(len(answer.body), LARGE_BYTES)
