Test answers that end within their head or body

Report of other operators: a server stopped in the middle of the head of its answer, and clients got a 200 with an empty or short body. Result: it does not happen here.

--- /dev/null
+++ b/berylhaven/gateway/tests/test_cut_answers.py
@@ -0,0 +1,64 @@
+"""Tests against servers that break off within an answer."""
+
+import socket
+import struct
+import unittest
+
+from berylhaven.gateway.tests._gateway_path import ID_HEADER, ORDERS, GatewayPath
+
+BODY = b"twelve bytes"
+HEAD = (
+    f"HTTP/1.1 200 OK\r\n{ID_HEADER}: a\r\nContent-Length: {len(BODY)}\r\n"
+    "Note: x\r\n\r\n"
+).encode()
+# A linger time of zero makes a close reset the connection.
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def cut(data, is_reset):
+    """Return an answer that ends after these bytes."""
+
+    def answer(sock, request):
+        request.sock.sendall(data)
+        if is_reset:
+            request.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        return False
+
+    return answer
+
+
+class CutAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+
+    def assert_no_success(self, caller, data, is_reset):
+        """Send a request whose answer is cut; its caller must not take it as whole."""
+        run_count = len(self.path.requests(ORDERS))
+        self.path.answer_all(ORDERS, cut(data, is_reset))
+        answer = caller.exchange("/order/x", "a", "POST", b"1")
+        has_run = len(self.path.requests(ORDERS)) > run_count
+        with self.subTest(sent=data, is_reset=is_reset):
+            # A refusal promises that the request has not run.
+            self.assertEqual(answer.status, 502 if has_run else 503)
+        return has_run
+
+    def test_an_answer_that_ends_within_its_head_is_no_answer(self):
+        # Guards against a success with an empty or short body (MIXED).
+        sent_count = 0
+        with self.path.connect() as caller:
+            for end in range(len(HEAD)):
+                for is_reset in (False, True):
+                    sent_count += self.assert_no_success(caller, HEAD[:end], is_reset)
+        self.assertGreater(sent_count, len(HEAD))
+
+    def test_an_answer_that_ends_within_its_body_is_no_answer(self):
+        # Guards against a success with a short body that is framed as whole (MIXED).
+        sent_count = 0
+        with self.path.connect() as caller:
+            for end in range(len(BODY)):
+                for is_reset in (False, True):
+                    sent_count += self.assert_no_success(
+                        caller, HEAD + BODY[:end], is_reset
+                    )
+        self.assertGreater(sent_count, len(BODY))
