Take a reset that the sender met as the end of an unfinished answer

Cause: a socket reports a reset once; when the thread that sends the body got the error, the thread that reads the answer saw an ordinary end. Change: such an answer is complete only if the sender met no error.

--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -377,7 +377,11 @@
         self._memory.extend(self._reservation, len(piece))
 
     def _read_to_end(self, reader: io.BufferedReader) -> bytes:
-        """Read until the server closes the connection; a reset means truncation."""
+        """Read until the server closes the connection; a reset means truncation.
+
+        A socket reports a reset once. If the thread that sends the body learns of it,
+        the reader sees an ordinary end.
+        """
         pieces = []
         left_bytes = ANSWER_LIMIT_BYTES
         try:
@@ -391,4 +395,6 @@
                     )
         except OSError as error:
             raise AnswerBodyError(f"the connection broke: {error}") from None
+        if self._send_failure is not None:
+            raise AnswerBodyError(self._send_failure.message)
         return b"".join(pieces)
--- a/berylhaven/gateway/tests/test_early_answers.py
+++ b/berylhaven/gateway/tests/test_early_answers.py
@@ -15,6 +15,7 @@
 )
 
 EARLY_BYTES = 1_200_000
+PAUSE_S = 0.2
 EARLY = (
     f"HTTP/1.1 200 OK\r\n{ID_HEADER}: up\r\nContent-Length: 6\r\n\r\nstored".encode()
 )
@@ -24,6 +25,12 @@
 RECORD_COUNT = 64_000
 
 
+def answer_early(sock, request):
+    """Answer, and read the rest of the body later."""
+    sock.sendall(EARLY)
+    eventlet.sleep(PAUSE_S)
+
+
 def archive():
     """Return a body of records each of which begins with the head of a request."""
     head = (
@@ -38,7 +45,7 @@
         self.path = GatewayPath()
         self.addCleanup(self.path.stop)
         for backend in self.path.backends[ORDERS]:
-            backend.early_answers["/upload/x"] = (EARLY_BYTES, EARLY)
+            backend.early_answers["/upload/x"] = (EARLY_BYTES, answer_early)
 
     def upload(self, caller):
         """Send an upload from a green thread, since its end may never be read."""
--- a/berylhaven/http1/tests/_raw_backend.py
+++ b/berylhaven/http1/tests/_raw_backend.py
@@ -5,8 +5,6 @@
 import eventlet
 
 TIMEOUT_S = 10.0
-# How long a body is left unread after an early answer.
-EARLY_PAUSE_S = 0.2
 # Load probes of the program are answered but not counted as requests of a test.
 LOAD_PROBE_START = b"GET /load "
 
@@ -65,8 +63,8 @@
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.requests = []
         self.answers = {}
-        # Answers that are sent while a body is read, with the number of its bytes after
-        # which they are, by path; those of `answers` are not sent then.
+        # Answers that are sent while a body is read, by path: the number of bytes after
+        # which they are, and the function; those of `answers` are not sent then.
         self.early_answers = {}
         self.connections_count = 0
         # Requests whose body was received completely or truncated.
@@ -136,9 +134,9 @@
                 return
             request.body += piece
             if early is not None and len(request.body) >= early_bytes:
-                request.sock.sendall(early)
+                if early(request.sock, request) is False:
+                    raise ConnectionAbortedError("closed by an early answer")
                 early = None
-                eventlet.sleep(EARLY_PAUSE_S)
         request.is_complete = True
 
     def count_requests(self, path):
