Split the head and the pending answers from the caller connection

Change: reading a head and forming the head of an answer are modules of their own; no change of behaviour.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -1,10 +1,8 @@
 """A caller's connection: pipelined requests are answered in order."""
 
 import contextlib
-import re
 import socket
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -19,32 +17,25 @@
     OUTCOME,
     passed_on_attempt_limit,
 )
+from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
     GatewayRequest,
     error_answer,
 )
+from berylhaven.gateway.callers._request_head import RequestHead, read_head
 from berylhaven.http1 import (
     CONTINUE_LINE,
-    END_OF_HEAD,
     HeadFields,
     RequestBody,
     parse_framing,
-    read_fields,
 )
 from berylhaven.overload import SMALL_BYTES, HeldKind, body_kind
-from berylhaven.results import BadRequestHead, CallRefused, HeadTooLarge, SenderTooSlow
+from berylhaven.results import CallRefused, SenderTooSlow
 
 if TYPE_CHECKING:
     from berylhaven.gateway.callers._callers_port import CallersPort
 
-REQUEST_LINE = re.compile(
-    rb"(?P<method>[A-Za-z0-9!#$%&'*+.^_`|~-]{1,32}) "
-    rb"(?P<target>(?:/|http://)[!-~]*) (?P<version>HTTP/1\.[01])\r\n"
-)
-SCHEME_AND_AUTHORITY = re.compile(r"http://[^/]*")
-HTTP_1_1 = "HTTP/1.1"
-EXPECT_CONTINUE = "100-continue"
 # The maximum number of concurrent requests on one connection.
 PIPELINE_LIMIT = 32
 # Bodies up to this size are read before the request is processed.
@@ -70,28 +61,6 @@
 LINGER_TIMEOUT_S = 1.0
 # A waiting read takes as much memory as it may return.
 DISCARD_PIECE_BYTES = 8_192
-BODYLESS_STATUSES = frozenset({204, 304})
-
-
-@dataclass(slots=True)
-class PendingAnswer:
-    """A request that has been read and not yet answered."""
-
-    # Whether the request's method is HEAD, so that the answer has no body.
-    is_head_request: bool
-    # Why its head makes it the last request; None if it does not.
-    must_close: CloseReason | None
-    # Its body; None if the head was rejected.
-    body: RequestBody | None = None
-    # Carries the answer once it is available.
-    answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
-    # The green thread that processes the request.
-    thread: eventlet.greenthread.GreenThread | None = None
-    # The id header of a request that another instance passed on: it can't use an answer
-    # that does not name the request. None for callers' requests.
-    naming_header: tuple[str, str] | None = None
-    # The memory of the request's head; None if the head was rejected.
-    reservation: Reservation | None = None
 
 
 class CallerConnection:
@@ -177,7 +146,7 @@
         head = None
         try:
             with eventlet.Timeout(limits.header_timeout_s, False):
-                head = self._read_head(limits.header_limit_bytes)
+                head = read_head(self._reader, limits.header_limit_bytes)
             if head is not None:
                 return self._start_request(head, received_at_s)
         except CallRefused as refusal:
@@ -192,54 +161,20 @@
         self._reject_head(408, message)
         return False
 
-    def _read_head(self, limit_bytes: int) -> tuple[re.Match, HeadFields]:
-        line = self._reader.readline(limit_bytes + 1)
-        if line == END_OF_HEAD:
-            # An empty line before a request is skipped.
-            line = self._reader.readline(limit_bytes + 1)
-        if len(line) > limit_bytes:
-            raise HeadTooLarge(
-                f"the request line exceeds the header limit of {limit_bytes} bytes"
-            )
-        match = REQUEST_LINE.fullmatch(line)
-        if match is None:
-            if not line.endswith(b"\n"):
-                raise ConnectionAbortedError(
-                    "the connection was closed within a request head"
-                )
-            raise BadRequestHead("the request line is not METHOD TARGET HTTP/1.1")
-        fields = read_fields(self._reader, limit_bytes - len(line))
-        hosts = sum(1 for name, _ in fields.pairs if name.lower() == "host")
-        if hosts > 1 or (hosts == 0 and match["version"] == b"HTTP/1.1"):
-            raise BadRequestHead(
-                f"the request has {hosts} Host headers instead of exactly one"
-            )
-        expected = fields.get("expect")
-        if expected is not None and expected.lower() != EXPECT_CONTINUE:
-            raise BadRequestHead("the Expect header is not 100-continue")
-        return match, fields
-
-    def _start_request(
-        self, head: tuple[re.Match, HeadFields], received_at_s: float
-    ) -> bool:
+    def _start_request(self, head: RequestHead, received_at_s: float) -> bool:
         """Start a request and read its body; False if a part of it stays unread."""
-        match, fields = head
-        version = match["version"].decode()
-        target = match["target"].decode("latin-1")
-        if not target.startswith("/"):
-            target = SCHEME_AND_AUTHORITY.sub("", target, count=1) or "/"
+        fields = head.fields
         limits = self._port.caller_limits
-        expects_continue = fields.get("expect") is not None and version == HTTP_1_1
         body = RequestBody(
             self._reader,
-            parse_framing(fields.pairs, version),
+            parse_framing(fields.pairs, head.version),
             limits.idle_timeout_s,
-            self._send_continue if expects_continue else None,
+            self._send_continue if head.expects_continue else None,
         )
         caller_host = self._caller_host()
         request = GatewayRequest(
-            method=match["method"].decode(),
-            target=target,
+            method=head.method,
+            target=head.target,
             fields=fields,
             body=body,
             request_id=self._port.dialect.request_id(fields) or "",
@@ -251,15 +186,14 @@
         attempt_limit = passed_on_attempt_limit(fields)
         if attempt_limit is not None and self._port.is_peer(caller_host):
             request.passed_on_attempt_limit = attempt_limit
-        must_close = fields.has_token("connection", "close") or (
-            version != HTTP_1_1 and not fields.has_token("connection", "keep-alive")
-        )
         pending = PendingAnswer(
-            request.method == "HEAD", CloseReason.CALLER if must_close else None, body
+            request.method == "HEAD",
+            CloseReason.CALLER if head.asks_for_close else None,
+            body,
         )
         if request.passed_on_attempt_limit is not None:
             pending.naming_header = self._naming_header(fields)
-        pending.reservation = self._reserve_head(match, fields)
+        pending.reservation = self._reserve_head(head)
         if body.has_body:
             self._port.check_intake(request)
             body.limit_bytes = limits.body_limit_bytes
@@ -272,15 +206,14 @@
         self._await_pipeline_slot()
         return True
 
-    def _reserve_head(self, match: re.Match, fields: HeadFields) -> Reservation:
-        text_bytes = match.end() + sum(len(n) + len(v) for n, v in fields.pairs)
-        size_bytes = HEAD_COPY_COUNT * text_bytes
+    def _reserve_head(self, head: RequestHead) -> Reservation:
+        size_bytes = HEAD_COPY_COUNT * head.text_bytes
         held = self._port.held
         if self._pending:
             # It was read because there was room, or the last answer is just written.
             size_bytes += PENDING_REQUEST_BYTES
             return held.add(HeldKind.PIPELINED_HEAD, size_bytes)
-        if text_bytes <= SMALL_HEAD_BYTES:
+        if head.text_bytes <= SMALL_HEAD_BYTES:
             return held.add(HeldKind.HEAD, size_bytes)
         return held.admit(HeldKind.HEAD, size_bytes)
 
@@ -348,14 +281,14 @@
         status: int,
         message: str,
         retry_after_s: float | None = None,
-        head: tuple[re.Match, HeadFields] | None = None,
+        head: RequestHead | None = None,
     ) -> None:
         answer = error_answer(status, message, retry_after_s)
         pending = PendingAnswer(False, CloseReason.REJECTED_HEAD)
-        if head is not None and passed_on_attempt_limit(head[1]) is not None:
+        if head is not None and passed_on_attempt_limit(head.fields) is not None:
             # The instance that passed the request on may try another one.
             answer.headers.append((OUTCOME, NOT_RUN))
-            pending.naming_header = self._naming_header(head[1])
+            pending.naming_header = self._naming_header(head.fields)
         pending.answered.send(answer)
         self._port.log_head_rejected(status, message)
         self._enqueue(pending)
@@ -392,16 +325,14 @@
     def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
         reason = close_reason(
             pending.must_close,
-            pending.body is None or pending.body.is_ended,
+            pending.is_body_ended,
             self._port.is_draining,
             len(self._pending),
         )
         is_last = self._is_closing = reason is not None
         if is_last:
             self._port.record_close(reason)
-        head = _answer_head(pending, answer, is_last)
-        has_body = not (pending.is_head_request or _is_bodyless(answer))
-        self._send_answer(head, answer.body if has_body else b"")
+        self._send_answer(*answer_bytes(pending, answer, is_last))
         self._pending.popleft()
         if not self._slot_released.ready():
             self._slot_released.send()
@@ -437,25 +368,3 @@
             if pending.thread is not None:
                 pending.thread.kill()
         self._pending.clear()
-
-
-def _is_bodyless(answer: GatewayAnswer) -> bool:
-    return answer.status in BODYLESS_STATUSES
-
-
-def _has_header(answer: GatewayAnswer, sought: str) -> bool:
-    return any(name.lower() == sought.lower() for name, _ in answer.headers)
-
-
-def _answer_head(pending: PendingAnswer, answer: GatewayAnswer, is_last: bool) -> bytes:
-    lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
-    headers = answer.headers
-    naming_header = pending.naming_header
-    if naming_header is not None and not _has_header(answer, naming_header[0]):
-        headers = [*headers, naming_header]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if not _is_bodyless(answer) and not pending.is_head_request:
-        lines.append(f"Content-Length: {len(answer.body)}")
-    if is_last:
-        lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1")
