Use the head of a probe answer that has no length

Seen by the review: such an answer raised NoAnswerLength, which the prober did not catch, and the request for which the server was probed got 500 without having been sent. Change: the load report is in the head, which is used; the connection is closed. The check whether a server has ended does the same. Result: test_a_probe_whose_answer_has_no_length_fails_no_request got 500 before, 200 after.

--- a/berylhaven/gateway/servers/_server_end_check.py
+++ b/berylhaven/gateway/servers/_server_end_check.py
@@ -1,5 +1,7 @@
 """Finds out whether a run of a backend server has ended."""
 
+import contextlib
+
 import eventlet
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
@@ -13,6 +15,7 @@
     MALFORMED_ANSWER_ERRORS,
     AnswerBodyError,
     ConnectionPool,
+    NoAnswerLength,
     read_answer,
 )
 
@@ -101,8 +104,10 @@
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
             head = connection.read_head()
-            answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
-            is_reusable = answer.is_complete and answer.keeps_connection
+            with contextlib.suppress(NoAnswerLength):
+                # Without a length the end of the connection ends the answer.
+                answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
+                is_reusable = answer.is_complete and answer.keeps_connection
         except AttemptFailed:
             # The data centre was evacuated while the connection was opened.
             return False
--- a/berylhaven/gateway/servers/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -17,9 +17,10 @@
     CONNECTION_ERRORS,
     SKIPPED_ANSWERS_LIMIT,
     AnswerBodyError,
+    AnswerHead,
     AnswerMatch,
     ConnectionPool,
-    UpstreamAnswer,
+    NoAnswerLength,
     UpstreamConnection,
     match_answer,
     read_answer,
@@ -194,23 +195,23 @@
             self._evacuations.check_sending(entry.server_id, entry.data_centre)
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
-            answer = self._read(connection, entry.server_id)
-            is_reusable = (
-                answer.is_complete
-                and answer.keeps_connection
-                and not self._evacuations.is_evacuated(entry.data_centre)
+            head, is_free = self._read(connection, entry.server_id)
+            is_reusable = is_free and not self._evacuations.is_evacuated(
+                entry.data_centre
             )
         finally:
             self._pool.release(connection, is_reusable)
         is_own_answer = self._signals.record(
-            server, answer.status, answer.fields, is_probe=True
+            server, head.status, head.fields, is_probe=True
         )
         if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(monotonic_s())
 
-    def _read(self, connection: UpstreamConnection, server_id: str) -> UpstreamAnswer:
-        """Read the answer to a probe, skipping those to requests.
+    def _read(
+        self, connection: UpstreamConnection, server_id: str
+    ) -> tuple[AnswerHead, bool]:
+        """Return the head of the answer to a probe, and whether the connection is free.
 
         Probes have no id, so an answer that names a request is not theirs: it is a
         second copy, and the answer to the probe is still due. Any answer without an id
@@ -218,16 +219,21 @@
         """
         for _ in range(SKIPPED_ANSWERS_LIMIT):
             head = connection.read_head()
-            answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
             match = match_answer(
-                self._dialect.request_id(answer.fields),
+                self._dialect.request_id(head.fields),
                 None,
                 is_first_answer=connection.answer_count == 1,
             )
+            try:
+                answer = read_answer(head, connection.reader, "GET", ANSWER_LIMIT_BYTES)
+            except NoAnswerLength:
+                # The end of the connection ends the answer; its head is enough.
+                answer = None
             if match is not AnswerMatch.OTHER_REQUEST:
-                return answer
+                is_free = answer is not None and answer.is_complete
+                return head, is_free and head.keeps_connection
             self._metrics.record_foreign_answers(match, 1)
-            if not answer.keeps_connection:
+            if answer is None or not head.keeps_connection:
                 break
             while not answer.is_complete:
                 answer.body_reader.read1(ANSWER_LIMIT_BYTES)
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -227,6 +227,20 @@
         )
         self.assertGreaterEqual(self.probe_count(), 6)
 
+    def test_a_probe_whose_answer_has_no_length_fails_no_request(self):
+        # Guards against a 500 for a request that was sent to no server.
+        with_load = OK.replace(b"Wordy-Id: a", b"Wordy-Load: 0,0,4,1\r\nWordy-Id: a")
+        without_length = HEAD + b"Wordy-Load: 0,0,4,1\r\n\r\nok"
+        for backend in self.path.backends[READS]:
+            backend.answers = {
+                HEALTH_PATH: cut(without_length),
+                "/read/x": Answers(with_load),
+            }
+        with self.path.connect() as caller:
+            for _ in range(4):
+                self.assertEqual(caller.exchange("/read/x").status, 200)
+                eventlet.sleep(2 * FRESH_REPORT_S)
+
     def test_an_unresponsive_server_gets_no_request(self):
         with_load = OK.replace(b"Wordy-Id: a", b"Wordy-Id: a\r\nWordy-Load: 0,0,4,3")
         responsive, unresponsive = self.path.backends[ORDERS]
