Keep a connection in a drain while a request arrives on it

Change: a request that has begun to arrive counts as pending. Whether its body was read is noted when it is answered, so that a waiting answer does not keep the body in memory. Result: test_a_request_whose_body_is_still_arriving_is_answered got no answer before, 503 with the promise that it has not run after.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -85,6 +85,7 @@
         "_writer",
         "_is_closing",
         "_is_broken",
+        "_is_receiving",
         "_slot_released",
     )
 
@@ -100,13 +101,15 @@
         self._writer: eventlet.greenthread.GreenThread | None = None
         # Whether the last answer is being sent; further input is discarded.
         self._is_closing = False
+        # Whether a request has begun to arrive that is not yet among the pending ones.
+        self._is_receiving = False
         # Whether an answer could not be written.
         self._is_broken = False
 
     @property
     def pending_count(self) -> int:
-        """The number of requests that have been read and not yet answered."""
-        return len(self._pending)
+        """The number of requests that have begun to arrive and are not yet answered."""
+        return len(self._pending) + self._is_receiving
 
     def serve(self) -> None:
         """Serve requests until the caller or the port closes the connection."""
@@ -114,6 +117,7 @@
         try:
             reads_on = True
             while reads_on and not self._is_closing and self._await_request():
+                self._is_receiving = True
                 self._await_head_room()
                 reads_on = self._read_request()
             if self._is_closing or not reads_on:
@@ -126,7 +130,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it has no pending request."""
-        if not self._pending and not self._is_closing:
+        if not self.pending_count and not self._is_closing:
             self._is_closing = True
             self._shut_down(socket.SHUT_RDWR)
 
@@ -189,7 +193,6 @@
         pending = PendingAnswer(
             request.method == "HEAD",
             CloseReason.CALLER if head.asks_for_close else None,
-            body,
         )
         if request.passed_on_attempt_limit is not None:
             pending.naming_header = self._naming_header(fields)
@@ -269,9 +272,12 @@
             self._slot_released.wait()
 
     def _answer(self, request: GatewayRequest, pending: PendingAnswer) -> None:
-        pending.answered.send(self._port.answer(request))
+        answer = self._port.answer(request)
+        pending.is_body_ended = request.body.is_ended
+        pending.answered.send(answer)
 
     def _enqueue(self, pending: PendingAnswer) -> None:
+        self._is_receiving = False
         self._pending.append(pending)
         if not self._has_pending.ready():
             self._has_pending.send()
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -125,7 +125,7 @@
 
     @property
     def pending_count(self) -> int:
-        """The number of requests that have been read and not yet answered."""
+        """The number of requests that have begun to arrive and are not yet answered."""
         return sum(connection.pending_count for connection in self._connections)
 
     @property
--- a/berylhaven/gateway/callers/_pending_answer.py
+++ b/berylhaven/gateway/callers/_pending_answer.py
@@ -8,7 +8,6 @@
 from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._held_bytes import Reservation
 from berylhaven.gateway.callers._request import GatewayAnswer
-from berylhaven.http1 import RequestBody
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -21,8 +20,8 @@
     is_head_request: bool
     # Why its head makes it the last request; None if it does not.
     must_close: CloseReason | None
-    # Its body; None if the head was rejected.
-    body: RequestBody | None = None
+    # Whether its body was read to its end; known once it is answered.
+    is_body_ended: bool = True
     # Carries the answer once it is available.
     answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
     # The green thread that processes the request.
@@ -33,11 +32,6 @@
     # The memory of the request's head; None if the head was rejected.
     reservation: Reservation | None = None
 
-    @property
-    def is_body_ended(self) -> bool:
-        """Whether the body was read to its end."""
-        return self.body is None or self.body.is_ended
-
 
 def answer_bytes(
     pending: PendingAnswer, answer: GatewayAnswer, is_last: bool
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -138,3 +138,16 @@
             eventlet.sleep(LINGER_TIMEOUT_S + 0.2)
             answer = caller.answer()
         self.assertEqual(len(answer.body), LARGE_BYTES)
+
+    def test_a_request_whose_body_is_still_arriving_is_answered(self):
+        # Guards against a close of connections that are idle but for a body.
+        with self.path.connect() as caller:
+            self.path.instance.leave()
+            eventlet.sleep(0.3 * GRACE_S)
+            data = request_bytes("/order/x", "slow", "POST", b"body")
+            caller.send(data[:-1])
+            # Connections without pending requests are closed meanwhile.
+            eventlet.sleep(0.4 * GRACE_S)
+            caller.send(data[-1:])
+            # It is due too late now.
+            self.assertEqual(caller.answer().status, 503)
