Accept connections again after an error of accept

Found by the review: an instance that ran out of descriptors once took no connection again and stayed ready. Cause: the server of a port ends at the first error of accept and closes its socket. Change: RetryingListener goes on, for all ports; the instance is not ready while the callers port fails, with a log line and a metric. Nothing ran into a real limit.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -203,6 +203,7 @@
             not self._drain.has_begun
             and self._routes.is_loaded
             and self._table.server_count > 0
+            and self._port.is_accepting
         )
 
     def start(self) -> None:
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -1,5 +1,6 @@
 """The port that serves callers' requests."""
 
+import errno
 import functools
 import socket
 import traceback
@@ -65,6 +66,8 @@
         "_connections",
         "_drain",
         "_closed_connections",
+        "_accept_failures",
+        "is_accepting",
     )
 
     def __init__(
@@ -93,6 +96,12 @@
             "caller_connections_closed_total",
             "Connections of callers that were closed after an answer, by reason.",
         )
+        self._accept_failures = metrics.counter(
+            "accept_failures_total",
+            "Times at which connections of callers could no longer be accepted.",
+        )
+        # Whether connections of callers can be accepted.
+        self.is_accepting = True
 
     @property
     def caller_limits(self) -> CallerLimits:
@@ -154,8 +163,17 @@
             CONNECTIONS_LIMIT,
             SOCKET_TIMEOUT_S,
             functools.partial(PipelinedProtocol, self),
+            on_accept_failure=self._record_accept_failure,
         )
 
+    def _record_accept_failure(self, error: OSError | None) -> None:
+        self.is_accepting = error is None
+        if error is None:
+            self._event_log.write("callers", "accepting again")
+            return
+        self._accept_failures.inc({"error": errno.errorcode.get(error.errno, "other")})
+        self._event_log.write_failure("callers", "not accepting", error=str(error))
+
     def answer(self, request: GatewayRequest) -> GatewayAnswer:
         """Answer one request; an internal error is answered with status 500.
 
--- a/berylhaven/gateway/tests/test_callers_port.py
+++ b/berylhaven/gateway/tests/test_callers_port.py
@@ -1,5 +1,6 @@
 """Tests of the callers' port: pipelining, limits, disconnects and draining."""
 
+import errno
 import unittest
 
 import eventlet
@@ -55,6 +56,15 @@
         other_path.instance.leave()
         self.assertIsNone(other_path.instance.locate("here"))
 
+    def test_an_instance_that_accepts_no_connection_is_not_ready(self):
+        # Guards against callers that are sent to a port which is out of descriptors.
+        port = self.path.instance._port
+        port._record_accept_failure(OSError(errno.EMFILE, "too many open files"))
+        self.assertFalse(self.path.instance.is_ready)
+        self.assertIsNone(self.path.instance.locate("here"))
+        port._record_accept_failure(None)
+        self.assertIsNotNone(self.path.instance.locate("here"))
+
     def test_a_caller_disconnect_cancels_its_request_at_the_server(self):
         ended = eventlet.event.Event()
 
--- a/berylhaven/http1/_wsgi_server.py
+++ b/berylhaven/http1/_wsgi_server.py
@@ -5,6 +5,8 @@
 import eventlet
 import eventlet.wsgi
 
+from berylhaven.http1._retrying_listener import RetryingListener
+
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60.0
 # Forward each piece of an answer at once; by default the server buffers small pieces.
@@ -28,6 +30,7 @@
     socket_timeout_s: float,
     protocol: Callable = eventlet.wsgi.HttpProtocol,
     request_line_limit_bytes: int = eventlet.wsgi.MAX_REQUEST_LINE,
+    on_accept_failure: Callable[[OSError | None], None] = lambda error: None,
 ) -> eventlet.greenthread.GreenThread:
     """Serve an application in a green thread.
 
@@ -48,6 +51,9 @@
         Serves one connection, given its connection state and the server.
     request_line_limit_bytes : int
         The size limit of the request line, in bytes.
+    on_accept_failure : callable
+        Called with the error when connections can't be accepted, and with None once
+        they can be again.
 
     Returns
     -------
@@ -57,7 +63,7 @@
     listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
     return eventlet.spawn(
         eventlet.wsgi.server,
-        listener,
+        RetryingListener(listener, on_accept_failure),
         application,
         log=_NullLog(),
         log_output=False,
