Start no request behind the last answer of its connection

Found while reading the change of the drain: a request whose body was arriving when the last answer of its connection was written was run at a server, although its caller counts it as unread and sends it again. Change: it is discarded like other input behind the last answer. Result: test_a_request_behind_the_last_answer_is_not_started had it run before, not after.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -166,7 +166,7 @@
         return False
 
     def _start_request(self, head: RequestHead, received_at_s: float) -> bool:
-        """Start a request and read its body; False if a part of it stays unread."""
+        """Start a request and read its body; False if it is the last that is read."""
         fields = head.fields
         limits = self._port.caller_limits
         body = RequestBody(
@@ -201,6 +201,9 @@
             self._port.check_intake(request)
             body.limit_bytes = limits.body_limit_bytes
             self._buffer_body(request)
+        if self._is_closing:
+            # Behind the last answer it counts as unread, and its caller repeats it.
+            return False
         self._enqueue(pending)
         pending.thread = eventlet.spawn(self._answer, request, pending)
         self._await_body(body, pending)
@@ -355,6 +358,7 @@
 
     def _finish(self) -> None:
         """Discard input while the last answers are sent, until the caller closes."""
+        self._is_receiving = False
         while self._reader.read1(DISCARD_PIECE_BYTES):
             pass
         # A caller that has closed its sending side may still read its answers, but
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -151,3 +151,15 @@
             caller.send(data[-1:])
             # It is due too late now.
             self.assertEqual(caller.answer().status, 503)
+
+    def test_a_request_behind_the_last_answer_is_not_started(self):
+        # Guards against a run of a request that its caller sends again elsewhere.
+        self.path.answer_all(READS, self.run_order)
+        data = request_bytes("/order/x", "behind", "POST", b"body")
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/x", "first") + data[:-1])
+            self.path.instance.leave()
+            self.assertEqual(caller.answer().headers["connection"], "close")
+            caller.send(data[-1:])
+            eventlet.sleep(WORK_S)
+        self.assertEqual(self.run_ids, {"first"})
