--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -15,8 +15,6 @@
 # An instance without pending requests may stop after this part of the grace: callers
 # keep a locate answer with this instance for a while, and their connections longer.
 SERVING_RATIO = 0.6
-# It does not stop as long as it has taken a request in this time.
-QUIET_S = 0.5
 # The Retry-After value of a refused request: other instances take it at once.
 RETRY_AFTER_S = 0.0
 
@@ -42,13 +40,11 @@
 class Drain:
     """Decides which requests an instance still takes, and when it stops."""
 
-    __slots__ = ("_began_at_s", "_grace_s", "_taken_at_s")
+    __slots__ = ("_began_at_s", "_grace_s")
 
     def __init__(self) -> None:
         self._began_at_s: float | None = None
         self._grace_s = 0.0
-        # When the last request was taken, on the hub's clock.
-        self._taken_at_s = float("-inf")
 
     @property
     def has_begun(self) -> bool:
@@ -90,7 +86,6 @@
         last_answer_at_s = self._began_at_s + self._grace_s - LAST_ANSWER_MARGIN_S
         if now_s - self._began_at_s > early_s and due_at_s > last_answer_at_s:
             raise DrainRefusal(last_answer_at_s - now_s)
-        self._taken_at_s = now_s
 
     def closes_idle(self, now_s: float) -> bool:
         """Return whether connections without pending requests are closed."""
@@ -111,12 +106,10 @@
         Returns
         -------
         bool
-            True once all are answered and no more come, and at the end of the grace
-            in any case.
+            True once all are answered, and at the end of the grace in any case.
         """
         if not self.has_begun:
             return False
         if now_s - self._began_at_s >= self._grace_s - STOP_MARGIN_S:
             return True
-        is_quiet = pending_count == 0 and now_s - self._taken_at_s > QUIET_S
-        return self.closes_idle(now_s) and is_quiet
+        return self.closes_idle(now_s) and pending_count == 0
