--- a/berylhaven/gateway/tests/test_any_answers.py
+++ b/berylhaven/gateway/tests/test_any_answers.py
@@ -75,8 +75,8 @@
 
 class AnyAnswersTest(unittest.TestCase):
     def test_no_order_of_answers_misleads_a_caller(self):
-        # Guards against foreign successes, false refusals and second runs (MIXED,
-        # REFUSED, TWICE) by answers whose request is taken for another one.
+        # Guards against foreign successes, false refusals and second runs by
+        # answers whose request is taken for another one.
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.play(random.Random(seed))
--- a/berylhaven/gateway/tests/test_cut_answers.py
+++ b/berylhaven/gateway/tests/test_cut_answers.py
@@ -65,7 +65,7 @@
         return has_run
 
     def test_an_answer_that_ends_within_its_head_is_no_answer(self):
-        # Guards against a success with an empty or short body (MIXED).
+        # Guards against a success with an empty or short body.
         sent_count = 0
         with self.path.connect() as caller:
             for end in range(len(HEAD)):
@@ -74,7 +74,7 @@
         self.assertGreater(sent_count, len(HEAD))
 
     def test_an_answer_that_ends_within_its_body_is_no_answer(self):
-        # Guards against a success with a short body that is framed as whole (MIXED).
+        # Guards against a success with a short body that is framed as whole.
         sent_count = 0
         with self.path.connect() as caller:
             for end in range(len(BODY)):
@@ -85,7 +85,7 @@
         self.assertGreater(sent_count, len(BODY))
 
     def test_an_answer_that_is_reset_while_the_body_is_sent_is_no_answer(self):
-        # Guards against a reset that only the sender of the body learns of (MIXED).
+        # Guards against a reset that only the sender of the body learns of.
         for backend in self.path.backends[ORDERS]:
             early = (EARLY_BYTES, answer_without_length)
             backend.early_answers["/upload/x"] = early
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -36,7 +36,7 @@
     def test_what_is_taken_late_is_due_before_the_process_ends(
         self, grace_s, received_s, time_limit_s
     ):
-        # Guards against requests that are cut at the end of a planned stop (LOST).
+        # Guards against requests that are cut at the end of a planned stop.
         drain = Drain()
         drain.begin(100.0, grace_s)
         due_at_s = 100.0 + received_s + time_limit_s
@@ -125,7 +125,7 @@
         self.assertNotIn("late", self.run_ids)
 
     def test_a_slow_reader_gets_its_whole_last_answer(self):
-        # Guards against an answer that is cut by another request behind it (LOST).
+        # Guards against an answer that is cut by another request behind it.
         body = b"x" * LARGE_BYTES
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE_BYTES
         self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
--- a/berylhaven/gateway/tests/test_early_answers.py
+++ b/berylhaven/gateway/tests/test_early_answers.py
@@ -65,7 +65,7 @@
         self.assertEqual(paths, {"/upload/x"})
 
     def test_the_unread_rest_of_a_body_is_not_read_as_requests(self):
-        # Guards against requests that no caller sent (UNASKED).
+        # Guards against requests that no caller sent.
         with self.path.connect() as caller:
             sender = self.upload(caller)
             answer = caller.answer()
--- a/berylhaven/gateway/tests/test_repeated_answers.py
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -85,7 +85,7 @@
         return servers
 
     def test_a_second_answer_is_not_taken_for_the_answer_to_a_probe(self):
-        # Guards against a success with the body of a health check (MIXED).
+        # Guards against a success with the body of a health check.
         self.path.remove_server("orders-1")
         self.set_servers(None, success, repeats_at_probes=True)
         bodies = []
