Log which requests a drain leaves unanswered, and why

The log could not tell the hypotheses about lost requests apart: neither where a request was when its connection ended, nor whether the process ran late. Each request now records when it was received, sent and answered, and to whom it was sent; one line is written for each that ends with its connection in a drain. The lines at the begin and the end of a drain tell the lateness of the hub, the requests at each stage and the connections with unread input. Refused heads name their request.

No decision is changed.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -12,7 +12,9 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._instance_drain import InstanceDrain
 from berylhaven.gateway._instance_gauges import InstanceGauges
+from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway._request_path import (
     ANSWER_HEAD_LIMIT_BYTES,
     InstanceParts,
@@ -97,7 +99,8 @@
         "_warmups",
         "_threads",
         "_drain",
-        "_is_drain_logged",
+        "_instance_drain",
+        "_lateness",
         "_started_at_s",
         "metrics",
         "held",
@@ -134,6 +137,7 @@
             SERVER_IDLE_LIMIT_S,
             self.metrics.record_new_connection,
         )
+        self._lateness = LoopLateness()
         self._drain = Drain()
         path = RequestPath(
             InstanceParts(
@@ -165,6 +169,9 @@
             self._drain,
             self.metrics,
         )
+        self._instance_drain = InstanceDrain(
+            self._drain, self._port, self._lateness, event_log
+        )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
             RelayedSource(source, self._members, self._update_log, self.metrics),
@@ -193,7 +200,6 @@
             event_log,
         )
         self._threads: list[eventlet.greenthread.GreenThread] = []
-        self._is_drain_logged = False
         self._started_at_s = monotonic_s()
 
     @property
@@ -234,16 +240,16 @@
 
     def wait(self) -> None:
         """Run until the instance has been drained after `leave`, then stop it."""
-        while not self._is_drained():
+        while not self._instance_drain.step():
             self._update_ready()
             if self._settings_file is not None:
                 self._check_settings()
             slept_at_s = monotonic_s()
             sleep_s(WAIT_INTERVAL_S)
-            self.metrics.record_loop_lateness(
-                monotonic_s() - slept_at_s - WAIT_INTERVAL_S
-            )
-        self._event_log.write("instance", "stop", pending=self._port.pending_count)
+            lateness_s = monotonic_s() - slept_at_s - WAIT_INTERVAL_S
+            self._lateness.record(lateness_s)
+            self.metrics.record_loop_lateness(lateness_s)
+        self._instance_drain.record_end()
         self.stop()
 
     def stop(self) -> None:
@@ -432,17 +438,6 @@
             self._event_log.write("instance", "ready" if own.is_ready else "not ready")
             self._gossip.notify_peers(NOTIFIED_PEERS)
 
-    def _is_drained(self) -> bool:
-        if not self._drain.has_begun:
-            return False
-        if not self._is_drain_logged:
-            self._is_drain_logged = True
-            self._event_log.write("instance", "drain", pending=self._port.pending_count)
-        now_s = monotonic_s()
-        if self._drain.closes_idle(now_s):
-            self._port.close_idle()
-        return self._drain.has_ended(now_s, self._port.pending_count)
-
 
 def _own_member(settings: GatewayInstanceSettings) -> Member:
     return Member(
--- /dev/null
+++ b/berylhaven/gateway/_instance_drain.py
@@ -0,0 +1,66 @@
+"""The steps of an instance's drain, from the signal to the end of the process."""
+
+from berylhaven.clock import monotonic_s
+from berylhaven.event_log import EventLog
+from berylhaven.gateway._loop_lateness import LoopLateness
+from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.callers._drain import Drain
+
+
+class InstanceDrain:
+    """Closes callers' connections in a drain, and tells when the instance may stop.
+
+    Parameters
+    ----------
+    drain : Drain
+        Decides what is done when.
+    port : CallersPort
+        The callers' connections.
+    lateness : LoopLateness
+        How late the hub runs.
+    event_log : EventLog
+        Receives a line at the begin and at the end of the drain.
+    """
+
+    __slots__ = ("_drain", "_port", "_lateness", "_event_log", "_is_logged")
+
+    def __init__(
+        self,
+        drain: Drain,
+        port: CallersPort,
+        lateness: LoopLateness,
+        event_log: EventLog,
+    ) -> None:
+        self._drain = drain
+        self._port = port
+        self._lateness = lateness
+        self._event_log = event_log
+        self._is_logged = False
+
+    def step(self) -> bool:
+        """Do what is due; return whether the instance may stop."""
+        if not self._drain.has_begun:
+            return False
+        now_s = monotonic_s()
+        if not self._is_logged:
+            self._is_logged = True
+            self._event_log.write(
+                "instance",
+                "drain",
+                pending=self._port.pending_count,
+                noticed_after_s=self._drain.age_s(now_s),
+                lateness_s=self._lateness.recent_s,
+            )
+        if self._drain.closes_idle(now_s):
+            self._port.close_idle()
+        return self._drain.has_ended(now_s, self._port.pending_count)
+
+    def record_end(self) -> None:
+        """Log the end of the process, with the requests that it leaves unanswered."""
+        self._event_log.write(
+            "instance",
+            "stop",
+            **self._port.record_end(),
+            drained_s=self._drain.age_s(monotonic_s()),
+            lateness_s=self._lateness.recent_s,
+        )
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -12,6 +12,7 @@
 from berylhaven.gateway.callers._close_reason import CloseReason, close_reason
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
+from berylhaven.gateway.callers._input_check import has_input
 from berylhaven.gateway.callers._passed_on import (
     NOT_RUN,
     OUTCOME,
@@ -24,6 +25,7 @@
     error_answer,
 )
 from berylhaven.gateway.callers._request_head import RequestHead, read_head
+from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.http1 import (
     CONTINUE_LINE,
     HeadFields,
@@ -128,6 +130,15 @@
         finally:
             self._cancel_pending()
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes, or the end of the input, were received and not yet read."""
+        return not self._is_closing and has_input(self._socket)
+
+    def pending_progress(self) -> list[RequestProgress]:
+        """Return how far the pending requests have come, in their order."""
+        return [pending.progress for pending in self._pending]
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no pending request."""
         if not self.pending_count and not self._is_closing:
@@ -176,13 +187,16 @@
             self._send_continue if head.expects_continue else None,
         )
         caller_host = self._caller_host()
+        request_id = self._port.dialect.request_id(fields) or ""
+        progress = RequestProgress(request_id, received_at_s)
         request = GatewayRequest(
             method=head.method,
             target=head.target,
             fields=fields,
             body=body,
-            request_id=self._port.dialect.request_id(fields) or "",
+            request_id=request_id,
             received_at_s=received_at_s,
+            progress=progress,
             remaining_s=self._port.dialect.remaining_s(fields),
             caller_host=caller_host,
         )
@@ -192,6 +206,7 @@
             request.passed_on_attempt_limit = attempt_limit
         pending = PendingAnswer(
             request.method == "HEAD",
+            progress,
             CloseReason.CALLER if head.asks_for_close else None,
         )
         if request.passed_on_attempt_limit is not None:
@@ -276,6 +291,7 @@
 
     def _answer(self, request: GatewayRequest, pending: PendingAnswer) -> None:
         answer = self._port.answer(request)
+        pending.progress.record_answered(monotonic_s())
         pending.is_body_ended = request.body.is_ended
         pending.answered.send(answer)
 
@@ -293,13 +309,17 @@
         head: RequestHead | None = None,
     ) -> None:
         answer = error_answer(status, message, retry_after_s)
-        pending = PendingAnswer(False, CloseReason.REJECTED_HEAD)
+        request_id = self._port.dialect.request_id(head.fields) if head else None
+        now_s = monotonic_s()
+        progress = RequestProgress(request_id or "", now_s)
+        progress.record_answered(now_s)
+        pending = PendingAnswer(False, progress, CloseReason.REJECTED_HEAD)
         if head is not None and passed_on_attempt_limit(head.fields) is not None:
             # The instance that passed the request on may try another one.
             answer.headers.append((OUTCOME, NOT_RUN))
             pending.naming_header = self._naming_header(head.fields)
         pending.answered.send(answer)
-        self._port.log_head_rejected(status, message)
+        self._port.log_head_rejected(request_id, status, message)
         self._enqueue(pending)
 
     def _naming_header(self, fields: HeadFields) -> tuple[str, str] | None:
@@ -374,6 +394,8 @@
         """Cancel the pending requests, which closes their server connections."""
         if self._writer is not None:
             self._writer.kill()
+        if self._pending:
+            self._port.record_unanswered(self, "the caller closed its connection")
         for pending in self._pending:
             if pending.thread is not None:
                 pending.thread.kill()
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -1,5 +1,6 @@
 """The port that serves callers' requests."""
 
+import collections
 import errno
 import functools
 import socket
@@ -23,6 +24,7 @@
     GatewayRequest,
     error_answer,
 )
+from berylhaven.gateway.callers._request_progress import RequestStage
 from berylhaven.http1 import serve
 from berylhaven.routes import CallerLimits
 
@@ -67,6 +69,7 @@
         "_drain",
         "_closed_connections",
         "_accept_failures",
+        "_unanswered_requests",
         "is_accepting",
     )
 
@@ -100,6 +103,10 @@
             "accept_failures_total",
             "Times at which connections of callers could no longer be accepted.",
         )
+        self._unanswered_requests = metrics.counter(
+            "requests_unanswered_total",
+            "Requests that ended with their connection in a drain, by stage.",
+        )
         # Whether connections of callers can be accepted.
         self.is_accepting = True
 
@@ -199,19 +206,81 @@
             )
             return error_answer(500, f"internal error of type {type(error).__name__}")
 
-    def log_head_rejected(self, status: int, message: str) -> None:
+    def log_head_rejected(
+        self, request_id: str | None, status: int, message: str
+    ) -> None:
         """Log that a request was rejected by its head.
 
         Parameters
         ----------
+        request_id : str or None
+            The request id from the caller, if it is known.
         status : int
             The HTTP status of the answer.
         message : str
             The reason for the rejection.
         """
         self._event_log.write_failure(
-            "callers", "head refused", status=status, reason=message
+            "callers",
+            "head refused",
+            request=request_id,
+            status=status,
+            reason=message,
+        )
+
+    def record_unanswered(self, connection: CallerConnection, reason: str) -> None:
+        """Log, in a drain, each request that ends with its connection.
+
+        Parameters
+        ----------
+        connection : CallerConnection
+            The connection, with its pending requests.
+        reason : str
+            Why it ends.
+        """
+        if not self._drain.has_begun:
+            return
+        now_s = monotonic_s()
+        for position, progress in enumerate(connection.pending_progress()):
+            self._unanswered_requests.inc({"stage": progress.stage.value})
+            self._event_log.write_failure(
+                "request",
+                "unanswered",
+                request=progress.request_id,
+                stage=progress.stage.value,
+                # How many requests of the connection are answered before it.
+                position=position,
+                received_s_ago=now_s - progress.received_at_s,
+                sent_s_ago=_age_s(progress.sent_at_s, now_s),
+                sent_to=progress.sent_to,
+                answered_s_ago=_age_s(progress.answered_at_s, now_s),
+                drained_s=self._drain.age_s(now_s),
+                reason=reason,
+            )
+
+    def record_end(self) -> dict[str, int]:
+        """Log the requests that the end of the process leaves unanswered.
+
+        Returns
+        -------
+        dict of str to int
+            How many requests are at which stage, and how many connections have input
+            that was not read.
+        """
+        connections = list(self._connections)
+        stages = collections.Counter(
+            progress.stage.value
+            for connection in connections
+            for progress in connection.pending_progress()
         )
+        for connection in connections:
+            self.record_unanswered(connection, "the instance stops")
+        return {
+            "pending": self.pending_count,
+            **{stage.value: stages[stage.value] for stage in RequestStage},
+            "unread": sum(connection.has_unread_input for connection in connections),
+            "connections": len(connections),
+        }
 
     def record_close(self, reason: CloseReason) -> None:
         """Count a connection that is closed after an answer."""
@@ -267,6 +336,10 @@
             self._port.remove(connection)
 
 
+def _age_s(moment_s: float | None, now_s: float) -> float | None:
+    return None if moment_s is None else now_s - moment_s
+
+
 def _unused_application(environ: dict, start_response: Callable) -> list[bytes]:
     """Placeholder for the WSGI application, which the protocol does not call."""
     raise NotImplementedError("requests are answered by CallerConnection")
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -51,6 +51,10 @@
         """Whether the instance is draining."""
         return self._began_at_s is not None
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the drain began, in seconds; None before that."""
+        return None if self._began_at_s is None else now_s - self._began_at_s
+
     def begin(self, now_s: float, grace_s: float) -> None:
         """Begin the drain, unless it has begun.
 
--- a/berylhaven/gateway/callers/_pending_answer.py
+++ b/berylhaven/gateway/callers/_pending_answer.py
@@ -8,6 +8,7 @@
 from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._held_bytes import Reservation
 from berylhaven.gateway.callers._request import GatewayAnswer
+from berylhaven.gateway.callers._request_progress import RequestProgress
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -18,6 +19,8 @@
 
     # Whether the request's method is HEAD, so that the answer has no body.
     is_head_request: bool
+    # How far the request has come.
+    progress: RequestProgress
     # Why its head makes it the last request; None if it does not.
     must_close: CloseReason | None
     # Whether its body was read to its end; known once it is answered.
--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from berylhaven.gateway.callers._held_bytes import Reservation
+from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.http1 import HeadFields, RequestBody
 
 # How long before the caller's timeout a server's answer must be available, for the
@@ -26,6 +27,8 @@
     request_id: str
     # When the request was received, on the hub's clock.
     received_at_s: float
+    # How far it has come.
+    progress: RequestProgress
     # How long the caller waits for the answer, in seconds; None if not specified.
     remaining_s: float | None
     # The host of the caller's address, or an empty string.
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -356,6 +356,7 @@
             server.record_attempt(answer.status >= HTTP_STATUS_SERVER_ERROR, now_s)
             self._quarantine.record_answer(request, answer.status)
             return
+        request.progress.record_not_run()
         if not is_own_answer:
             # The address has been reassigned to another server.
             server.record_probe_failure(now_s)
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -230,6 +230,7 @@
             f"{reason}"
         )
         if outcome == NOT_RUN:
+            request.progress.record_not_run()
             text = answer.fields.get(RETRY_AFTER)
             return_s = parse_retry_after_s(text) if text is not None else None
             raise PeerRefused(message, return_s)
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -212,6 +212,7 @@
     def _write(self, data: bytes) -> None:
         if not self._was_sent:
             self._check_sending()
+            self._request.progress.record_sent(self._server_id, monotonic_s())
         # A part of the request may reach the server even if sending fails.
         self._was_sent = True
         try:
