--- /dev/null
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -0,0 +1,156 @@
+"""The answers of a caller's connection, written in the order of the requests."""
+
+import contextlib
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import eventlet
+import eventlet.event
+
+from berylhaven.gateway.callers._close_reason import close_reason
+from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
+from berylhaven.gateway.callers._request import GatewayAnswer
+
+if TYPE_CHECKING:
+    from berylhaven.gateway.callers._callers_port import CallersPort
+
+# The maximum number of concurrent requests on one connection.
+PIPELINE_LIMIT = 32
+# The part of an answer that is sent together with its head.
+FIRST_PIECE_BYTES = 8_192
+# How long a connection is still read after its last answer: closing a socket with
+# unread bytes resets the connection, and the caller could lose the answer.
+LINGER_TIMEOUT_S = 1.0
+
+
+class AnswerQueue:
+    """Holds the pending requests of a connection and writes their answers.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The caller's socket.
+    port : CallersPort
+        The port, which counts the closed connections.
+    """
+
+    __slots__ = (
+        "_socket",
+        "_port",
+        "_pending",
+        "_has_pending",
+        "_slot_released",
+        "_writer",
+        "is_closing",
+        "is_broken",
+    )
+
+    def __init__(self, sock: socket.socket, port: "CallersPort") -> None:
+        self._socket = sock
+        self._port = port
+        self._pending: deque[PendingAnswer] = deque()
+        self._has_pending = eventlet.event.Event()
+        self._slot_released = eventlet.event.Event()
+        self._writer: eventlet.greenthread.GreenThread | None = None
+        # Whether the last answer is being sent; further input is discarded.
+        self.is_closing = False
+        # Whether an answer could not be written.
+        self.is_broken = False
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    @property
+    def pending(self) -> list[PendingAnswer]:
+        """The requests that are not yet answered, in their order."""
+        return list(self._pending)
+
+    def start(self) -> None:
+        """Write answers from a new green thread until the last one."""
+        self._writer = eventlet.spawn(self._write_answers)
+
+    def add(self, pending: PendingAnswer) -> None:
+        """Add a request behind the others."""
+        self._pending.append(pending)
+        if not self._has_pending.ready():
+            self._has_pending.send()
+
+    def await_slot(self) -> None:
+        """Wait while the connection has as many requests as it may have."""
+        while len(self._pending) >= PIPELINE_LIMIT and not self.is_broken:
+            self._slot_released = eventlet.event.Event()
+            self._slot_released.wait()
+
+    def await_last(self) -> None:
+        """Wait for the writer if all answers are there.
+
+        A caller that has closed its sending side may still read its answers, but waits
+        for no request that is at work.
+        """
+        if self._pending and all(p.answered.ready() for p in self._pending):
+            self._writer.wait()
+
+    def close(self) -> None:
+        """Close the connection, which has no pending request."""
+        self.is_closing = True
+        self._shut_down(socket.SHUT_RDWR)
+
+    def cancel(self) -> None:
+        """Cancel the pending requests, which closes their server connections."""
+        if self._writer is not None:
+            self._writer.kill()
+        for pending in self._pending:
+            if pending.thread is not None:
+                pending.thread.kill()
+        self._pending.clear()
+
+    def _write_answers(self) -> None:
+        try:
+            while not self.is_closing:
+                while not self._pending:
+                    self._has_pending = eventlet.event.Event()
+                    self._has_pending.wait()
+                self._write_next()
+        except OSError:
+            # The reader fails too, and cancels the pending requests.
+            self.is_broken = True
+            self._shut_down(socket.SHUT_RDWR)
+            self._release_slot()
+
+    def _write_next(self) -> None:
+        # In a method of its own, so that an idle connection refers to no answer.
+        pending = self._pending[0]
+        self._write(pending, pending.answered.wait())
+
+    def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
+        reason = close_reason(
+            pending.must_close,
+            pending.is_body_ended,
+            self._port.is_draining,
+            len(self._pending),
+        )
+        is_last = self.is_closing = reason is not None
+        if is_last:
+            self._port.record_close(reason)
+        self._send_answer(*answer_bytes(pending, answer, is_last))
+        self._pending.popleft()
+        self._release_slot()
+        if is_last:
+            self._shut_down(socket.SHUT_WR)
+            eventlet.spawn_after(LINGER_TIMEOUT_S, self._shut_down, socket.SHUT_RDWR)
+
+    def _release_slot(self) -> None:
+        if not self._slot_released.ready():
+            self._slot_released.send()
+
+    def _send_answer(self, head: bytes, body: bytes | bytearray) -> None:
+        """Send an answer without a further copy of a large body."""
+        self._socket.sendall(head + body[:FIRST_PIECE_BYTES])
+        if len(body) > FIRST_PIECE_BYTES:
+            # A slice of a view refers to the bytes, also while a slow caller reads.
+            self._socket.sendall(memoryview(body)[FIRST_PIECE_BYTES:])
+
+    def _shut_down(self, how: int) -> None:
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(how)
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -1,15 +1,13 @@
-"""A caller's connection: pipelined requests are answered in order."""
+"""A caller's connection, from which requests are read ahead of their answers."""
 
-import contextlib
 import socket
-from collections import deque
 from typing import TYPE_CHECKING
 
 import eventlet
-import eventlet.event
 
 from berylhaven.clock import monotonic_s, sleep_s
-from berylhaven.gateway.callers._close_reason import CloseReason, close_reason
+from berylhaven.gateway.callers._answer_queue import AnswerQueue
+from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._input_check import has_input
@@ -18,12 +16,8 @@
     OUTCOME,
     passed_on_attempt_limit,
 )
-from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
-from berylhaven.gateway.callers._request import (
-    GatewayAnswer,
-    GatewayRequest,
-    error_answer,
-)
+from berylhaven.gateway.callers._pending_answer import PendingAnswer
+from berylhaven.gateway.callers._request import GatewayRequest, error_answer
 from berylhaven.gateway.callers._request_head import RequestHead, read_head
 from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.http1 import (
@@ -38,8 +32,6 @@
 if TYPE_CHECKING:
     from berylhaven.gateway.callers._callers_port import CallersPort
 
-# The maximum number of concurrent requests on one connection.
-PIPELINE_LIMIT = 32
 # Bodies up to this size are read before the request is processed.
 PREREAD_BODY_LIMIT_BYTES = 1_000_000
 # The interval at which the end of a larger body is polled for.
@@ -56,11 +48,6 @@
 ROOM_POLL_INTERVAL_S = 0.02
 # How long a request waits for room for its body, where room is expected by then.
 BODY_WAIT_LIMIT_S = 0.2
-# The part of an answer that is sent together with its head.
-FIRST_PIECE_BYTES = 8_192
-# How long a connection is still read after its last answer: closing a socket with
-# unread bytes resets the connection, and the caller could lose the answer.
-LINGER_TIMEOUT_S = 1.0
 # A waiting read takes as much memory as it may return.
 DISCARD_PIECE_BYTES = 8_192
 
@@ -82,13 +69,8 @@
         "_socket",
         "_reader",
         "_port",
-        "_pending",
-        "_has_pending",
-        "_writer",
-        "_is_closing",
-        "_is_broken",
+        "_answers",
         "_is_receiving",
-        "_slot_released",
     )
 
     def __init__(
@@ -97,61 +79,55 @@
         self._socket = sock
         self._reader = reader
         self._port = port
-        self._pending: deque[PendingAnswer] = deque()
-        self._has_pending = eventlet.event.Event()
-        self._slot_released = eventlet.event.Event()
-        self._writer: eventlet.greenthread.GreenThread | None = None
-        # Whether the last answer is being sent; further input is discarded.
-        self._is_closing = False
+        self._answers = AnswerQueue(sock, port)
         # Whether a request has begun to arrive that is not yet among the pending ones.
         self._is_receiving = False
-        # Whether an answer could not be written.
-        self._is_broken = False
 
     @property
     def pending_count(self) -> int:
         """The number of requests that have begun to arrive and are not yet answered."""
-        return len(self._pending) + self._is_receiving
+        return len(self._answers) + self._is_receiving
 
     def serve(self) -> None:
         """Serve requests until the caller or the port closes the connection."""
-        self._writer = eventlet.spawn(self._write_answers)
+        self._answers.start()
         try:
             reads_on = True
-            while reads_on and not self._is_closing and self._await_request():
+            while reads_on and not self._answers.is_closing and self._await_request():
                 self._is_receiving = True
                 self._await_head_room()
                 reads_on = self._read_request()
-            if self._is_closing or not reads_on:
+            if self._answers.is_closing or not reads_on:
                 self._finish()
         except OSError:
             # The caller's connection broke; its requests are cancelled below.
             return
         finally:
-            self._cancel_pending()
+            if self._answers.pending:
+                self._port.record_unanswered(self, "the caller closed its connection")
+            self._answers.cancel()
 
     @property
     def has_unread_input(self) -> bool:
         """Whether bytes, or the end of the input, were received and not yet read."""
-        return not self._is_closing and has_input(self._socket)
+        return not self._answers.is_closing and has_input(self._socket)
 
     def pending_progress(self) -> list[RequestProgress]:
         """Return how far the pending requests have come, in their order."""
-        return [pending.progress for pending in self._pending]
+        return [pending.progress for pending in self._answers.pending]
 
     def close_if_idle(self) -> None:
         """Close the connection if it has no pending request."""
-        if not self.pending_count and not self._is_closing:
-            self._is_closing = True
-            self._shut_down(socket.SHUT_RDWR)
+        if not self.pending_count and not self._answers.is_closing:
+            self._answers.close()
 
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
         while True:
             idle_timeout_s = self._port.caller_limits.idle_timeout_s
             with eventlet.Timeout(idle_timeout_s, False):
-                return bool(self._reader.peek(1)) and not self._is_closing
-            if not self._pending:
+                return bool(self._reader.peek(1)) and not self._answers.is_closing
+            if not self._answers:
                 return False
 
     def _read_request(self) -> bool:
@@ -216,7 +192,7 @@
             self._port.check_intake(request)
             body.limit_bytes = limits.body_limit_bytes
             self._buffer_body(request)
-        if self._is_closing:
+        if self._answers.is_closing:
             # Behind the last answer it counts as unread, and its caller repeats it.
             return False
         self._enqueue(pending)
@@ -224,13 +200,13 @@
         self._await_body(body, pending)
         if not body.is_ended:
             return False
-        self._await_pipeline_slot()
+        self._answers.await_slot()
         return True
 
     def _reserve_head(self, head: RequestHead) -> Reservation:
         size_bytes = HEAD_COPY_COUNT * head.text_bytes
         held = self._port.held
-        if self._pending:
+        if self._answers:
             # It was read because there was room, or the last answer is just written.
             size_bytes += PENDING_REQUEST_BYTES
             return held.add(HeldKind.PIPELINED_HEAD, size_bytes)
@@ -279,16 +255,11 @@
     def _await_head_room(self) -> None:
         """Leave further input unread while pipelined heads take up their share."""
         held = self._port.held
-        while self._pending and not self._is_broken:
+        while self._answers and not self._answers.is_broken:
             if held.has_room(HeldKind.PIPELINED_HEAD, PENDING_REQUEST_BYTES):
                 return
             sleep_s(ROOM_POLL_INTERVAL_S)
 
-    def _await_pipeline_slot(self) -> None:
-        while len(self._pending) >= PIPELINE_LIMIT and not self._is_broken:
-            self._slot_released = eventlet.event.Event()
-            self._slot_released.wait()
-
     def _answer(self, request: GatewayRequest, pending: PendingAnswer) -> None:
         answer = self._port.answer(request)
         pending.progress.record_answered(monotonic_s())
@@ -297,9 +268,7 @@
 
     def _enqueue(self, pending: PendingAnswer) -> None:
         self._is_receiving = False
-        self._pending.append(pending)
-        if not self._has_pending.ready():
-            self._has_pending.send()
+        self._answers.add(pending)
 
     def _reject_head(
         self,
@@ -328,75 +297,12 @@
         return (dialect.request_id_header, request_id) if request_id else None
 
     def _send_continue(self) -> None:
-        if not self._pending:
+        if not self._answers:
             self._socket.sendall(CONTINUE_LINE)
 
-    def _write_answers(self) -> None:
-        """Write the answers in the order of the requests."""
-        try:
-            while not self._is_closing:
-                while not self._pending:
-                    self._has_pending = eventlet.event.Event()
-                    self._has_pending.wait()
-                self._write_next()
-        except OSError:
-            # The reader fails too, and cancels the pending requests.
-            self._is_broken = True
-            self._shut_down(socket.SHUT_RDWR)
-            if not self._slot_released.ready():
-                self._slot_released.send()
-
-    def _write_next(self) -> None:
-        # In a method of its own, so that an idle connection refers to no answer.
-        pending = self._pending[0]
-        self._write(pending, pending.answered.wait())
-
-    def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
-        reason = close_reason(
-            pending.must_close,
-            pending.is_body_ended,
-            self._port.is_draining,
-            len(self._pending),
-        )
-        is_last = self._is_closing = reason is not None
-        if is_last:
-            self._port.record_close(reason)
-        self._send_answer(*answer_bytes(pending, answer, is_last))
-        self._pending.popleft()
-        if not self._slot_released.ready():
-            self._slot_released.send()
-        if is_last:
-            self._shut_down(socket.SHUT_WR)
-            eventlet.spawn_after(LINGER_TIMEOUT_S, self._shut_down, socket.SHUT_RDWR)
-
-    def _send_answer(self, head: bytes, body: bytes | bytearray) -> None:
-        """Send an answer without a further copy of a large body."""
-        self._socket.sendall(head + body[:FIRST_PIECE_BYTES])
-        if len(body) > FIRST_PIECE_BYTES:
-            # A slice of a view refers to the bytes, also while a slow caller reads.
-            self._socket.sendall(memoryview(body)[FIRST_PIECE_BYTES:])
-
     def _finish(self) -> None:
         """Discard input while the last answers are sent, until the caller closes."""
         self._is_receiving = False
         while self._reader.read1(DISCARD_PIECE_BYTES):
             pass
-        # A caller that has closed its sending side may still read its answers, but
-        # waits for no request that is at work.
-        if self._pending and all(p.answered.ready() for p in self._pending):
-            self._writer.wait()
-
-    def _shut_down(self, how: int) -> None:
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(how)
-
-    def _cancel_pending(self) -> None:
-        """Cancel the pending requests, which closes their server connections."""
-        if self._writer is not None:
-            self._writer.kill()
-        if self._pending:
-            self._port.record_unanswered(self, "the caller closed its connection")
-        for pending in self._pending:
-            if pending.thread is not None:
-                pending.thread.kill()
-        self._pending.clear()
+        self._answers.await_last()
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway.callers._caller_connection import LINGER_TIMEOUT_S
+from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
 from berylhaven.gateway.callers._drain import EARLY_LIMIT_S, Drain, DrainRefusal
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
