--- /dev/null
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -0,0 +1,96 @@
+"""Tests of the end of a drain: what is answered, refused and given up."""
+
+import unittest
+
+import eventlet
+import eventlet.patcher
+from eventlet.hubs import get_hub
+
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway.tests._gateway_path import (
+    ID_HEADER,
+    ORDERS,
+    READS,
+    GatewayPath,
+    request_bytes,
+)
+
+# Blocks the hub, as a starved process does.
+block_s = eventlet.patcher.original("time").sleep
+# The grace of the settings of GatewayPath.
+GRACE_S = 3.0
+# In the part of the drain in which each request is taken.
+TAKEN_AFTER_S = 1.1
+# When connections without pending requests are closed.
+IDLE_CLOSED_AFTER_S = 0.6 * GRACE_S
+# Work that ends after the process.
+LONG_WORK_S = 4.0
+# A server that works until then is waited for.
+LAST_PART_S = 5 / 6 * GRACE_S
+
+
+class DrainEndTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+        self.run_ids = []
+        for service in (READS, ORDERS):
+            self.path.answer_all(service, self.run_request)
+
+    def run_request(self, sock, request):
+        self.run_ids.append(request.header(ID_HEADER))
+        if request.path.endswith("/long"):
+            eventlet.sleep(LONG_WORK_S)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    def start_drain(self):
+        self.path.instance.leave()
+        self.began_at_s = monotonic_s()
+
+    def drained_s(self):
+        return monotonic_s() - self.began_at_s
+
+    def send_late(self, caller):
+        """Send a request after the hub has polled sockets, and come back late."""
+        caller.sock.fd.send(request_bytes("/read/x", "second"))
+        block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+
+    def test_an_answer_behind_a_longer_one_is_written_before_the_end(self):
+        # Guards against the loss of answers that wait for another one.
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/long", "long"))
+            caller.send(request_bytes("/order/x", "behind", "POST", b"x"))
+            first = caller.answer()
+            self.assertIsNotNone(first)
+            self.assertEqual(first.status, 504)
+            self.assertGreaterEqual(self.drained_s(), LAST_PART_S)
+            second = caller.answer()
+        self.assertEqual((second.status, second.body), (200, b"ok"))
+        self.assertEqual(sorted(self.run_ids), ["behind", "long"])
+
+    def test_a_request_that_no_server_got_is_refused_at_the_end(self):
+        # Guards against a connection that ends although nothing of the request ran.
+        self.start_drain()
+        head = request_bytes("/order/x", "cut", "POST", Content_Length="9")
+        with self.path.connect() as caller:
+            caller.send(head + b"part")
+            answer = caller.answer()
+        self.assertIsNotNone(answer)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(self.run_ids, [])
+
+    def test_input_that_was_received_is_read_before_its_connection_is_closed(self):
+        # Guards against unread requests at a starved instance that closes idle callers.
+        with self.path.connect() as caller:
+            self.assertEqual(caller.exchange("/read/x", "first").status, 200)
+            self.start_drain()
+            eventlet.sleep(TAKEN_AFTER_S)
+            # The main loop is due, and wakes up right after the late callback.
+            block_s(0.15)
+            get_hub().schedule_call_global(-1.0, self.send_late, caller)
+            answer = caller.answer()
+        self.assertIsNotNone(answer)
+        self.assertEqual(answer.headers["connection"], "close")
