Read what was received before an idle connection is closed in a drain

Callers saw connections end without an answer to a request that had arrived. On a starved machine the hub polls sockets late; a connection whose request is still in the socket was closed as idle, and the process ended with it, since neither looked at unread input. Both look now: such a connection is read, and the request is answered or refused.

--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -51,9 +51,11 @@
                 noticed_after_s=self._drain.age_s(now_s),
                 lateness_s=self._lateness.recent_s,
             )
-        if self._drain.closes_idle(now_s):
-            self._port.close_idle()
-        return self._drain.has_ended(now_s, self._port.pending_count)
+        if not self._drain.closes_idle(now_s):
+            return False
+        self._port.close_idle()
+        pending_count = self._port.pending_count + self._port.unread_count
+        return self._drain.has_ended(now_s, pending_count)
 
     def record_end(self) -> None:
         """Log the end of the process, with the requests that it leaves unanswered."""
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -118,9 +118,10 @@
         return [pending.progress for pending in self._answers.pending]
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no pending request."""
-        if not self.pending_count and not self._answers.is_closing:
-            self._answers.close()
+        """Close the connection if it has no pending request and no unread input."""
+        if self.pending_count or self._answers.is_closing or self.has_unread_input:
+            return
+        self._answers.close()
 
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -143,6 +143,11 @@
         """The number of requests that have begun to arrive and are not yet answered."""
         return sum(connection.pending_count for connection in self._connections)
 
+    @property
+    def unread_count(self) -> int:
+        """The number of connections with input that was received and not yet read."""
+        return sum(connection.has_unread_input for connection in self._connections)
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
@@ -252,7 +257,7 @@
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
-            "unread": sum(connection.has_unread_input for connection in connections),
+            "unread": self.unread_count,
             "connections": len(connections),
         }
 
