Let the end of a drain follow from how late the hub runs

On a starved machine requests ended without an answer although they were taken in time: the process ended 0.4 s before the end of its grace, however late it read and wrote. The margin before the last answers grows by two wake-ups of the recent lateness now, and an instance that is later than 0.2 s takes only what is due in time from the signal on; other instances are told by Retry-After.

The same cause in attempts: one could begin seconds after its request was taken, as a repeat or after a wait, and be cut. After six tenths of the grace none is sent that may outlast the instance; the request is refused truly.

The tests of a late hub and of a late attempt failed before; the properties of the three decisions hold for any lateness up to 2 s.

--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -57,6 +57,8 @@
     UNPROVEN_ANSWER = "unproven-answer"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
+    # The instance stops before the answer is due; no byte was sent.
+    INSTANCE_STOPS = "instance-stops"
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,6 +117,9 @@
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
+    AttemptEnd.INSTANCE_STOPS: EndClassification(
+        Outcome.NOT_RUN, False, UpstreamUnreachable
+    ),
 }
 
 
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -138,7 +138,7 @@
             self.metrics.record_new_connection,
         )
         self._lateness = LoopLateness()
-        self._drain = Drain()
+        self._drain = Drain(self._lateness)
         path = RequestPath(
             InstanceParts(
                 settings,
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -147,6 +147,7 @@
             reach,
             evacuations,
             parts.held,
+            parts.drain,
         )
         # Forwards requests of callers and of other instances.
         self.forwarder = Forwarder(
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -2,18 +2,26 @@
 
 Load pattern: callers keep an address for seconds after it was located, so requests come
 for the whole drain. One that is taken too late is cut when the process ends, and so is
-an answer that waits for a longer one on its connection.
+an answer that waits for a longer one on its connection. On a starved machine each step
+is late, so that all of this happens to requests that were taken in time.
 """
 
+from berylhaven.gateway._loop_lateness import LoopLateness
+
 # Requests that are received in this part of the grace are taken however long they may
 # work, since most of them end long before the process does.
 EARLY_RATIO = 0.45
 EARLY_LIMIT_S = 2.7
-# An instance without pending requests may stop after this part of the grace: callers
-# keep a locate answer with this instance for a while, and their connections longer.
+# A request that was taken so is not sent to a server after this part of the grace; an
+# instance without pending requests may stop then: callers keep a locate answer with
+# this instance for a while, and their connections longer.
 SERVING_RATIO = 0.6
 # The last answers must be due this long before the end of the grace.
 LAST_ANSWER_MARGIN_S = 0.6
+# Reading an answer and writing it takes a wake-up each.
+LATE_WAKE_UPS = 2
+# An instance that is later than this takes only what is due in time.
+STARVED_LATENESS_S = 0.2
 # Requests at work are given up in this last part of the grace at the earliest.
 GIVING_UP_RATIO = 1 / 6
 # The instance stops this long before the end of the grace, so that it exits by itself.
@@ -43,11 +51,18 @@
 
 
 class Drain:
-    """Decides which requests an instance still takes, and when it stops."""
+    """Decides which requests an instance still takes, and when it stops.
+
+    Parameters
+    ----------
+    lateness : LoopLateness
+        How late the hub runs.
+    """
 
-    __slots__ = ("_began_at_s", "_grace_s")
+    __slots__ = ("_lateness", "_began_at_s", "_grace_s")
 
-    def __init__(self) -> None:
+    def __init__(self, lateness: LoopLateness) -> None:
+        self._lateness = lateness
         self._began_at_s: float | None = None
         self._grace_s = 0.0
 
@@ -90,12 +105,31 @@
             If it may still be at work when the process ends.
         """
         early_s = min(EARLY_RATIO * self._grace_s, EARLY_LIMIT_S)
+        if self._lateness.recent_s > STARVED_LATENESS_S:
+            early_s = 0.0
         self._check_due(now_s, due_at_s, early_s)
 
+    def check_sending(self, now_s: float, due_at_s: float) -> None:
+        """Raise an error if a request that was taken is not sent to a server any more.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        due_at_s : float
+            The time at which the request has its final answer at the latest.
+
+        Raises
+        ------
+        DrainRefusal
+            If it may still be at work when the process ends.
+        """
+        self._check_due(now_s, due_at_s, SERVING_RATIO * self._grace_s)
+
     def _check_due(self, now_s: float, due_at_s: float, early_s: float) -> None:
         if self._began_at_s is None or now_s - self._began_at_s < early_s:
             return
-        last_answer_at_s = self._end_at_s - LAST_ANSWER_MARGIN_S
+        last_answer_at_s = self._end_at_s - self._last_answer_margin_s
         if due_at_s > last_answer_at_s:
             raise DrainRefusal(last_answer_at_s - now_s)
 
@@ -103,6 +137,10 @@
     def _end_at_s(self) -> float:
         return self._began_at_s + self._grace_s
 
+    @property
+    def _last_answer_margin_s(self) -> float:
+        return LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * self._lateness.recent_s
+
     def closes_idle(self, now_s: float) -> bool:
         """Return whether connections without pending requests are closed."""
         return self.has_begun and (
@@ -133,7 +171,7 @@
         last_at_s = self._end_at_s - last_s
         if due_at_s <= last_at_s:
             return now_s >= last_at_s
-        first_s = min(LAST_ANSWER_MARGIN_S, GIVING_UP_RATIO * self._grace_s)
+        first_s = min(self._last_answer_margin_s, GIVING_UP_RATIO * self._grace_s)
         return now_s >= self._end_at_s - max(first_s, last_s)
 
     def has_ended(self, now_s: float, pending_count: int) -> bool:
--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -54,9 +54,12 @@
 UNSENT_ENDS = UNCOUNTED_ENDS | {
     AttemptEnd.CONNECTION_LIMIT,
     AttemptEnd.DEADLINE_BEFORE_SENDING,
+    AttemptEnd.INSTANCE_STOPS,
 }
-CALLER_FAULT_ENDS = frozenset(
+# Ends after which another attempt would end in the same way.
+FINAL_ENDS = frozenset(
     {
+        AttemptEnd.INSTANCE_STOPS,
         AttemptEnd.CALLER_BODY_CUT,
         AttemptEnd.CALLER_BODY_TOO_LARGE,
         AttemptEnd.CALLER_TOO_SLOW,
@@ -446,7 +449,7 @@
 
     def _may_attempt_again(self, ended: "AttemptResult | AttemptFailed") -> bool:
         """Return whether another attempt is allowed, and spend a retry on it."""
-        if isinstance(ended, AttemptFailed) and ended.end in CALLER_FAULT_ENDS:
+        if isinstance(ended, AttemptFailed) and ended.end in FINAL_ENDS:
             return False
         if not self._choice_request.route.is_idempotent and self.may_have_run:
             return False
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -9,6 +9,7 @@
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway.callers._drain import Drain, DrainRefusal
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
@@ -44,6 +45,7 @@
         AttemptEnd.CALLER_TOO_SLOW,
         AttemptEnd.CONNECTION_LIMIT,
         AttemptEnd.DEADLINE_BEFORE_SENDING,
+        AttemptEnd.INSTANCE_STOPS,
         AttemptEnd.SERVER_EVACUATED,
     }
 )
@@ -116,9 +118,12 @@
         Tells whether a server may be sent a request.
     memory : HeldBytes
         The account of held bytes.
+    drain : Drain
+        Tells which requests may still be sent.
     """
 
     __slots__ = (
+        "_drain",
         "_evacuations",
         "_reach",
         "_quarantine",
@@ -146,7 +151,9 @@
         reach: ReachMonitor,
         evacuations: Evacuations,
         memory: HeldBytes,
+        drain: Drain,
     ) -> None:
+        self._drain = drain
         self._evacuations = evacuations
         self._reach = reach
         self._quarantine = quarantine
@@ -272,8 +279,9 @@
         entry = server.entry
 
         def check_sending() -> None:
-            """Raise AttemptFailed if the server's data centre is evacuated."""
+            """Raise AttemptFailed if the server must not be sent the request."""
             self._evacuations.check_sending(entry.server_id, entry.data_centre)
+            self._check_drain(choice_request.deadline_s)
 
         if not self._uploads.admits(request, server):
             # Another upload took the room since the choice.
@@ -340,6 +348,12 @@
         )
         return AttemptResult(server, answer)
 
+    def _check_drain(self, deadline_s: float) -> None:
+        try:
+            self._drain.check_sending(monotonic_s(), deadline_s)
+        except DrainRefusal as refusal:
+            raise AttemptFailed(AttemptEnd.INSTANCE_STOPS, refusal.message) from None
+
     def _record_answer(
         self,
         request: GatewayRequest,
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -7,8 +7,17 @@
 from hypothesis import strategies as st
 
 from berylhaven.clock import monotonic_s
+from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
-from berylhaven.gateway.callers._drain import EARLY_LIMIT_S, Drain, DrainRefusal
+from berylhaven.gateway.callers._drain import (
+    EARLY_LIMIT_S,
+    SERVING_RATIO,
+    STARVED_LATENESS_S,
+    STOP_MARGIN_S,
+    WRITING_S,
+    Drain,
+    DrainRefusal,
+)
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
     ORDERS,
@@ -19,6 +28,7 @@
 
 # The grace of the settings of GatewayPath.
 GRACE_S = 3.0
+BEGAN_AT_S = 100.0
 INTERVAL_S = 0.05
 WORK_S = 0.3
 SLOW_WORK_S = 1.6
@@ -27,31 +37,76 @@
 DEADLINE_MS = "700"
 
 
+def new_drain(grace_s, lateness_s=0.0):
+    """Return a drain that began at BEGAN_AT_S."""
+    lateness = LoopLateness()
+    lateness.record(lateness_s)
+    drain = Drain(lateness)
+    drain.begin(BEGAN_AT_S, grace_s)
+    return drain
+
+
 class DrainTest(unittest.TestCase):
     @given(
         grace_s=st.floats(1.0, 60.0),
         received_s=st.floats(0.0, 60.0),
         time_limit_s=st.floats(0.0, 60.0),
+        lateness_s=st.floats(0.0, 2.0),
     )
     def test_what_is_taken_late_is_due_before_the_process_ends(
-        self, grace_s, received_s, time_limit_s
+        self, grace_s, received_s, time_limit_s, lateness_s
     ):
         # Guards against requests that are cut at the end of a planned stop.
-        drain = Drain()
-        drain.begin(100.0, grace_s)
-        due_at_s = 100.0 + received_s + time_limit_s
+        drain = new_drain(grace_s, lateness_s)
+        due_at_s = BEGAN_AT_S + received_s + time_limit_s
+        try:
+            drain.check_intake(BEGAN_AT_S + received_s, due_at_s)
+        except DrainRefusal:
+            return
+        if received_s > EARLY_LIMIT_S or lateness_s > STARVED_LATENESS_S:
+            self.assertFalse(drain.has_ended(due_at_s + lateness_s, pending_count=1))
+            self.assertFalse(drain.gives_up(due_at_s, due_at_s))
+
+    @given(
+        grace_s=st.floats(1.0, 60.0),
+        sent_s=st.floats(0.0, 60.0),
+        time_limit_s=st.floats(0.0, 60.0),
+        lateness_s=st.floats(0.0, 2.0),
+    )
+    def test_what_is_sent_late_is_due_before_it_is_given_up(
+        self, grace_s, sent_s, time_limit_s, lateness_s
+    ):
+        # Guards against work that begins after a long wait and cannot be answered.
+        drain = new_drain(grace_s, lateness_s)
+        due_at_s = BEGAN_AT_S + sent_s + time_limit_s
         try:
-            drain.check_intake(100.0 + received_s, due_at_s)
+            drain.check_sending(BEGAN_AT_S + sent_s, due_at_s)
         except DrainRefusal:
             return
-        if received_s > EARLY_LIMIT_S:
-            self.assertFalse(drain.has_ended(due_at_s, pending_count=1))
+        if sent_s > SERVING_RATIO * grace_s:
+            self.assertFalse(drain.gives_up(due_at_s, due_at_s))
+
+    @given(
+        grace_s=st.floats(3.0, 60.0),
+        time_limit_s=st.floats(0.0, 90.0),
+        lateness_s=st.floats(0.0, 2.0),
+    )
+    def test_requests_are_given_up_in_the_last_sixth_and_before_the_end(
+        self, grace_s, time_limit_s, lateness_s
+    ):
+        # Guards against requests that are broken off early, or end without an answer.
+        drain = new_drain(grace_s, lateness_s)
+        due_at_s = BEGAN_AT_S + time_limit_s
+        before_last_part_s = BEGAN_AT_S + 0.999 * 5 / 6 * grace_s
+        self.assertFalse(drain.gives_up(before_last_part_s, due_at_s))
+        end_s = BEGAN_AT_S + grace_s - STOP_MARGIN_S
+        self.assertFalse(drain.has_ended(end_s - WRITING_S, pending_count=1))
+        self.assertTrue(drain.gives_up(end_s - 0.999 * WRITING_S, due_at_s))
 
     def test_the_first_signal_counts(self):
-        drain = Drain()
-        drain.begin(0.0, GRACE_S)
-        drain.begin(2.0, GRACE_S)
-        self.assertTrue(drain.has_ended(GRACE_S, pending_count=1))
+        drain = new_drain(GRACE_S)
+        drain.begin(BEGAN_AT_S + 2.0, GRACE_S)
+        self.assertTrue(drain.has_ended(BEGAN_AT_S + GRACE_S, pending_count=1))
 
 
 class DrainedInstanceTest(unittest.TestCase):
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -94,3 +94,35 @@
             answer = caller.answer()
         self.assertIsNotNone(answer)
         self.assertEqual(answer.headers["connection"], "close")
+
+    def test_a_late_instance_takes_only_what_is_due_in_time(self):
+        # Guards against requests that a starved instance takes and cannot answer.
+        block_s(0.6)
+        eventlet.sleep(0.2)
+        self.start_drain()
+        with self.path.connect() as caller:
+            answer = caller.exchange("/order/x", "long", "POST", b"x")
+            self.assertEqual(answer.status, 503)
+        with self.path.connect() as caller:
+            answer = caller.exchange(
+                "/order/x", "short", "POST", b"x", Wordy_Left_Ms="500"
+            )
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(self.run_ids, ["short"])
+
+    def test_no_attempt_begins_that_may_outlast_the_instance(self):
+        # Guards against a late repeat that is cut when the process ends.
+        def refuse_late(sock, request):
+            self.run_ids.append(request.header(ID_HEADER))
+            eventlet.sleep(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.1)
+            sock.sendall(
+                b"HTTP/1.1 503 Full\r\nWordy-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        self.path.answer_all(ORDERS, refuse_late)
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        with self.path.connect() as caller:
+            answer = caller.exchange("/order/x", "once", "POST", b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.run_ids, ["once"])
