Judge the requests around planned stops in a run of the soak

The stand-in server takes its time of work and the size of the answer from headers and records each arrival; the configuration of the fleet moves to a module of its own.

--- a/bench/gateway_soak/__init__.py
+++ b/bench/gateway_soak/__init__.py
@@ -1,6 +1,18 @@
-"""A randomized soak test of gateway processes with externally injected faults."""
+"""Soak tests of gateway processes: injected faults, and planned stops in calm."""
 
 from bench.gateway_soak._faults import FAULTS
+from bench.gateway_soak._planned_stops import (
+    StopOptions,
+    StopReport,
+    run_planned_stops,
+)
 from bench.gateway_soak._soak import SoakReport, run_soak
 
-__all__ = ["FAULTS", "SoakReport", "run_soak"]
+__all__ = [
+    "FAULTS",
+    "SoakReport",
+    "StopOptions",
+    "StopReport",
+    "run_planned_stops",
+    "run_soak",
+]
--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -1,5 +1,6 @@
 """Run soaks with the given seeds; exit 1 if a guarantee was broken."""
 
+import collections
 import random
 import sys
 
@@ -9,7 +10,14 @@
 
 import fire  # noqa: E402
 
-from bench.gateway_soak import FAULTS, SoakReport, run_soak  # noqa: E402
+from bench.gateway_soak import (  # noqa: E402
+    FAULTS,
+    SoakReport,
+    StopOptions,
+    StopReport,
+    run_planned_stops,
+    run_soak,
+)
 
 DEFAULT_DURATION_S = 12.0
 RANDOM_SEED_LIMIT = 1_000_000
@@ -25,14 +33,35 @@
         print(f"  broken: {name}: {count}", flush=True)
 
 
+def print_stop_report(seed: int, report: StopReport) -> None:
+    """Print the counts and losses of a run with planned stops."""
+    exits = ", ".join(f"{time_s:.2f}" for time_s in report.exits_after_s)
+    verdict = "good" if not report.losses else "BROKEN"
+    answered = sum(n for (_, status), n in report.answers.items() if status)
+    print(
+        f"seed {seed}: {verdict}, {sum(report.answers.values())} requests, "
+        f"{answered} answers, exits after {exits} s, callers' hub late by up to "
+        f"{report.max_delay_s:.2f} s"
+    )
+    counts = collections.Counter(status for _, status in report.answers.elements())
+    print("  statuses: " + ", ".join(f"{s}: {n}" for s, n in counts.most_common()))
+    for found, count in report.losses.items():
+        print(f"  {found.value}: {count}")
+    for line in report.lines:
+        print(f"  {line}")
+    sys.stdout.flush()
+
+
 def main(
     duration_s: float = DEFAULT_DURATION_S,
     seed: int = -1,
     count: int = 1,
     gateway_count: int = 3,
     kinds: str = "",
+    planned_stops: int = 0,
+    **stop_options: int,
 ) -> None:
-    """Run soaks from the command line.
+    """Run soaks, or runs with planned stops, from the command line.
 
     Parameters
     ----------
@@ -46,19 +75,38 @@
         The number of gateways.
     kinds : str
         The names of the faults to inject, separated by commas; all if empty.
+    planned_stops : int
+        The number of runs with planned stops instead of soaks.
+    **stop_options : int
+        Further fields of `StopOptions`, such as caller_count or busy_count.
     """
     first = seed if seed >= 0 else random.randrange(RANDOM_SEED_LIMIT)
+    broken_seeds = []
+    if planned_stops:
+        for number in range(first, first + planned_stops):
+            options = StopOptions(
+                seed=number, gateway_count=gateway_count, **stop_options
+            )
+            stop_report = run_planned_stops(options)
+            print_stop_report(number, stop_report)
+            if stop_report.losses:
+                broken_seeds.append(number)
+        end(planned_stops, broken_seeds)
     chosen = tuple(name.strip() for name in kinds.split(",") if name.strip())
     unknown = set(chosen) - set(FAULTS)
     if unknown:
         sys.exit(f"no such fault: {', '.join(sorted(unknown))}")
-    broken_seeds = []
     for number in range(first, first + count):
         duration = float(duration_s) or DEFAULT_DURATION_S
         report = run_soak(duration, number, gateway_count, chosen)
         print_report(number, report)
         if report.broken:
             broken_seeds.append(number)
+    end(count, broken_seeds)
+
+
+def end(count: int, broken_seeds: list[int]) -> None:
+    """Print which seeds broke a guarantee and exit; the status is 1 if any did."""
     print(f"{count - len(broken_seeds)} good, broken seeds: {broken_seeds or 'none'}")
     sys.exit(1 if broken_seeds else 0)
 
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -23,14 +23,18 @@
     STOP_TIMEOUT_S,
     free_ports,
 )
+from standins.fleet_configuration import (
+    ORDERS,
+    READS,
+    ROUTES_HOST,
+    configuration_value,
+)
 from standins.metadata_store import server_value
 
 PORTS_PER_GATEWAY = 4
 PORTS_PER_PROXY = 2
 LOCATE_TIMEOUT_S = 1.0
 GRACE_S = 4.0
-ROUTES_HOST = "shop.example"
-READS, ORDERS = "reads", "orders"
 SERVERS_PER_SERVICE = 3
 
 
@@ -61,6 +65,13 @@
     has_proxies: bool = False
     # The time a server takes for one request, in seconds.
     work_s: float = 0.02
+    # The slots of each server, and the share of the time in which it is slow.
+    slot_count: int = 4
+    slow_share: float = 0.25
+    # The grace period of the gateways, in seconds.
+    grace_s: float = GRACE_S
+    # The timeout of all routes, in seconds.
+    timeout_s: float = 2.0
     # The gateways.
     gateways: list[GatewayProcess] = field(default_factory=list)
     # HOST:PORT of each server, by service.
@@ -97,7 +108,7 @@
         wait_until(
             lambda: self._status(f"http://{self.store}/counters") == HTTP_STATUS_OK
         )
-        self.publish(1)
+        self.publish(1, self.timeout_s)
         for service in (READS, ORDERS):
             addresses = [f"{HOST}:{ports.pop()}" for _ in range(SERVERS_PER_SERVICE)]
             self.servers[service] = addresses
@@ -138,6 +149,8 @@
             f"--service={service}",
             "--data_centre=here",
             f"--work_s={self.work_s}",
+            f"--slot_count={self.slot_count}",
+            f"--slow_share={self.slow_share}",
             f"--registered_address={registered}",
             f"--proxy_control={self.proxies[-1] if self.has_proxies else ''}",
         )
@@ -159,7 +172,7 @@
         lines += [f"{name} = {gateway.address(i)}" for i, name in enumerate(names)]
         lines.append(f"seed_peers = {self.gateways[0].address(2)}")
         lines += ["[store]", f"address = {store}"]
-        lines += ["[drain]", f"grace_s = {GRACE_S}", ""]
+        lines += ["[drain]", f"grace_s = {self.grace_s}", ""]
         return "\n".join(lines)
 
     def start_gateway(self, gateway: GatewayProcess) -> None:
@@ -275,6 +288,16 @@
                 counts[request_id] = counts.get(request_id, 0) + count
         return counts
 
+    def arrivals(self) -> dict[str, list[dict]]:
+        """Return what all servers recorded of each request, by request id."""
+        found: dict[str, list[dict]] = {}
+        for addresses in self.servers.values():
+            for address in addresses:
+                answer = urllib3.request("GET", f"http://{address}/arrivals")
+                for request_id, arrivals in orjson.loads(answer.data).items():
+                    found.setdefault(request_id, []).extend(arrivals)
+        return found
+
     def log_text(self, gateway: GatewayProcess) -> str:
         """Return the text of a gateway's log."""
         return gateway.settings_path.with_suffix(".log").read_text()
@@ -299,43 +322,6 @@
             return 0
 
 
-def configuration_value(
-    version: int, timeout_s: float, added_prefix: str = ""
-) -> bytes:
-    """Return a configuration with a route of each kind, encoded as in the store."""
-    rules = [
-        _rule("/read/", "safe", READS, timeout_s),
-        _rule("/order/", "unsafe", ORDERS, timeout_s),
-        _rule("/upload/", "upload", ORDERS, timeout_s),
-    ]
-    if added_prefix:
-        rules.append(_rule(added_prefix, "safe", READS, timeout_s))
-    limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864}
-    limits |= {"HeaderTimeoutS": 3, "IdleTimeoutS": 15}
-    clusters = [
-        {"Name": name, "HealthPath": "/health", "MaxConns": 300}
-        for name in (READS, ORDERS)
-    ]
-    document = {
-        "Version": f"{version:08x}",
-        "Limits": limits,
-        "Listeners": [{"Host": ROUTES_HOST, "Rules": rules}],
-        "Clusters": clusters,
-    }
-    return orjson.dumps(document)
-
-
-def _rule(prefix: str, kind: str, service: str, timeout_s: float) -> dict:
-    return {
-        "Name": f"r-{prefix.strip('/')}",
-        "Kind": kind,
-        "TargetLatencyS": 0.4,
-        "Priority": 1,
-        "Matcher": {"PathPrefix": prefix},
-        "Action": {"Service": service, "TimeoutS": timeout_s, "MaxAttempts": 2},
-    }
-
-
 def _host_and_port(address: str) -> tuple[str, str]:
     host, _, port = address.rpartition(":")
     return f"--host={host}", f"--port={port}"
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -3,7 +3,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import eventlet
 import eventlet.semaphore
@@ -24,6 +24,8 @@
 HEALTH_PATH = "/health"
 RUNS_PATH = "/runs"
 SELF_PATH = "/self"
+ARRIVALS_PATH = "/arrivals"
+ARRIVAL_EVENTS = ("began_s", "ended_s", "written_s")
 END_PATH = "/end"
 QUEUE_LIMIT_PER_SLOT = 2
 PERCENT = 100
@@ -36,6 +38,9 @@
 AWAY_RANGE_S = (0.3, 1.5)
 # The time from the start of a crashing request to the end of the server.
 CRASH_DELAY_RANGE_S = (0.01, 0.08)
+# Request headers that set the time in a slot and the size of the answer.
+WORK_HEADER = "HTTP_X_WORK_MS"
+ANSWER_SIZE_HEADER = "HTTP_X_ANSWER_BYTES"
 
 
 class RouteServerStandIn:
@@ -71,6 +76,9 @@
         )
         # The number of runs by request id.
         self.runs: dict[str, int] = {}
+        # What happened to each request, by id: one document for each arrival, with
+        # times on the monotonic clock, which are None for what has not happened.
+        self.arrivals: dict[str, list[dict]] = {}
         # The start of the last run on the monotonic clock, which all processes share.
         self.last_run_at_s = 0.0
         self._slots = eventlet.semaphore.Semaphore(slot_count)
@@ -93,13 +101,15 @@
             headers = (*headers, ("Server-Leaving", "1"))
         return headers
 
-    def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
         path = environ["PATH_INFO"]
         if path == FAULTS_PATH:
             return answer_faults(self.faults, environ, start_response)
         if path == RUNS_PATH:
             return json_answer(start_response, self.runs)
+        if path == ARRIVALS_PATH:
+            return json_answer(start_response, self.arrivals)
         if path == SELF_PATH:
             document = {
                 "id": self.server_id,
@@ -117,6 +127,13 @@
         if target not in (None, self.server_id):
             error = {"error": f"this is {self.server_id}"}
             return json_answer(start_response, error, "421 Misdirected", self.headers())
+        arrival = dict.fromkeys(ARRIVAL_EVENTS) | {
+            "server": self.server_id,
+            "arrived_s": time.monotonic(),
+            "breaks_off": False,
+        }
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        self.arrivals.setdefault(request_id, []).append(arrival)
         if self.faults.pause_s:
             pause = ("Retry-After", str(self.faults.pause_s))
             refusal = (*self.headers(), ("X-Not-Executed", "1"), pause)
@@ -124,7 +141,7 @@
         if self._queued >= QUEUE_LIMIT_PER_SLOT * self.slot_count:
             refusal = (*self.headers(), ("X-Not-Executed", "1"))
             return json_answer(start_response, {}, "503 Full", refusal)
-        return self._run(environ, start_response)
+        return self._run(environ, start_response, arrival)
 
     def _crash(self, path: str) -> None:
         self.crashing_runs.setdefault(path, []).append(time.monotonic())
@@ -144,25 +161,31 @@
         self._is_away = False
         self.on_start(old_server_id)
 
-    def _run(self, environ: dict, start_response: Callable) -> list[bytes]:
+    def _run(
+        self, environ: dict, start_response: Callable, arrival: dict
+    ) -> Iterable[bytes]:
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         body = environ["wsgi.input"].read()
+        work_s = float(environ.get(WORK_HEADER, 1_000 * self.work_s)) / 1_000
         self._queued += 1
         try:
             self._slots.acquire()
         finally:
             self._queued -= 1
         self._running += 1
-        self.last_run_at_s = time.monotonic()
+        arrival["began_s"] = self.last_run_at_s = time.monotonic()
         try:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
             if CRASH_MARK in environ["PATH_INFO"]:
+                arrival["breaks_off"] = True
                 self._crash(environ["PATH_INFO"])
-            eventlet.sleep(self.work_s * self.slowness_ratio())
+            eventlet.sleep(work_s * self.slowness_ratio())
         finally:
+            arrival["ended_s"] = time.monotonic()
             self._running -= 1
             self._slots.release()
         if random.random() < self.faults.lose_share:
+            arrival["breaks_off"] = True
             raise ConnectionResetError("answer dropped by the fault lose_share")
         named = (*self.headers(), ("X-Request-Id", request_id))
         if random.random() < self.faults.lie_share:
@@ -172,7 +195,22 @@
         if random.random() < self.faults.fail_share:
             return json_answer(start_response, {}, "500 Failed", seal)
         document = {"server": self.server_id, "body_bytes": len(body)}
-        return json_answer(start_response, document, headers=seal)
+        document["padding"] = "x" * int(environ.get(ANSWER_SIZE_HEADER, 0))
+        pieces = json_answer(start_response, document, headers=seal)
+        return _RecordedAnswer(pieces, arrival)
+
+
+class _RecordedAnswer(list):
+    """The pieces of an answer; records when the WSGI server has written all."""
+
+    def __init__(self, pieces: list[bytes], arrival: dict) -> None:
+        super().__init__(pieces)
+        self._arrival = arrival
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the pieces; the next one is requested once the last is written."""
+        yield from super().__iter__()
+        self._arrival["written_s"] = time.monotonic()
 
 
 def run(
