Test that a planned stop under callers that pipeline loses no answer

Large answers have a route of their own, since their size counts for all requests of a route when a gateway reserves memory.

--- /dev/null
+++ b/bench/gateway_soak/tests/test_planned_stops.py
@@ -0,0 +1,27 @@
+"""A planned stop of a gateway process in calm loses no request that it accepted."""
+
+import unittest
+
+from bench.gateway_soak import StopOptions, run_planned_stops
+from bench.gateway_soak._loss_rules import LossClass
+
+# A batch that is sent in the first 0.45 of the grace often has a long request at its
+# front; with this many callers several batches wait at the end of the grace.
+PIPELINING_COUNT = 32
+
+
+class PlannedStopsTest(unittest.TestCase):
+    """Runs with real processes; each takes about 9 s."""
+
+    def test_a_stop_under_callers_that_pipeline_loses_nothing(self):
+        # Answers that were there waited behind a longer one, and the process ended.
+        options = StopOptions(seed=13, pipelining_count=PIPELINING_COUNT)
+        report = run_planned_stops(options)
+        self.assertGreater(report.answers["read", 200], 300)
+        self.assertEqual(dict(report.losses), {}, "\n".join(report.lines))
+
+    def test_losses_of_a_process_that_is_killed_early_are_found(self):
+        report = run_planned_stops(StopOptions(seed=1, kill_after_s=1.5))
+        self.assertGreater(report.losses[LossClass.ANSWER_LOST], 5)
+        other = set(report.losses) - {LossClass.ANSWER_LOST, LossClass.NEVER_PASSED_ON}
+        self.assertEqual(other, set())
--- a/standins/fleet_configuration.py
+++ b/standins/fleet_configuration.py
@@ -12,6 +12,7 @@
     """Return a configuration with a route of each kind, encoded as in the store."""
     rules = [
         _rule("/read/", "safe", READS, timeout_s),
+        _rule("/large/", "safe", READS, timeout_s),
         _rule("/order/", "unsafe", ORDERS, timeout_s),
         _rule("/upload/", "upload", ORDERS, timeout_s),
     ]
