--- a/bench/gateway_soak/_stop_callers.py
+++ b/bench/gateway_soak/_stop_callers.py
@@ -228,7 +228,8 @@
             f"X-Deadline-Ms: {1_000 * request.limit_s:.0f}\r\n"
             f"Content-Length: {body_bytes}\r\n{added}\r\n"
         )
-        self._socket.settimeout(request.limit_s + ANSWER_SLACK_S)
+        # An answer may be written only after those to earlier requests.
+        self._socket.settimeout(max(DEADLINES_S) + ANSWER_SLACK_S)
         request.began_s = time.monotonic()
         # The answer to a refused upload may be there before its body was sent.
         with contextlib.suppress(OSError):
