Read answers that wait for memory before the end of a drain

In runs of the planned stop with 32 busy processes large answers were lost that their servers had written seconds before: they waited for room in the account of held bytes, behind others whose callers read slowly, until the process ended. Once idle connections are closed, few further requests come, and three times as much is admitted for these answers. The test failed before: two of three callers got the 504 of the end.

--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -53,6 +53,7 @@
             )
         if not self._drain.closes_idle(now_s):
             return False
+        self._port.held.admit_last_answers()
         # Answers that have arrived are read before their requests are given up.
         sleep_s(0)
         self._port.give_up()
--- a/berylhaven/gateway/callers/_held_bytes.py
+++ b/berylhaven/gateway/callers/_held_bytes.py
@@ -25,6 +25,9 @@
 # A kind that was full has room again once at least this part of the account is free
 # for it, so that the state does not change with every release.
 ROOM_RATIO = 1 / 32
+# How many times more is admitted at the end of a drain, for answers that would be lost
+# if they waited for room.
+LAST_ANSWERS_RATIO = 3
 
 
 class NoRoom(Exception):
@@ -103,6 +106,7 @@
     __slots__ = (
         "limit_bytes",
         "held_bytes",
+        "_is_ending",
         "_event_log",
         "_refusals",
         "_gauge",
@@ -121,6 +125,7 @@
         self.limit_bytes = limit_bytes
         # The bytes held now, by kind.
         self.held_bytes = dict.fromkeys(HeldKind, 0)
+        self._is_ending = False
         self._event_log = event_log
         self._refusals = None
         self._gauge = None
@@ -186,6 +191,12 @@
             decision.return_s,
         )
 
+    def admit_last_answers(self) -> None:
+        """Admit more from now on, because the instance takes few further requests."""
+        if not self._is_ending:
+            self._is_ending = True
+            self._wake_waiting()
+
     def has_room(self, kind: HeldKind, size_bytes: int) -> bool:
         """Return whether bytes of a kind fit now, without a reservation."""
         return self._decide(kind, size_bytes, 0.0).admission is Admission.ADMIT
@@ -263,10 +274,12 @@
         self._rates[kind].record(size_bytes, monotonic_s())
         if self._full_kinds:
             self._log_room()
-        if self._waiting:
-            waiting, self._waiting = self._waiting, deque()
-            for released in waiting:
-                released.send()
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for released in waiting:
+            released.send()
 
     def _decide(
         self, kind: HeldKind, size_bytes: int, wait_limit_s: float
@@ -275,7 +288,9 @@
             kind,
             size_bytes,
             self.held_bytes,
-            self.limit_bytes,
+            LAST_ANSWERS_RATIO * self.limit_bytes
+            if self._is_ending
+            else self.limit_bytes,
             self._rates[kind].per_s(monotonic_s()),
             wait_limit_s,
         )
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -25,6 +25,8 @@
 IDLE_CLOSED_AFTER_S = 0.6 * GRACE_S
 # Work that ends after the process.
 LONG_WORK_S = 4.0
+# Two such answers do not fit into the account of held bytes.
+LARGE_BYTES = 5_000_000
 # A server that works until then is waited for.
 LAST_PART_S = 5 / 6 * GRACE_S
 
@@ -126,3 +128,21 @@
             answer = caller.exchange("/order/x", "once", "POST", b"x")
         self.assertEqual(answer.status, 503)
         self.assertEqual(self.run_ids, ["once"])
+
+    def test_an_answer_that_waits_for_room_is_read_before_the_end(self):
+        # Guards against answers that are lost behind others that callers read slowly.
+        def answer_large(sock, request):
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BYTES}\r\n\r\n"
+            sock.sendall(head.encode() + b"x" * LARGE_BYTES)
+
+        self.path.answer_all(READS, answer_large)
+        callers = [self.path.connect() for _ in range(3)]
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        for number, caller in enumerate(callers):
+            self.addCleanup(caller.close)
+            caller.send(request_bytes("/read/large", str(number)))
+        # None of the callers reads before idle connections are closed.
+        eventlet.sleep(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+        sizes = [len(caller.answer().body) for caller in callers]
+        self.assertEqual(sizes, [LARGE_BYTES] * 3)
