--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -1,6 +1,7 @@
 """The answers of a caller's connection, written in the order of the requests."""
 
 import contextlib
+import math
 import socket
 from collections import deque
 from typing import TYPE_CHECKING
@@ -104,7 +105,12 @@
         """Answer the requests that the drain gives up, and cancel their work."""
         for pending in self.pending:
             progress = pending.progress
-            if pending.answered.ready() or not self._port.gives_up(progress.due_at_s):
+            if pending.answered.ready():
+                continue
+            is_received = progress.stage is RequestStage.RECEIVED
+            # An answer that was read is due now, also on a starved machine.
+            due_at_s = -math.inf if is_received else progress.due_at_s
+            if not self._port.gives_up(due_at_s):
                 continue
             pending.thread.kill()
             answer = _stop_answer(pending)
--- a/berylhaven/gateway/callers/_request_progress.py
+++ b/berylhaven/gateway/callers/_request_progress.py
@@ -11,6 +11,8 @@
     UNSENT = "unsent"
     # A server, or an instance that it was passed on to, may be running it.
     SENT = "sent"
+    # A server's whole answer was read, and is not yet taken as the final one.
+    RECEIVED = "received"
     # Its answer is complete and not yet written whole.
     ANSWERED = "answered"
 
@@ -33,6 +35,7 @@
         "sent_at_s",
         "sent_to",
         "_open_send_count",
+        "_is_received",
         "answered_at_s",
     )
 
@@ -50,6 +53,8 @@
         self.sent_to: str | None = None
         # The sends that may have been run.
         self._open_send_count = 0
+        # Whether a server's whole answer was read.
+        self._is_received = False
         # When its answer was complete; None before that.
         self.answered_at_s: float | None = None
 
@@ -58,6 +63,8 @@
         """What the request waits for."""
         if self.answered_at_s is not None:
             return RequestStage.ANSWERED
+        if self._is_received:
+            return RequestStage.RECEIVED
         return RequestStage.SENT if self._open_send_count else RequestStage.UNSENT
 
     def record_sent(self, receiver: str, now_s: float) -> None:
@@ -78,6 +85,10 @@
         """Record that the receiver of a send has proved not to have run it."""
         self._open_send_count -= 1
 
+    def record_received(self) -> None:
+        """Record that the whole answer of a server was read."""
+        self._is_received = True
+
     def record_answered(self, now_s: float) -> None:
         """Record that the final answer is complete."""
         self.answered_at_s = now_s
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -369,6 +369,7 @@
         if not self._dialect.is_not_executed(answer.status, answer.fields):
             server.record_attempt(answer.status >= HTTP_STATUS_SERVER_ERROR, now_s)
             self._quarantine.record_answer(request, answer.status)
+            request.progress.record_received()
             return
         request.progress.record_not_run()
         if not is_own_answer:
--- a/berylhaven/gateway/tests/test_drain_records.py
+++ b/berylhaven/gateway/tests/test_drain_records.py
@@ -55,4 +55,6 @@
         self.assertEqual(len(lines), 2)
         for line in lines:
             self.assertRegex(line, r"lateness_s=[0-9.e-]+")
-        self.assertIn("pending=0 unsent=0 sent=0 answered=0 unread=0", lines[1])
+        self.assertIn(
+            "pending=0 unsent=0 sent=0 received=0 answered=0 unread=0", lines[1]
+        )
