Let a change that cannot be decoded cost only itself in an update

An update of a peer with one change that this release cannot decode was refused as a whole, with "malformed update" at each receiver, which turned to the next relay and then to the store; all other changes waited for that. A later release with one more kind of change would have caused this all the time.

Each change is now decoded alone. A skipped one is logged with its reason. A change of an unknown kind causes no reads: the store holds nothing that this release could read in its place. An update whose parts beside the changes are malformed is refused as before.

Five tests stated that one malformed change makes the whole update a value error, which is the fault; they now check that exactly this change is skipped, that the others are there, and that the update counts as incomplete.

Seen red before: 12 subtests of test_peer_input.py, test_update_codec.py and test_evacuation_store.py; the tests of test_skipped_changes.py with the repair, the reset of the log or the guard of the removal taken out.

--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -44,6 +44,9 @@
 # The base and the limit of the growing delay after failed calls.
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 0.5
+# After a change that could not be decoded, a snapshot is read at a random time within
+# this one, since all instances may have received it, and again until one is complete.
+REPAIR_INTERVAL_S = 5.0
 # A configuration may have a problem in each of its parts.
 LOGGED_PROBLEMS_LIMIT = 20
 
@@ -84,6 +87,7 @@
         "_failure_count",
         "_outages",
         "_expired_server_ids",
+        "_repair_at_s",
         "_members",
         "_log",
     )
@@ -116,6 +120,8 @@
         self._outages = StoreOutages()
         # Servers whose removal was seen shortly after an outage of the store.
         self._expired_server_ids: set[str] = set()
+        # When a snapshot is to replace skipped changes, on the hub's clock.
+        self._repair_at_s = math.inf
 
     @property
     def is_store_unavailable(self) -> bool:
@@ -196,11 +202,13 @@
         self._record_era(update.revision)
         difference = self._difference(update)
         self._apply_snapshot(update)
-        if is_first:
+        if is_first or not update.is_complete:
             self._log.reset(update.revision)
         else:
             # So that peers that read from this instance need no snapshot.
             self._log.add(difference)
+        if update.is_complete:
+            self._repair_at_s = math.inf
         self._set_revision(update.revision)
         if is_first:
             self._first_watch_by_s = monotonic_s() + FIRST_WATCH_DELAY_LIMIT_S
@@ -219,6 +227,9 @@
             self._end_evacuations()
             self._update_store_available()
             now_s = monotonic_s()
+            if now_s >= self._repair_at_s:
+                self._repair_at_s = now_s + REPAIR_INTERVAL_S
+                self._catch_up_by_snapshot()
             newest = self._members.newest_revision(now_s)
             is_behind = self._revision is not None and newest > self._revision
             if not is_behind or self._awaits_peers():
@@ -269,7 +280,11 @@
             )
         self._record_era(update.revision)
         self._apply_changes(update)
-        self._log.add(update)
+        if update.is_complete:
+            self._log.add(update)
+        else:
+            # Peers must not take what is missing for applied.
+            self._log.reset(update.revision)
         self._set_revision(update.revision)
 
     def _record_era(self, revision: StoreRevision) -> None:
@@ -356,7 +371,7 @@
 
     def _unlisted_evacuations(self, update: FleetUpdate) -> list[str]:
         """Return the evacuated data centres that a snapshot does not list as such."""
-        if not update.has_evacuations:
+        if not update.has_evacuations or not update.is_complete:
             return []
         listed = {
             change.data_centre
@@ -369,7 +384,9 @@
     def _apply_snapshot(self, update: FleetUpdate) -> None:
         listed = {c.server_id for c in update.changes if isinstance(c, ServerEntry)}
         self._apply_changes(update)
-        for server_id in self._table.server_ids() - listed:
+        # A server that is not listed may be in a skipped change.
+        unlisted = self._table.server_ids() - listed if update.is_complete else ()
+        for server_id in unlisted:
             self._apply_removed(server_id)
         for data_centre in self._unlisted_evacuations(update):
             self._apply_returned(data_centre, update.revision)
@@ -378,10 +395,24 @@
     def _apply_changes(self, update: FleetUpdate) -> None:
         if update.is_after_outage and not self.is_after_outage:
             self._outages.record_recovery()
+        self._record_skipped(update)
         for change in without_superseded(update.changes):
             self._apply_change(change, update.revision)
         self._end_evacuations()
 
+    def _record_skipped(self, update: FleetUpdate) -> None:
+        for reason in update.skipped[:LOGGED_PROBLEMS_LIMIT]:
+            self._event_log.write_failure(
+                "store",
+                "change skipped",
+                sender=update.sender,
+                revision=update.revision.number,
+                reason=reason,
+            )
+        if not update.is_complete:
+            delay_s = self._random.random() * REPAIR_INTERVAL_S
+            self._repair_at_s = min(self._repair_at_s, monotonic_s() + delay_s)
+
     def _apply_change(self, change: Change, revision: StoreRevision) -> None:
         if isinstance(change, ServerEntry):
             self._apply_entry(change, revision)
--- a/berylhaven/gateway/store/_fleet_source.py
+++ b/berylhaven/gateway/store/_fleet_source.py
@@ -108,6 +108,10 @@
     store_answer_age_s: float = 0.0
     # Whether its evacuations are known; instances of earlier releases send none.
     has_evacuations: bool = True
+    # Why changes of it were skipped, one sentence each.
+    skipped: tuple[str, ...] = ()
+    # Whether no change of a known kind was skipped.
+    is_complete: bool = True
 
 
 def without_superseded(changes: Iterable[Change]) -> tuple[Change, ...]:
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -1,6 +1,7 @@
 """JSON encoding of fleet updates, for instances that read them from peers."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -34,7 +35,8 @@
     "configuration": RoutingConfiguration,
 }
 # These changes are in a field of their own, which instances of earlier releases ignore;
-# they reject an update with a change of a kind that they do not know.
+# they reject an update with a change of a kind that they do not know, and not only the
+# change.
 EVACUATION_TYPES = {
     "evacuated": DataCentreEvacuated,
     "returned": DataCentreReturned,
@@ -111,22 +113,22 @@
     Returns
     -------
     FleetUpdate
-        As it was encoded, with its evacuations last.
+        As it was encoded, with its evacuations last and without the changes that cannot
+        be decoded.
 
     Raises
     ------
     ValueError
-        If it is malformed.
+        If it is malformed beside its changes.
     """
     document = orjson.loads(body)
     try:
-        changes = [_change(name, fields) for name, fields in document["changes"]]
+        changes = _Changes()
+        changes.decode(document["changes"], CHANGE_TYPES, _change)
         # Instances of earlier releases send none.
         has_evacuations = "evacuations" in document
-        changes += [
-            _evacuation(name, fields)
-            for name, fields in document.get("evacuations", ())
-        ]
+        evacuations = document.get("evacuations", [])
+        changes.decode(evacuations, EVACUATION_TYPES, _evacuation)
         number = document["revision"]
         # Instances of earlier releases send none.
         era = document.get("era", 0)
@@ -147,15 +149,49 @@
             "number"
         )
     return FleetUpdate(
-        tuple(changes),
+        tuple(changes.decoded),
         StoreRevision(era, number),
         is_after_outage,
         sender,
         store_answer_age_s,
         has_evacuations,
+        tuple(changes.skipped),
+        changes.is_complete,
     )
 
 
+class _Changes:
+    """The changes of an update that can be decoded, and what was skipped."""
+
+    __slots__ = ("decoded", "skipped", "is_complete")
+
+    def __init__(self) -> None:
+        self.decoded: list[Change] = []
+        self.skipped: list[str] = []
+        self.is_complete = True
+
+    def decode(
+        self,
+        rows: Any,
+        types: dict[str, type],
+        decode: Callable[[str, Any], Change],
+    ) -> None:
+        """Decode changes of some kinds; raise TypeError if they are no list."""
+        if not isinstance(rows, list):
+            raise TypeError(f"changes are of type {type(rows).__name__}")
+        for row in rows:
+            try:
+                name, fields = row
+                if isinstance(name, str) and name not in types:
+                    # A later release has it; here the store holds nothing of it either.
+                    self.skipped.append(f"unknown kind {name!r:.100}")
+                    continue
+                self.decoded.append(decode(name, fields))
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                self.skipped.append(f"malformed change {row!r:.200}: {error}")
+                self.is_complete = False
+
+
 def _change(name: str, fields: dict[str, Any]) -> Change:
     change_type = CHANGE_TYPES[name]
     if change_type is RoutingConfiguration:
