Let a malformed row of gossip or crash evidence cost only itself

A message of gossip with one malformed row was refused as a whole, and its sender counted as unreachable, though all other rows and the sender's own were in order. A message of crash evidence with one malformed row was refused as a whole, too; since the digests then differ, both instances exchanged all their evidence with every gossip, in vain. A row of an instance's own address with the incarnation 2^64-1 made it count on to 2^64, which no message can hold: each later exchange of it ended with an error.

Rows are now decoded alone, and skipped ones logged with the sender and the reason, at most three of a message. The sender's row still decides about the message, since the answer depends on it. Incarnations and heartbeats are below 2^53, which a count of milliseconds reaches in 285,000 years, and ages below 2^31 tenths of a second. Messages of both releases are unchanged.

--- a/berylhaven/gateway/members/_evidence_codec.py
+++ b/berylhaven/gateway/members/_evidence_codec.py
@@ -51,7 +51,9 @@
     return zlib.compress(orjson.dumps(rows[:ROWS_LIMIT]), COMPRESSION_LEVEL)
 
 
-def decode_observations(body: bytes, now_s: float) -> list[tuple[Observation, float]]:
+def decode_observations(
+    body: bytes, now_s: float
+) -> tuple[list[tuple[Observation, float]], list[str]]:
     """Decode the observations of a message.
 
     Parameters
@@ -63,18 +65,25 @@
 
     Returns
     -------
-    list of tuple of Observation and float
-        What was observed, and when on the hub's clock.
+    tuple of list of tuple of Observation and float, and list of str
+        What was observed, and when on the hub's clock. Then why rows were skipped, one
+        sentence each.
 
     Raises
     ------
     ValueError
-        If the message is malformed or too long.
+        If the message is malformed beside its rows, or too long.
     """
     rows, _ = decompress(body)
     if not isinstance(rows, list) or len(rows) > ROWS_LIMIT:
         raise ValueError(f"crash evidence is not a list of at most {ROWS_LIMIT} rows")
-    return [_decode_row(row, now_s) for row in rows]
+    observations, skipped = [], []
+    for row in rows:
+        try:
+            observations.append(_decode_row(row, now_s))
+        except ValueError as error:
+            skipped.append(str(error))
+    return observations, skipped
 
 
 def _decode_row(row: Any, now_s: float) -> tuple[Observation, float]:
--- a/berylhaven/gateway/members/_evidence_spread.py
+++ b/berylhaven/gateway/members/_evidence_spread.py
@@ -26,6 +26,8 @@
 # Observations made within this time are pushed together.
 PUSH_INTERVAL_S = 0.05
 PUSH_TIMEOUT_S = 0.5
+# The maximum number of skipped rows of a message that are logged.
+LOGGED_SKIPPED_LIMIT = 3
 # The most observations that wait to be pushed; gossip tells the others.
 PENDING_LIMIT = 1_000
 
@@ -191,7 +193,12 @@
         """
         now_s = monotonic_s()
         self._evidence.drop_expired(now_s)
-        for observation, occurred_at_s in decode_observations(body, now_s):
+        observations, skipped = decode_observations(body, now_s)
+        for reason in skipped[:LOGGED_SKIPPED_LIMIT]:
+            self._event_log.write_failure(
+                "quarantine", "evidence skipped", reason=reason
+            )
+        for observation, occurred_at_s in observations:
             # An instance that expired it later must not bring it back.
             if now_s - occurred_at_s < RETENTION_S:
                 news = self._evidence.merge(observation, occurred_at_s)
--- a/berylhaven/gateway/members/_member.py
+++ b/berylhaven/gateway/members/_member.py
@@ -5,6 +5,9 @@
 
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 
+# An instance counts on from the incarnation that others have of it, and its message
+# holds integers up to 64 bits.
+RUN_LIMIT = 2**53
 # Without the era of the store, which may follow.
 ROW_LENGTH = 8
 
@@ -99,6 +102,11 @@
             f"in the member row of {row[0][:100]!r} are not all non-negative integers: "
             f"{row[3:]!r:.200}"
         )
+    if max(row[3:5]) >= RUN_LIMIT:
+        raise ValueError(
+            f"incarnation or heartbeat in the member row of {row[0][:100]!r} is not "
+            f"below {RUN_LIMIT}: {row[3:5]}"
+        )
     era = row[ROW_LENGTH] if len(row) > ROW_LENGTH else 0
     return Member(
         peers_address=row[0],
--- a/berylhaven/gateway/members/_member_codec.py
+++ b/berylhaven/gateway/members/_member_codec.py
@@ -2,6 +2,7 @@
 
 import math
 import zlib
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -16,6 +17,18 @@
 TEXT_LIMIT_BYTES = 1_000_000
 # The unit of the ages in a message.
 AGE_UNIT_S = 0.1
+# A higher age, in these units, is none that an instance has.
+AGE_LIMIT = 2**31
+
+
+@dataclass(slots=True, frozen=True)
+class MemberMessage:
+    """What a message says, without the rows that cannot be decoded."""
+
+    # The sender first.
+    members: list[Member]
+    # Why parts were skipped, one sentence each.
+    skipped: tuple[str, ...]
 
 
 def encode_members(members: list[Member], now_s: float) -> bytes:
@@ -43,7 +56,7 @@
     return _compress(rows) + _compress(ages) + _compress([members[0].evidence_digest])
 
 
-def decode_members(body: bytes) -> list[Member]:
+def decode_members(body: bytes) -> MemberMessage:
     """Decode the members of a message.
 
     Parameters
@@ -53,27 +66,50 @@
 
     Returns
     -------
-    list of Member
-        At least one.
+    MemberMessage
+        With at least the sender.
 
     Raises
     ------
     ValueError
-        If the message is malformed or too long.
+        If the message or the sender's row is malformed, or the message is too long.
     """
     rows, rest = decompress(body)
     if not isinstance(rows, list) or not 0 < len(rows) <= ROWS_LIMIT:
         raise ValueError(
             f"gossip message is not a list of 1 to {ROWS_LIMIT} member rows"
         )
-    members = [decode_row(row) for row in rows]
     # Instances of earlier releases send no ages.
+    ages, rest = decompress(rest) if rest else ([0] * len(rows), rest)
+    if not isinstance(ages, list) or len(ages) != len(rows):
+        raise ValueError(
+            f"ages of a gossip message are not a list of {len(rows)} values"
+        )
+    sender, *others = zip(rows, ages, strict=True)
+    members = [_decode_member(*sender)]
+    skipped = []
+    for row, age in others:
+        try:
+            members.append(_decode_member(row, age))
+        except ValueError as error:
+            skipped.append(str(error))
     if rest:
-        ages, rest = decompress(rest)
-        _set_ages(members, ages)
-    if rest:
-        members[0].evidence_digest = _evidence_digest(decompress(rest)[0])
-    return members
+        try:
+            members[0].evidence_digest = _evidence_digest(decompress(rest)[0])
+        except ValueError as error:
+            skipped.append(str(error))
+    return MemberMessage(members, tuple(skipped))
+
+
+def _decode_member(row: Any, age: Any) -> Member:
+    member = decode_row(row)
+    if type(age) is not int or not 0 <= age < AGE_LIMIT:
+        raise ValueError(
+            f"age of {member.peers_address[:100]!r} is {age!r:.100}, not an integer "
+            f"from 0 to {AGE_LIMIT}"
+        )
+    member.age_s = age * AGE_UNIT_S
+    return member
 
 
 def _evidence_digest(values: Any) -> int | None:
@@ -84,20 +120,6 @@
     return values[0]
 
 
-def _set_ages(members: list[Member], ages: Any) -> None:
-    if not isinstance(ages, list) or len(ages) != len(members):
-        raise ValueError(
-            f"ages of a gossip message are not a list of {len(members)} values"
-        )
-    for member, age in zip(members, ages, strict=True):
-        if type(age) is not int or age < 0:
-            raise ValueError(
-                f"age of {member.peers_address[:100]!r} is {age!r:.100}, not a "
-                "non-negative integer"
-            )
-        member.age_s = age * AGE_UNIT_S
-
-
 def _compress(values: list) -> bytes:
     return zlib.compress(orjson.dumps(values), COMPRESSION_LEVEL)
 
--- a/berylhaven/gateway/members/_member_gossip.py
+++ b/berylhaven/gateway/members/_member_gossip.py
@@ -23,6 +23,8 @@
 GOSSIP_PAUSE_THRESHOLD_S = 1.2
 # The maximum number of instances named in a log line.
 NAMED_PEERS_LIMIT = 8
+# The maximum number of skipped parts of a message that are logged.
+LOGGED_SKIPPED_LIMIT = 3
 # Of this number of exchanges, one goes to a seed, so that a seed that did not know the
 # others yet is contacted again.
 SEED_EXCHANGE_EVERY = 20
@@ -187,11 +189,16 @@
             If the message is malformed.
         """
         now_s = monotonic_s()
-        members = decode_members(body)
-        for member in members:
+        message = decode_members(body)
+        sender = message.members[0]
+        for member in message.members:
             member.age_s += unread_s
             self._members.merge(member, now_s)
-        return members[0]
+        for reason in message.skipped[:LOGGED_SKIPPED_LIMIT]:
+            self._event_log.write_failure(
+                "members", "row skipped", peer=sender.peers_address, reason=reason
+            )
+        return sender
 
     def answer(self, body: bytes) -> bytes:
         """Merge a peer's message and return this instance's message.
--- a/berylhaven/gateway/tests/test_evidence_spread.py
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -113,10 +113,10 @@
         own = fleet.gossips["a0:peers"]._members.own
         own.evidence_digest = 17
         body = encode_members([own], monotonic_s())
-        self.assertEqual(decode_members(body)[0].evidence_digest, 17)
+        self.assertEqual(decode_members(body).members[0].evidence_digest, 17)
         own.evidence_digest = None
         body = encode_members([own], monotonic_s())
-        self.assertIsNone(decode_members(body)[0].evidence_digest)
+        self.assertIsNone(decode_members(body).members[0].evidence_digest)
 
 
 if __name__ == "__main__":
--- a/berylhaven/gateway/tests/test_members.py
+++ b/berylhaven/gateway/tests/test_members.py
@@ -228,7 +228,7 @@
                 clock.advance_s(LOCAL_UNRESPONSIVE_AFTER_S * 0.4)
                 now_s = monotonic_s()
                 reported = sender.reported_to_local(now_s, random.Random(1))
-                for received in decode_members(encode_members(reported, now_s)):
+                for received in decode_members(encode_members(reported, now_s)).members:
                     receiver.merge(received, now_s)
             clock.advance_s(LOCAL_UNRESPONSIVE_AFTER_S * 0.15)
             self.assertIn("off:peers", [m.peers_address for m in third.live(now_s)])
@@ -245,8 +245,8 @@
         # The earlier release accepts any message whose first stream is complete.
         self.assertTrue(inflater.eof)
         earlier = body[: len(body) - len(inflater.unused_data)]
-        self.assertEqual([m.age_s for m in decode_members(earlier)], [0.0, 0.0])
-        self.assertEqual([m.age_s for m in decode_members(body)], [2.0, 2.0])
+        self.assertEqual([m.age_s for m in decode_members(earlier).members], [0.0, 0.0])
+        self.assertEqual([m.age_s for m in decode_members(body).members], [2.0, 2.0])
 
     def test_malformed_ages_are_rejected(self):
         rows = zlib.compress(orjson.dumps([member("one").to_row()]))
--- a/berylhaven/gateway/tests/test_peer_input.py
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -98,7 +98,7 @@
     ):
         body = zlib.compress(orjson.dumps(replaced([ROW], path, value)))
         try:
-            self.assertIsInstance(decode_members(body)[0], Member)
+            self.assertIsInstance(decode_members(body).members[0], Member)
         except ValueError as error:
             self.assertTrue(str(error))
 
@@ -108,12 +108,14 @@
     ):
         body = zlib.compress(orjson.dumps(replaced(EVIDENCE, path, value)))
         try:
-            self.assertIsInstance(decode_observations(body, 3.0), list)
+            self.assertIsInstance(decode_observations(body, 3.0)[0], list)
         except ValueError as error:
             self.assertTrue(str(error))
 
     def test_evidence_keeps_its_content_and_age(self):
-        decoded = decode_observations(encode_observations(OBSERVATIONS, 3.0), 13.0)
+        body = encode_observations(OBSERVATIONS, 3.0)
+        decoded, skipped = decode_observations(body, 13.0)
+        self.assertEqual(skipped, [])
         self.assertEqual([o for o, _ in decoded], [o for o, _ in OBSERVATIONS])
         self.assertEqual([at_s for _, at_s in decoded], [11.0, 12.0])
 
