Write log lines with text that UTF-8 does not have

A log line with half of a surrogate pair, as a JSON decoder or the file system may give it, raised UnicodeEncodeError in whatever wrote the line. The line has an escape instead.

The existing test with any text missed it, since Hypothesis draws no surrogates as text by default.

Seen red before: test_half_of_a_surrogate_pair_does_not_end_the_loop_that_logs_it.

--- a/berylhaven/event_log/_event_log.py
+++ b/berylhaven/event_log/_event_log.py
@@ -147,7 +147,8 @@
     pairs += [
         f"{name}={_quote(value)}" for name, value in fields.items() if value is not None
     ]
-    line = " ".join(pairs).encode()
+    # Text of others may have halves of surrogate pairs, which UTF-8 does not have.
+    line = " ".join(pairs).encode(errors="backslashreplace")
     return line[: LINE_LIMIT_BYTES - 1] + b"\n"
 
 
--- a/berylhaven/event_log/tests/test_event_log.py
+++ b/berylhaven/event_log/tests/test_event_log.py
@@ -52,6 +52,11 @@
         self.assertEqual(sum(b"event=failed" in line for line in written), 3)
         self.assertEqual(log.dropped_count, 92)
 
+    def test_half_of_a_surrogate_pair_does_not_end_the_loop_that_logs_it(self):
+        # It has no encoding, and the error ended whatever wrote the line.
+        line = format_line("part", "an event", {"key": "i-\ud800"})
+        self.assertTrue(line.endswith(b"key=i-\\ud800\n"))
+
     @given(st.dictionaries(st.sampled_from("abc"), st.text() | st.floats() | st.none()))
     def test_any_fields_are_formatted_as_one_line(self, fields):
         line = format_line("part", "an event", fields)
