Escape names of data centres in the metrics

The key of an evacuation may have any text after its prefix. A quote or a line break there ended the label or the line of berylhaven_data_centre_evacuated, so that a scraper could not read the page of metrics.

aioprometheus does not escape the values of labels. The gauge now escapes the three characters that the text format names.

Seen red before: test_the_name_of_a_data_centre_does_not_make_the_page_unreadable.

--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -12,6 +12,9 @@
 # The service label of requests without a route.
 NO_SERVICE = "none"
 NO_LABELS: dict[str, str] = {}
+# The text format has these characters of a label's value escaped; aioprometheus does
+# not escape them.
+LABEL_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
 class GatewayMetrics:
--- a/berylhaven/gateway/_instance_gauges.py
+++ b/berylhaven/gateway/_instance_gauges.py
@@ -5,7 +5,7 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._gateway_metrics import NO_LABELS, GatewayMetrics
+from berylhaven.gateway._gateway_metrics import LABEL_ESCAPES, NO_LABELS, GatewayMetrics
 from berylhaven.gateway.callers._callers_port import CallersPort
 from berylhaven.gateway.members._members import MemberTable
 from berylhaven.gateway.servers._server_record import ServerRecord
@@ -144,7 +144,9 @@
         self._evacuated.values.clear()
         for name in evacuations.data_centres:
             value = 2 if evacuations.awaits_return(name) else 1
-            self._evacuated.set({"data_centre": name}, value)
+            # The name is any text that is in the key of an evacuation.
+            label = name.translate(LABEL_ESCAPES)
+            self._evacuated.set({"data_centre": label}, value)
 
     def _state(self, record: ServerRecord) -> str:
         if record.is_leaving:
--- a/berylhaven/gateway/tests/test_gateway_metrics.py
+++ b/berylhaven/gateway/tests/test_gateway_metrics.py
@@ -72,6 +72,12 @@
         self.assertEqual(self.value("data_centre_evacuated"), 0)
         self.assertEqual(self.value("servers", state="evacuated"), 0)
 
+    def test_the_name_of_a_data_centre_does_not_make_the_page_unreadable(self):
+        # A quote or a line break in the key of an evacuation ended the label or line.
+        self.path.instance._table.evacuations.evacuate('a"} 1\nb c\\')
+        name = r"a\"} 1\nb c\\"
+        self.assertEqual(self.value("data_centre_evacuated", data_centre=name), 1)
+
     def test_other_paths_are_not_found(self):
         application = MetricsApplication(self.path.instance.metrics)
         seen = []
