--- a/berylhaven/gateway/tests/test_skipped_changes.py
+++ b/berylhaven/gateway/tests/test_skipped_changes.py
@@ -4,13 +4,20 @@
 
 import eventlet
 import orjson
+from hypothesis import given
+from hypothesis import strategies as st
 
 from berylhaven.gateway import FleetUpdate, HistoryGone
 from berylhaven.gateway.store._fleet_follower import REPAIR_INTERVAL_S
-from berylhaven.gateway.store._update_codec import decode_update, encode_update
+from berylhaven.gateway.store._update_codec import (
+    CHANGE_TYPES,
+    decode_update,
+    encode_update,
+)
 from berylhaven.gateway.tests import test_fleet_follower
 from berylhaven.gateway.tests._gateway_path import at
 from berylhaven.gateway.tests.test_fleet_follower import entry
+from berylhaven.gateway.tests.test_peer_input import JSON_VALUES
 
 MALFORMED = ["server", {"server_id": "b", "slot_count": "many"}]
 # A kind of a later release.
@@ -50,6 +57,10 @@
                 self.assertEqual(update(row, entry("d")).changes, (entry("d"),))
                 self.assertEqual(len(update(row).skipped), 1)
 
+    @given(JSON_VALUES | st.tuples(st.sampled_from(sorted(CHANGE_TYPES)), JSON_VALUES))
+    def test_any_row_leaves_the_other_changes(self, row):
+        self.assertEqual(update(row, entry("d")).changes[-1:], (entry("d"),))
+
     def test_a_snapshot_replaces_a_skipped_change_of_a_known_kind(self):
         # Its revision counts as applied, so that no later update repeats it.
         self.follow(MALFORMED)
--- a/berylhaven/gateway/tests/test_skipped_rows.py
+++ b/berylhaven/gateway/tests/test_skipped_rows.py
@@ -4,12 +4,18 @@
 import zlib
 
 import orjson
+from hypothesis import given
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.gateway.members._evidence_codec import encode_observations
 from berylhaven.gateway.members._member import RUN_LIMIT, Member
-from berylhaven.gateway.members._member_codec import AGE_LIMIT, encode_members
+from berylhaven.gateway.members._member_codec import (
+    AGE_LIMIT,
+    decode_members,
+    encode_members,
+)
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
+from berylhaven.gateway.tests.test_peer_input import JSON_VALUES
 from berylhaven.quarantine import Strike
 
 OWN, PEER = "a0:peers", "b0:peers"
@@ -54,6 +60,12 @@
                 self.assertNotIn("c", live)
                 self.gossip._members._others.clear()
 
+    @given(JSON_VALUES, JSON_VALUES)
+    def test_any_row_leaves_the_other_rows(self, row, age):
+        body = message([self.row(PEER), row, self.row("d")], [0, age, 0], [None])
+        addresses = [member.peers_address for member in decode_members(body).members]
+        self.assertEqual([addresses[0], addresses[-1]], [PEER, "d"])
+
     def test_a_malformed_digest_costs_only_itself(self):
         self.gossip.answer(message([self.row(PEER)], [0], ["odd"]))
         self.assertEqual(self.gossip._members.addresses(), [PEER])
