Choose instances that are stopped last for passed-on requests

What callers saw: while several other instances were stopped, an instance that reached no server refused requests with 503, although an instance was left that reached the servers and would have served them. None of the refused requests had run.

Cause: the choice of the instance looked only at the readiness that gossip tells. A stopped instance tells four others at once and the rest learns by rounds of a second. Until then it was chosen again and again: it refuses at once, so it never has requests pending and is preferred; once its port is closed connecting to it costs no retry. Two such instances use up the two tries of a request.

Why this works: each answer of a draining instance bears Connection: close, and a process that has ended refuses connections, so the first answer tells what gossip has not told. The instance is then chosen last for 5 s, not excluded, so that it still serves where nothing better is left. A run with another incarnation is not affected. Its Retry-After of 0 s, meant for its own callers, is no longer given to the callers of the instance that passed the request on.

--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -31,6 +31,17 @@
 HOP_MARGIN_S = 0.005
 HTTP_STATUS_TIMEOUT = 504
 REASON_LIMIT_BYTES = 300
+# How long an instance that closes its connections is chosen last, in seconds. Gossip
+# tells by then that it is not ready, or that it no longer answers.
+SET_ASIDE_S = 5.0
+# Ends of exchanges after which nobody may be left at the address.
+UNREACHED_ENDS = frozenset(
+    {
+        AttemptEnd.NOT_CONNECTED,
+        AttemptEnd.BROKEN_WHILE_SENDING,
+        AttemptEnd.BROKEN_BEFORE_HEAD,
+    }
+)
 
 
 class PeerRefused(AttemptFailed):
@@ -79,6 +90,7 @@
         "_passed_on",
         "_memory",
         "_in_flight_counts",
+        "_set_aside",
     )
 
     def __init__(
@@ -103,11 +115,15 @@
         )
         # Requests that were passed on and not answered, by address.
         self._in_flight_counts: collections.Counter[str] = collections.Counter()
+        # Runs of instances that are chosen last, and until when: address and
+        # incarnation. They leave, and gossip has not told it yet.
+        self._set_aside: dict[tuple[str, int], float] = {}
 
     def choose(self, service: str, tried: frozenset[str]) -> Member | None:
         """Return the instance for a request, or None if none reaches the service.
 
-        Of two random ones the one with fewer requests of this instance is taken.
+        Of two random ones the one with fewer requests of this instance is taken. One
+        that closes its connections is taken only if no other one is left.
 
         Parameters
         ----------
@@ -122,13 +138,16 @@
             An instance of this data centre if one is known to reach the service.
         """
         bit = service_bit(service)
+        now_s = monotonic_s()
         usable = [
             member
-            for member in self._members.live(monotonic_s())
+            for member in self._members.live(now_s)
             if member.is_ready
             and not member.unreached_mask & bit
             and member.peers_address not in tried
         ]
+        staying = [m for m in usable if self._set_aside.get(_run(m), now_s) <= now_s]
+        usable = staying or usable
         own_data_centre = self._members.own.data_centre
         local = [m for m in usable if m.data_centre == own_data_centre]
         candidates = local or usable
@@ -219,9 +238,19 @@
                 deadline_s - HOP_MARGIN_S,
                 self._memory,
             )
+        except AttemptFailed as failure:
+            if failure.end in UNREACHED_ENDS:
+                self._set_member_aside(member)
+            raise
         finally:
             self._pool.release(connection, answer is not None and answer.is_reusable)
         outcome = answer.fields.get(OUTCOME)
+        # An answer to a body that was not read to its end closes any connection.
+        is_leaving = answer.fields.has_token("connection", "close") and (
+            outcome != ANSWERED or request.body.is_ended
+        )
+        if is_leaving:
+            self._set_member_aside(member)
         if outcome == ANSWERED:
             return answer
         reason = answer.body[:REASON_LIMIT_BYTES].decode("latin-1").strip()
@@ -230,9 +259,19 @@
             f"{reason}"
         )
         if outcome == NOT_RUN:
-            text = answer.fields.get(RETRY_AFTER)
+            # A leaving instance means its own callers, who have other instances.
+            text = None if is_leaving else answer.fields.get(RETRY_AFTER)
             return_s = parse_retry_after_s(text) if text is not None else None
             raise PeerRefused(message, return_s)
         if answer.status == HTTP_STATUS_TIMEOUT:
             raise AttemptFailed(AttemptEnd.DEADLINE_BEFORE_HEAD, message)
         raise AttemptFailed(AttemptEnd.BROKEN_BEFORE_HEAD, message)
+
+    def _set_member_aside(self, member: Member) -> None:
+        now_s = monotonic_s()
+        kept = {run: end_s for run, end_s in self._set_aside.items() if end_s > now_s}
+        self._set_aside = {**kept, _run(member): now_s + SET_ASIDE_S}
+
+
+def _run(member: Member) -> tuple[str, int]:
+    return member.peers_address, member.incarnation
