End the calls of a drain that reaches its limit with a true result

What callers saw: an entry instance of the older role was stopped. A call that lasted to drain_limit_s kept it in the stage closing, where it took every call. When the process ended at the limit, calls that backend servers were running ended with their connections, without an answer: the long one, and all that had come just before.

Cause: the drain had one end, that of the process. Calls were taken until then whatever their deadlines, and those at work were not told anything.

Why this works: after the early part of a drain a call is taken only if its deadline is before the cut; others are refused at once with 215 instance-leaving, which says not run, since nothing was sent. At the cut, 1 s before the limit, the attempts at work end by themselves, and each knows whether a byte was sent: 238 cut-by-stop (unknown) or 215. The answer is written as any other. Answers that have begun are not touched, and the process waits until the last one is written, the limit at the latest. Each call that is cut or lost has a drain: line that says when it was read, when and where it was sent.

--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -10,7 +10,9 @@
     BodyTruncated,
     CallerDisconnected,
     CallRefused,
+    CutByStop,
     DeadlineExceeded,
+    InstanceLeaving,
     Outcome,
     OverLimit,
     SenderTooSlow,
@@ -57,6 +59,10 @@
     UNPROVEN_ANSWER = "unproven-answer"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
+    # This instance stops, and no byte was sent.
+    STOP_BEFORE_SENDING = "stop-before-sending"
+    # This instance stops, and the answer's head has not come.
+    STOP_BEFORE_HEAD = "stop-before-head"
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,6 +121,10 @@
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
+    AttemptEnd.STOP_BEFORE_SENDING: EndClassification(
+        Outcome.NOT_RUN, False, InstanceLeaving
+    ),
+    AttemptEnd.STOP_BEFORE_HEAD: EndClassification(Outcome.UNKNOWN, False, CutByStop),
 }
 
 
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -49,7 +49,7 @@
 LOG = ComponentLog("entry")
 PEER_CONNECTIONS_LIMIT = 256
 OPERATOR_CONNECTIONS_LIMIT = 32
-DRAIN_CHECK_INTERVAL_S = 0.25
+DRAIN_CHECK_INTERVAL_S = 0.1
 
 
 class EntryInstance:
@@ -69,6 +69,8 @@
         "_threads",
         "_is_stopped",
         "_decision_log",
+        "_application",
+        "_has_cut_calls",
     )
 
     def __init__(self, settings: Settings) -> None:
@@ -88,9 +90,16 @@
             self._context.local_instance,
             self._context.blackboard,
         )
+        self._application = CallersApplication(
+            settings,
+            self._context.blackboard,
+            self._handler,
+            self._context.local_instance.announcement,
+        )
         InstanceMetrics(self._context, self._decision_log, self._handler)
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._is_stopped = False
+        self._has_cut_calls = False
 
     def start(self) -> None:
         """Listen on the three ports and run the controllers."""
@@ -137,18 +146,25 @@
         }
 
     def _is_drained(self) -> bool:
+        """Return whether the process may end; end calls at the limit of the drain."""
         reading = self._context.blackboard.read(DRAIN_SECTION)
-        return reading is not None and reading.value.stage is DrainStage.DONE
+        if reading is None:
+            return False
+        drain, now_s = reading.value.drain, monotonic_s()
+        if now_s >= drain.cuts_at_s and not self._has_cut_calls:
+            self._has_cut_calls = True
+            self._application.pending.log_cut()
+            self._handler.stop()
+        if now_s >= drain.ends_by_s:
+            self._application.pending.log_lost()
+            return True
+        # The last answers may still be being written.
+        is_done = reading.value.stage is DrainStage.DONE
+        return is_done and not self._application.pending.count
 
     def _serve_callers(self) -> eventlet.greenthread.GreenThread:
-        application = CallersApplication(
-            self._settings,
-            self._context.blackboard,
-            self._handler,
-            self._context.local_instance.announcement,
-        )
         closing_middleware = ConnectionCloseMiddleware(
-            application, self._context.blackboard
+            self._application, self._context.blackboard
         )
         return serve_callers(self._settings, closing_middleware)
 
--- a/berylhaven/membership/_drain.py
+++ b/berylhaven/membership/_drain.py
@@ -10,6 +10,13 @@
 GOSSIP_SPREAD_S = 3.0
 # The minimum time in which callers on persistent connections are told to close them.
 MIN_CLOSING_S = 1.0
+# At this time before the limit, calls that wait for a backend server end, so that their
+# callers are told; at most this part of the limit.
+CUT_MARGIN_S = 1.0
+CUT_MARGIN_RATIO = 0.25
+# In this part of the limit calls are taken whatever their deadlines are: most end long
+# before these.
+EARLY_RATIO = 0.45
 
 
 class DrainStage(enum.Enum):
@@ -45,6 +52,30 @@
         """When the drain ends even if calls are in flight."""
         return self.began_at_s + self.limit_s
 
+    @property
+    def cuts_at_s(self) -> float:
+        """When calls that still wait for a backend server are ended."""
+        margin_s = min(CUT_MARGIN_S, CUT_MARGIN_RATIO * self.limit_s)
+        return self.ends_by_s - margin_s
+
+    def takes(self, now_s: float, deadline_s: float) -> bool:
+        """Return whether a call that is received now is still taken.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        deadline_s : float
+            The deadline of the call, on the hub's clock.
+
+        Returns
+        -------
+        bool
+            Whether the call is early, or its answer is due before calls are cut.
+        """
+        early_s = min(self.closing_at_s - self.began_at_s, EARLY_RATIO * self.limit_s)
+        return now_s - self.began_at_s < early_s or deadline_s <= self.cuts_at_s
+
     def stage(self, now_s: float, in_flight_count: int) -> DrainStage:
         """Return the stage at a point in time.
 
--- a/berylhaven/membership/tests/test_drain.py
+++ b/berylhaven/membership/tests/test_drain.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from berylhaven.membership import Drain, DrainStage
+from berylhaven.membership._drain import EARLY_RATIO
 
 TIMES = st.floats(0, 100)
 
@@ -25,6 +26,17 @@
         elif count:
             self.assertIsNot(stage, DrainStage.DONE)
 
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(TIMES, st.floats(1.0, 100.0), TIMES, TIMES)
+    def test_a_late_call_is_due_before_calls_are_cut(
+        self, to_live_s, limit_s, now_s, deadline_s
+    ):
+        # Guards against calls that are taken and cut at the limit.
+        drain = Drain(0.0, to_live_s, limit_s)
+        if drain.takes(now_s, deadline_s) and now_s >= EARLY_RATIO * limit_s:
+            self.assertLessEqual(deadline_s, drain.cuts_at_s)
+        self.assertLess(drain.cuts_at_s, drain.ends_by_s)
+
     def test_it_ends_when_nothing_is_left(self):
         drain = Drain(0.0, locate_time_to_live_s=5.0, limit_s=900.0)
         self.assertIs(drain.stage(7.9, 0), DrainStage.ANNOUNCED)
--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -12,7 +12,13 @@
 from berylhaven.catalogue import CATALOGUE_SECTION, ActiveCatalogue, ServiceEntry
 from berylhaven.clock import PauseWatch, monotonic_s
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
-from berylhaven.membership import MEMBERSHIP_SECTION, Announcement, PeerState
+from berylhaven.membership import (
+    DRAIN_SECTION,
+    MEMBERSHIP_SECTION,
+    Announcement,
+    DrainStage,
+    PeerState,
+)
 from berylhaven.operations import ComponentLog
 from berylhaven.proxy._call_answer import (
     CallAnswer,
@@ -34,9 +40,11 @@
     END_CONNECTION_KEY,
 )
 from berylhaven.proxy._locate import locate_document
+from berylhaven.proxy._pending_calls import PendingCalls
 from berylhaven.results import (
     BodyTooLarge,
     CallRefused,
+    InstanceLeaving,
     InternalError,
     Located,
     NotReady,
@@ -48,6 +56,8 @@
 LOG = ComponentLog("callers")
 ENTRIES_PATH = "/v1/entries"
 SERVICES_PREFIX = "/v1/services/"
+# Environment key of the record of the request.
+PENDING_CALL_KEY = "berylhaven.pending_call"
 CALL_ID_RANDOM_BYTES = 12
 # How long one announcement is used to issue call ids; uptimes are whole seconds.
 ISSUER_CACHE_TIME_S = 0.25
@@ -74,6 +84,7 @@
         "_blackboard",
         "_handler",
         "_own_announcement",
+        "pending",
         "_pause_watch",
         "_random",
         "_issuer_announcement",
@@ -91,6 +102,8 @@
         self._blackboard = blackboard
         self._handler = handler
         self._own_announcement = own_announcement
+        # The requests that are not answered yet.
+        self.pending = PendingCalls()
         self._random = random.Random()
         self._issuer_announcement: Announcement | None = None
         self._issuer_expires_at_s = float("-inf")
@@ -99,6 +112,7 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request; an internal error is answered with a result code too."""
+        environ[PENDING_CALL_KEY] = self.pending.begin(environ)
         try:
             answer = self._answer(environ)
         except CallRefused as refusal:
@@ -199,10 +213,13 @@
                 f"the body of {body.content_length} bytes exceeds the limit of "
                 f"{service.body_limit_bytes} bytes"
             )
+        self._check_drain(environ, deadline_s)
         body.limit_bytes = service.body_limit_bytes
         if not body.awaits_continue:
             # Until this part has arrived, a slow sender holds only its connection.
             body.buffer_first_part(self._settings.proxy.chunk_bytes)
+            # It may have arrived late.
+            self._check_drain(environ, deadline_s)
         return CallRequest(
             service=service,
             method=environ["REQUEST_METHOD"],
@@ -215,8 +232,24 @@
             received_at_s=received_at_s,
             is_forwarded=FORWARDED_BY_KEY in environ,
             caller_socket=environ[CALLER_SOCKET_KEY],
+            pending=environ[PENDING_CALL_KEY],
         )
 
+    def _check_drain(self, environ: dict, deadline_s: float) -> None:
+        """Refuse a call whose answer may be due after the end of this instance."""
+        reading = self._blackboard.read(DRAIN_SECTION)
+        if reading is None:
+            return
+        progress, now_s = reading.value, monotonic_s()
+        is_done = progress.stage is DrainStage.DONE
+        if is_done or not progress.drain.takes(now_s, deadline_s):
+            environ[END_CONNECTION_KEY]()
+            left_s = max(0.0, progress.drain.cuts_at_s - now_s)
+            raise InstanceLeaving(
+                f"this instance stops; calls are answered for {left_s:.1f} s more at "
+                f"most, and this one may take {deadline_s - now_s:.1f} s"
+            )
+
     def _call_id(self, environ: dict) -> CallId:
         text = environ.get(CALL_ID_HEADER)
         if text is not None:
--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -22,6 +22,7 @@
 from berylhaven.http1._upstream_connection import UpstreamConnection
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._caller_watch import CallerWatch
+from berylhaven.proxy._stop_watch import StopRequested, StopWatch
 from berylhaven.results import CallerDisconnected, CallRefused
 
 # A server in a neighbouring region accepts a connection well within this time.
@@ -51,6 +52,7 @@
     connection: UpstreamConnection,
     request: CallRequest,
     limits: AttemptLimits,
+    stop_watch: StopWatch,
     watch: CallerWatch | None = None,
 ) -> UpstreamAnswer:
     """Send a request and wait for the head and the first piece of its answer.
@@ -63,6 +65,8 @@
         The call; its body is read as it is sent.
     limits : AttemptLimits
         The limits of the attempt.
+    stop_watch : StopWatch
+        Ends the attempt when the instance stops.
     watch : CallerWatch or None
         Cancels the wait if the caller disconnects.
 
@@ -81,7 +85,9 @@
     if remaining_s <= 0:
         raise attempt.deadline_failure()
     timer = eventlet.Timeout(remaining_s)
+    thread = None
     try:
+        thread = stop_watch.begin()
         attempt.connect(remaining_s)
         attempt.send()
         if watch is None or request.caller_socket is None:
@@ -99,8 +105,11 @@
         raise attempt.deadline_failure() from None
     except CallerDisconnected as gone:
         raise AttemptFailed(AttemptEnd.CALLER_DISCONNECTED, gone.message) from None
+    except StopRequested:
+        raise attempt.stop_failure() from None
     finally:
         timer.cancel()
+        stop_watch.end(thread)
 
 
 class _Attempt:
@@ -129,6 +138,14 @@
         end = AttemptEnd.DEADLINE_BEFORE_SENDING
         return AttemptFailed(end, "the deadline passed before the call was sent")
 
+    def stop_failure(self) -> AttemptFailed:
+        """Return the failure for a stop of this instance at this stage."""
+        if self._was_sent:
+            end = AttemptEnd.STOP_BEFORE_HEAD
+            return AttemptFailed(end, "this instance stopped before the answer came")
+        end = AttemptEnd.STOP_BEFORE_SENDING
+        return AttemptFailed(end, "this instance stopped before the call was sent")
+
     def connect(self, remaining_s: float) -> None:
         """Open the connection if it is not open yet."""
         if self._connection.is_open:
--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -9,6 +9,7 @@
 from berylhaven.clock import monotonic_s
 from berylhaven.load import ServerLoad, finish_estimate
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.proxy._unresponsive_timeout import unresponsive_timeout_s
 from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 from berylhaven.settings import Settings
@@ -22,6 +23,8 @@
         AttemptEnd.CALLER_DISCONNECTED,
         AttemptEnd.CONNECTION_LIMIT,
         AttemptEnd.DEADLINE_BEFORE_SENDING,
+        AttemptEnd.STOP_BEFORE_SENDING,
+        AttemptEnd.STOP_BEFORE_HEAD,
     }
 )
 # Ends after a wait; its length decides whether the load record counts a failure.
@@ -35,15 +38,17 @@
     ----------
     settings : Settings
         The settings of the process.
+    stop_watch : StopWatch
+        Ends the attempts when the instance stops.
     """
 
     __slots__ = ("_data_centre", "_connection_limits", "_upstreams")
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, stop_watch: StopWatch) -> None:
         self._data_centre = settings.instance.data_centre
         self._connection_limits: dict[str, int] = {}
         self._upstreams = UpstreamCaller(
-            settings.proxy, self._connection_limits.__getitem__
+            settings.proxy, self._connection_limits.__getitem__, stop_watch
         )
 
     def p95_s(self, server: ServerLoad) -> float:
@@ -97,6 +102,9 @@
         timeout_s = unresponsive_timeout_s(
             estimate.p99_s, request.deadline_s - sent_at_s
         )
+        if request.pending is not None:
+            request.pending.address = server.address
+            request.pending.sent_at_s = sent_at_s
         server.call_started()
         exchange = None
         try:
@@ -113,6 +121,8 @@
             server.call_timed_out(now_s - sent_at_s, now_s)
             raise
         _record_answer(server, exchange, sent_at_s)
+        if request.pending is not None:
+            request.pending.has_answer = True
         return exchange
 
 
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -23,6 +23,7 @@
 from berylhaven.proxy._home_instance_forwarder import HomeInstanceForwarder
 from berylhaven.proxy._retrying_sender import RetryingSender
 from berylhaven.proxy._server_chooser import ServerChooser
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.results import Answered, CallerDisconnected, CallRefused, Outcome
 from berylhaven.settings import Settings
 
@@ -61,6 +62,7 @@
         "_forwarder",
         "_sender",
         "_attempt_sender",
+        "_stop_watch",
     )
 
     def __init__(
@@ -85,9 +87,12 @@
         self._at_most_once_runner = AtMostOnceRunner(
             settings.calls, self._registry, local_instance
         )
-        self._forwarder = HomeInstanceForwarder(blackboard, nonce, settings.proxy)
+        self._stop_watch = StopWatch()
+        self._forwarder = HomeInstanceForwarder(
+            blackboard, nonce, settings.proxy, self._stop_watch
+        )
         random_source = random.Random()
-        self._attempt_sender = AttemptSender(settings)
+        self._attempt_sender = AttemptSender(settings, self._stop_watch)
         self._sender = RetryingSender(
             ServerChooser(
                 settings.instance.data_centre, load_table, decision_log, random_source
@@ -102,6 +107,10 @@
         """Number of open connections to all backend servers."""
         return self._attempt_sender.open_connection_count
 
+    def stop(self) -> None:
+        """End all calls that wait for a backend server, and start no other ones."""
+        self._stop_watch.stop()
+
     def handle(self, catalogue: Catalogue, request: CallRequest) -> CallAnswer:
         """Answer one call.
 
--- a/berylhaven/proxy/_call_request.py
+++ b/berylhaven/proxy/_call_request.py
@@ -6,6 +6,7 @@
 from berylhaven.calls import CallId
 from berylhaven.catalogue import ServiceEntry
 from berylhaven.http1._request_body import RequestBody
+from berylhaven.proxy._pending_calls import PendingCall
 from berylhaven.results import BadFraming
 
 CALL_ID_HEADER = "HTTP_BERYLHAVEN_CALL_ID"
@@ -45,6 +46,8 @@
     received_at_s: float = 0.0
     # Whether another entry instance forwarded the request to this one.
     is_forwarded: bool = False
+    # Where the call was sent, for the log; None if that is not kept.
+    pending: PendingCall | None = None
 
     @property
     def has_body(self) -> bool:
--- a/berylhaven/proxy/_home_instance_forwarder.py
+++ b/berylhaven/proxy/_home_instance_forwarder.py
@@ -17,6 +17,7 @@
     RECEIVED_AGO_HEADER,
     CallRequest,
 )
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.results import HomeInstanceUnknown, HomeInstanceUnreachable
 from berylhaven.settings import ProxySettings
 
@@ -37,13 +38,20 @@
         The nonce of this run.
     settings : ProxySettings
         Gives the size limits of heads and body pieces.
+    stop_watch : StopWatch
+        Ends the forwarding when the instance stops.
     """
 
-    __slots__ = ("_blackboard", "_own_nonce", "_settings")
+    __slots__ = ("_blackboard", "_own_nonce", "_settings", "_stop_watch")
 
     def __init__(
-        self, blackboard: Blackboard, own_nonce: str, settings: ProxySettings
+        self,
+        blackboard: Blackboard,
+        own_nonce: str,
+        settings: ProxySettings,
+        stop_watch: StopWatch,
     ) -> None:
+        self._stop_watch = stop_watch
         self._blackboard = blackboard
         self._own_nonce = own_nonce
         self._settings = settings
@@ -78,7 +86,7 @@
         upstream = None
         try:
             upstream = send_attempt(
-                connection, self._forwarded_request(request), limits
+                connection, self._forwarded_request(request), limits, self._stop_watch
             )
         except AttemptFailed as failure:
             message = (
--- a/berylhaven/proxy/_upstream_caller.py
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -8,6 +8,7 @@
 from berylhaven.proxy._attempt import AttemptLimits, send_attempt
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._caller_watch import CallerWatch
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.settings import ProxySettings
 
 
@@ -59,14 +60,20 @@
         Gives the size limits of heads and body pieces.
     connection_limit_for : callable
         Returns the connection limit of this instance for an address.
+    stop_watch : StopWatch
+        Ends the attempts when the instance stops.
     """
 
-    __slots__ = ("_settings", "_watch", "pool")
+    __slots__ = ("_settings", "_watch", "_stop_watch", "pool")
 
     def __init__(
-        self, settings: ProxySettings, connection_limit_for: Callable[[str], int]
+        self,
+        settings: ProxySettings,
+        connection_limit_for: Callable[[str], int],
+        stop_watch: StopWatch,
     ) -> None:
         self._settings = settings
+        self._stop_watch = stop_watch
         self._watch = CallerWatch()
         # The connections to backend servers.
         self.pool = ConnectionPool(connection_limit_for, settings.header_limit_bytes)
@@ -118,7 +125,9 @@
         )
         answer = None
         try:
-            answer = send_attempt(connection, request, limits, self._watch)
+            answer = send_attempt(
+                connection, request, limits, self._stop_watch, self._watch
+            )
         finally:
             if answer is None:
                 # Also if this green thread is killed.
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -23,6 +23,7 @@
 from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
 from berylhaven.proxy._attempt_sender import _record_answer
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.proxy._upstream_caller import UpstreamCaller
 from berylhaven.settings import ProxySettings
 
@@ -46,7 +47,8 @@
         self.backend = RawBackend()
         self.addCleanup(self.backend.stop)
         self.limit = 10
-        self.caller = UpstreamCaller(SETTINGS, lambda _: self.limit)
+        self.stop_watch = StopWatch()
+        self.caller = UpstreamCaller(SETTINGS, lambda _: self.limit, self.stop_watch)
         self.service = parse_catalogue(CATALOGUE).services["bookings"]
 
     def request(self, data=b"", length=None, method="POST", timeout_s=5.0, reader=None):
@@ -201,6 +203,16 @@
         eventlet.sleep(0.01)
         self.assertEqual(self.backend.requests, [])
 
+    def test_stop_before_sending(self):
+        self.stop_watch.stop()
+        self.assert_ends(AttemptEnd.STOP_BEFORE_SENDING)
+        self.assertEqual(self.backend.requests, [])
+
+    def test_stop_before_head(self):
+        self.answer(b"", keeps_open=True)
+        eventlet.spawn_after(SHORT_S, self.stop_watch.stop)
+        self.assert_ends(AttemptEnd.STOP_BEFORE_HEAD)
+
     def test_every_end_has_a_test_of_its_name(self):
         for end in AttemptEnd:
             name = "test_" + end.value.replace("-", "_")
--- a/berylhaven/proxy/tests/test_unresponsive_connections.py
+++ b/berylhaven/proxy/tests/test_unresponsive_connections.py
@@ -15,6 +15,7 @@
 from berylhaven.http1._request_body import RequestBody
 from berylhaven.http1.tests._raw_backend import RawBackend, answer_ok
 from berylhaven.proxy._call_request import CallRequest
+from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.proxy._unresponsive_timeout import MIN_TIMEOUT_S, unresponsive_timeout_s
 from berylhaven.proxy._upstream_caller import UpstreamCaller
 from berylhaven.settings import ProxySettings
@@ -30,7 +31,7 @@
     def setUp(self):
         self.backend = RawBackend()
         self.addCleanup(self.backend.stop)
-        self.caller = UpstreamCaller(SETTINGS, lambda _: 100)
+        self.caller = UpstreamCaller(SETTINGS, lambda _: 100, StopWatch())
         self.unresponsive_sockets = set()
         self.slow_sockets = set()
         self.backend.answers["/x"] = self.answer
--- a/berylhaven/results/__init__.py
+++ b/berylhaven/results/__init__.py
@@ -81,8 +81,11 @@
     result_by_number,
     result_codes,
 )
+from berylhaven.results._stop_results import CutByStop, InstanceLeaving
 
 __all__ = [
+    "CutByStop",
+    "InstanceLeaving",
     "AddressContested",
     "AnswerNotStored",
     "AnswerWithoutLength",
