--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -59,9 +59,9 @@
     UNPROVEN_ANSWER = "unproven-answer"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
-    # This instance stops, and no byte was sent.
-    STOP_BEFORE_SENDING = "stop-before-sending"
-    # This instance stops, and the answer's head has not come.
+    # The instance stops before the answer is due; no byte was sent.
+    INSTANCE_STOPS = "instance-stops"
+    # The instance stops, and the answer's head has not come.
     STOP_BEFORE_HEAD = "stop-before-head"
 
 
@@ -121,7 +121,7 @@
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
-    AttemptEnd.STOP_BEFORE_SENDING: EndClassification(
+    AttemptEnd.INSTANCE_STOPS: EndClassification(
         Outcome.NOT_RUN, False, InstanceLeaving
     ),
     AttemptEnd.STOP_BEFORE_HEAD: EndClassification(Outcome.UNKNOWN, False, CutByStop),
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -1,5 +1,6 @@
 """The port that serves callers' requests."""
 
+import collections
 import errno
 import functools
 import socket
@@ -17,12 +18,14 @@
 from berylhaven.gateway.callers._caller_connection import CallerConnection
 from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._drain import Drain
+from berylhaven.gateway.callers._drain_log import DrainLog
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
     GatewayRequest,
     error_answer,
 )
+from berylhaven.gateway.callers._request_progress import RequestStage
 from berylhaven.http1 import serve
 from berylhaven.routes import CallerLimits
 
@@ -67,6 +70,7 @@
         "_drain",
         "_closed_connections",
         "_accept_failures",
+        "drain_log",
         "is_accepting",
     )
 
@@ -92,6 +96,8 @@
         self._event_log = event_log
         self._connections: set[CallerConnection] = set()
         self._drain = drain
+        # Records the requests that a drain ends.
+        self.drain_log = DrainLog(drain, event_log, metrics)
         self._closed_connections = metrics.counter(
             "caller_connections_closed_total",
             "Connections of callers that were closed after an answer, by reason.",
@@ -113,6 +119,21 @@
         """Whether connections are closed after their last pending answer."""
         return self._drain.has_begun
 
+    def gives_up(self, due_at_s: float) -> bool:
+        """Return whether a pending request gets an answer of this instance now.
+
+        Parameters
+        ----------
+        due_at_s : float
+            The time at which the request has its final answer at the latest.
+
+        Returns
+        -------
+        bool
+            True at the end of a drain.
+        """
+        return self._drain.gives_up(monotonic_s(), due_at_s)
+
     def check_intake(self, request: GatewayRequest) -> None:
         """Raise an error if a request may not be taken, before its body is read.
 
@@ -137,6 +158,11 @@
         """The number of requests that have begun to arrive and are not yet answered."""
         return sum(connection.pending_count for connection in self._connections)
 
+    @property
+    def unread_count(self) -> int:
+        """The number of connections with input that was received and not yet read."""
+        return sum(connection.has_unread_input for connection in self._connections)
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
@@ -199,20 +225,57 @@
             )
             return error_answer(500, f"internal error of type {type(error).__name__}")
 
-    def log_head_rejected(self, status: int, message: str) -> None:
+    def log_head_rejected(
+        self, request_id: str | None, status: int, message: str
+    ) -> None:
         """Log that a request was rejected by its head.
 
         Parameters
         ----------
+        request_id : str or None
+            The request id from the caller, if it is known.
         status : int
             The HTTP status of the answer.
         message : str
             The reason for the rejection.
         """
         self._event_log.write_failure(
-            "callers", "head refused", status=status, reason=message
+            "callers",
+            "head refused",
+            request=request_id,
+            status=status,
+            reason=message,
         )
 
+    def end_requests(self, reason: str) -> dict[str, int]:
+        """Log the requests that the end of the process leaves unanswered.
+
+        Parameters
+        ----------
+        reason : str
+            Why they end.
+
+        Returns
+        -------
+        dict of str to int
+            How many requests are at which stage, and how many connections have input
+            that was not read.
+        """
+        connections = list(self._connections)
+        stages = collections.Counter(
+            progress.stage.value
+            for connection in connections
+            for progress in connection.pending_progress()
+        )
+        for connection in connections:
+            self.drain_log.record_unanswered(connection.pending_progress(), reason)
+        return {
+            "pending": self.pending_count,
+            **{stage.value: stages[stage.value] for stage in RequestStage},
+            "unread": self.unread_count,
+            "connections": len(connections),
+        }
+
     def record_close(self, reason: CloseReason) -> None:
         """Count a connection that is closed after an answer."""
         self._closed_connections.inc({"reason": reason.value})
@@ -225,6 +288,11 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
+    def give_up(self) -> None:
+        """Answer the pending requests that the drain gives up."""
+        for connection in list(self._connections):
+            connection.give_up()
+
     def close_idle(self) -> None:
         """Close the connections that have no pending request."""
         for connection in list(self._connections):
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -259,6 +259,7 @@
             f"{reason}"
         )
         if outcome == NOT_RUN:
+            request.progress.record_not_run()
             # A leaving instance means its own callers, who have other instances.
             text = None if is_leaving else answer.fields.get(RETRY_AFTER)
             return_s = parse_retry_after_s(text) if text is not None else None
--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -143,7 +143,7 @@
         if self._was_sent:
             end = AttemptEnd.STOP_BEFORE_HEAD
             return AttemptFailed(end, "this instance stopped before the answer came")
-        end = AttemptEnd.STOP_BEFORE_SENDING
+        end = AttemptEnd.INSTANCE_STOPS
         return AttemptFailed(end, "this instance stopped before the call was sent")
 
     def connect(self, remaining_s: float) -> None:
--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -23,7 +23,7 @@
         AttemptEnd.CALLER_DISCONNECTED,
         AttemptEnd.CONNECTION_LIMIT,
         AttemptEnd.DEADLINE_BEFORE_SENDING,
-        AttemptEnd.STOP_BEFORE_SENDING,
+        AttemptEnd.INSTANCE_STOPS,
         AttemptEnd.STOP_BEFORE_HEAD,
     }
 )
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -203,9 +203,9 @@
         eventlet.sleep(0.01)
         self.assertEqual(self.backend.requests, [])
 
-    def test_stop_before_sending(self):
+    def test_instance_stops(self):
         self.stop_watch.stop()
-        self.assert_ends(AttemptEnd.STOP_BEFORE_SENDING)
+        self.assert_ends(AttemptEnd.INSTANCE_STOPS)
         self.assertEqual(self.backend.requests, [])
 
     def test_stop_before_head(self):
