--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -10,7 +10,9 @@
     BodyTruncated,
     CallerDisconnected,
     CallRefused,
+    CutByStop,
     DeadlineExceeded,
+    InstanceLeaving,
     Outcome,
     OverLimit,
     SenderTooSlow,
@@ -59,6 +61,8 @@
     SERVER_EVACUATED = "server-evacuated"
     # The instance stops before the answer is due; no byte was sent.
     INSTANCE_STOPS = "instance-stops"
+    # The instance stops, and the answer's head has not come.
+    STOP_BEFORE_HEAD = "stop-before-head"
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,8 +122,9 @@
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
     AttemptEnd.INSTANCE_STOPS: EndClassification(
-        Outcome.NOT_RUN, False, UpstreamUnreachable
+        Outcome.NOT_RUN, False, InstanceLeaving
     ),
+    AttemptEnd.STOP_BEFORE_HEAD: EndClassification(Outcome.UNKNOWN, False, CutByStop),
 }
 
 
