--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -40,13 +40,15 @@
     answered = sum(n for (_, status), n in report.answers.items() if status)
     print(
         f"seed {seed}: {verdict}, {sum(report.answers.values())} requests, "
-        f"{answered} answers, exits after {exits} s, callers' hub late by up to "
-        f"{report.max_delay_s:.2f} s"
+        f"{answered} answers, {report.open_count} still open; exits after {exits} s, "
+        f"{report.killed_count} killed; callers' hub late by {report.max_delay_s:.2f} s"
     )
     counts = collections.Counter(status for _, status in report.answers.elements())
     print("  statuses: " + ", ".join(f"{s}: {n}" for s, n in counts.most_common()))
     for found, count in report.losses.items():
         print(f"  {found.value}: {count}")
+    if report.read_count:
+        print(f"  named by the gateway's log, but never passed on: {report.read_count}")
     for line in report.lines:
         print(f"  {line}")
     sys.stdout.flush()
--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -68,11 +68,18 @@
 class StopReport:
     """What was found in a run with planned stops."""
 
-    # The number of requests that were sent whole, by kind and status.
+    # The number of requests that were sent whole and ended, by kind and status.
     answers: collections.Counter = field(default_factory=collections.Counter)
     # Lost requests, and one line with the circumstances of each.
     losses: collections.Counter[LossClass] = field(default_factory=collections.Counter)
     lines: list[str] = field(default_factory=list)
+    # How many of the requests that were never passed on the gateway's log names, so
+    # that it had read them.
+    read_count: int = 0
+    # The number of requests that were still open when the run ended.
+    open_count: int = 0
+    # The number of processes that were killed at the end of the grace.
+    killed_count: int = 0
     # The time from each SIGTERM to the exit of the process, in seconds.
     exits_after_s: list[float] = field(default_factory=list)
     # The longest delay of the callers' own hub, in seconds.
@@ -162,14 +169,20 @@
         for request in self._callers.requests:
             if request.sent_s is None:
                 continue
-            report.answers[request.kind, request.status] += 1
+            if request.ended_s is None:
+                report.open_count += 1
+            else:
+                report.answers[request.kind, request.status] += 1
             arrivals = [Arrival(**a) for a in recorded.get(request.request_id, [])]
             stop = self._stop_of(request)
             found = judge_request(request, arrivals, stop)
             if found is not None:
                 report.losses[found] += 1
                 report.lines.append(describe_loss(found, request, arrivals, stop))
-                report.lines += self._log_lines(request)
+                log_lines = self._log_lines(request)
+                report.lines += log_lines
+                is_unseen = found is LossClass.NEVER_PASSED_ON
+                report.read_count += is_unseen and bool(log_lines)
         return report
 
     def _stop(self, gateway: GatewayProcess) -> None:
@@ -183,7 +196,8 @@
         while process.poll() is None:
             if time.monotonic() - stop.signal_s > self._options.kill_after_s:
                 process.kill()
-                self._report.lines.append(f"{gateway.address()} was killed")
+                process.wait()
+                self._report.killed_count += 1
             eventlet.sleep(EXIT_POLL_S)
         self._report.exits_after_s.append(time.monotonic() - stop.signal_s)
         if self._options.stop_count > 1:
