Reject a head that contains the status line of a second one

Callers got 200 for a request that its server had failed with 500, or 503 "not run" for one that had run, from servers that send a part of an earlier answer once more. Cause: a part that ends within a reason phrase or a field value and the answer behind it read as one head: the status of the part, the id of the answer. match_answer took it for the own one. Change: on a connection that is used again such a head ends the attempt, its outcome is unknown. A part that ends anywhere else makes a malformed line already. The first answer of a connection is not checked: nothing was sent before it that could be repeated.

--- a/berylhaven/gateway/tests/test_repeated_answers.py
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -72,6 +72,40 @@
         return copy is not None
 
 
+def failure(request_id):
+    """Return the answer of a server that failed to run a request."""
+    head = success(request_id).partition(b"\r\n")[2]
+    return b"HTTP/1.1 500 Failed\r\n" + head
+
+
+class PartRepeatingServer:
+    """Sends a part of the previous answer where that to each second request is due."""
+
+    def __init__(self, previous_answer):
+        self.previous_answer = previous_answer
+        # The last id on each connection.
+        self.last_ids = {}
+        # The length of the next part; a later connection continues with the next one.
+        self.end = 0
+        self.sent_count = 0
+
+    def get(self, path, default):
+        return default if path == HEALTH_PATH else self.answer
+
+    def answer(self, sock, request):
+        request_id = request.header(ID_HEADER)
+        last_id = self.last_ids.pop(request.sock, None)
+        if last_id is None:
+            self.last_ids[request.sock] = request_id
+            request.sock.sendall(success(request_id))
+            return
+        previous = self.previous_answer(last_id)
+        part = previous[: self.end % len(previous)]
+        self.end += 1
+        self.sent_count += 1
+        request.sock.sendall(part + failure(request_id))
+
+
 class RepeatedAnswersTest(unittest.TestCase):
     def setUp(self):
         self.path = GatewayPath()
@@ -110,3 +144,25 @@
         self.assertEqual(len(run_ids), len(set(run_ids)))
         refused = {run_id for run_id in run_ids if statuses[run_id] == 503}
         self.assertEqual(refused, set())
+
+    def test_a_part_of_a_second_answer_changes_no_answer(self):
+        # Guards against a head that begins with the status line of another answer: a
+        # success for a failed request, or "not run" for one that runs.
+        self.path.remove_server("orders-1")
+        server = PartRepeatingServer(lambda request_id: success(request_id))
+        self.path.backends[ORDERS][0].answers = server
+        self.assert_own_answers(server, len(success("100")))
+        server.previous_answer = named_refusal
+        self.assert_own_answers(server, len(named_refusal("100")))
+
+    def assert_own_answers(self, server, part_count):
+        server.sent_count = 0
+        with self.path.connect() as caller:
+            for number in range(100, 100 + 3 * part_count):
+                sent_count = server.sent_count
+                answer = caller.exchange("/order/x", str(number), "POST", b"1")
+                is_behind_part = server.sent_count > sent_count
+                with self.subTest(end=server.end, is_behind_part=is_behind_part):
+                    expected = (500, 502, 504) if is_behind_part else (200,)
+                    self.assertIn(answer.status, expected)
+        self.assertGreaterEqual(server.sent_count, part_count)
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -17,6 +17,8 @@
 STATUS_LINE_PATTERN = re.compile(
     rb"(HTTP/1\.[01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r\n"
 )
+# In a reason phrase or a field value: the head begins with a part of another answer.
+INNER_STATUS_LINE_PATTERN = re.compile(r"HTTP/1\.[01] [1-9][0-9]{2}(?: |$)")
 # The timeout parameter of Keep-Alive: the idle time after which the server closes the
 # connection, in seconds.
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"(?:^|[,\s])timeout=([0-9]{1,6})(?:$|[,\s])")
@@ -52,6 +54,29 @@
         return self.fields.has_token("connection", "keep-alive")
 
 
+def inner_status_line(head: AnswerHead) -> str | None:
+    """Return the part of a head that contains the status line of a second one.
+
+    A server that repeats a part of an earlier answer before an answer sends what looks
+    like one head, with the status of the earlier answer and the id of this one. A part
+    that ends elsewhere than in a reason phrase or in a value makes a malformed line.
+
+    Parameters
+    ----------
+    head : AnswerHead
+        The head of an answer.
+
+    Returns
+    -------
+    str or None
+        The reason phrase or the field value; None if there is no second status line.
+    """
+    for text in (head.reason, *(value for _, value in head.fields.pairs)):
+        if "HTTP/1." in text and INNER_STATUS_LINE_PATTERN.search(text):
+            return text
+    return None
+
+
 class _SocketReader(io.RawIOBase):
     """Reads raw bytes from a green socket; never blocks while probing.
 
@@ -218,8 +243,9 @@
         Raises
         ------
         http.client.HTTPException
-            If the status line is missing or malformed, the protocol is switched, or
-            there are too many interim answers.
+            If the status line is missing or malformed, the protocol is switched, there
+            are too many interim answers, or the head of an answer that is not the first
+            on the connection contains a second status line.
         CallRefused
             If the header fields are malformed or exceed the size limit.
         """
@@ -233,6 +259,11 @@
             head = AnswerHead(
                 version.decode(), int(status), reason.decode("latin-1"), fields
             )
+            second_line = inner_status_line(head) if self.answer_count else None
+            if second_line is not None:
+                raise http.client.BadStatusLine(
+                    f"a second status line within a head: {second_line[:60]}"
+                )
             if head.status >= FIRST_FINAL_STATUS:
                 self.answer_count += 1
                 self._update_idle_limit(head.fields)
