Count the servers that other instances have used for a passed-on request

A request that may be repeated reached four servers although its route allows two: each of the two instances that it was passed on to made as many attempts as the route allows, since the passing instance counted only its own. It counts all that an instance may have used that gave up, and one if the answer was lost.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -18,7 +18,11 @@
     may_have_run,
 )
 from berylhaven.gateway.requests._hedger import Hedger
-from berylhaven.gateway.requests._peer_forwarder import PeerForwarder, PeerRefused
+from berylhaven.gateway.requests._peer_forwarder import (
+    PeerForwarder,
+    PeerRefused,
+    count_sent,
+)
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.servers._finish_estimate import expected_finish_s
 from berylhaven.gateway.servers._reach_monitor import ReachMonitor
@@ -118,6 +122,7 @@
         "_threads",
         "_running_count",
         "_sent_count",
+        "_peer_sent_count",
         "_failed_answer",
         "_no_server",
         "_hedge_at_s",
@@ -158,6 +163,8 @@
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._running_count = 0
         self._sent_count = 0
+        # Servers that other instances may have sent the request to, without an answer.
+        self._peer_sent_count = 0
         # A server error (5xx), returned if no other attempt succeeds.
         self._failed_answer: AttemptResult | None = None
         self._no_server: NoServerAvailable | None = None
@@ -307,7 +314,8 @@
             self._hedger.record_time(self._choice_request, time_ratio)
 
     def _is_at_limit(self) -> bool:
-        return self._sent_count >= self._choice_request.route.attempt_limit
+        sent_count = self._sent_count + self._peer_sent_count
+        return sent_count >= self._choice_request.route.attempt_limit
 
     def _can_pass_on(self) -> bool:
         """Return whether another instance may be able to serve the request."""
@@ -329,8 +337,9 @@
 
     def _remaining_server_count(self) -> int:
         """Return the number of further servers that the request may be sent to."""
-        reached_count = self._sent_count - self._unconnected_count()
-        return self._choice_request.route.attempt_limit - max(0, reached_count)
+        own_count = max(0, self._sent_count - self._unconnected_count())
+        reached_count = own_count + self._peer_sent_count
+        return self._choice_request.route.attempt_limit - reached_count
 
     def _try_pass_on(self) -> bool:
         """Pass the request on to another instance if there is a suitable one."""
@@ -347,16 +356,18 @@
         return True
 
     def _pass_on(self, member: Member) -> None:
+        attempt_limit = self._remaining_server_count()
         try:
             answer = self._peers.send(
                 self._request,
                 self._choice_request.service.name,
                 member,
-                self._remaining_server_count(),
+                attempt_limit,
                 self._choice_request.deadline_s,
             )
             ended = AttemptResult(None, answer)
         except Exception as error:
+            self._peer_sent_count += count_sent(error, attempt_limit)
             ended = error
         self._ended.put(ended)
 
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -26,6 +26,7 @@
 from berylhaven.gateway.servers._reach_monitor import service_bit
 from berylhaven.gateway.servers._server_exchange import ServerAnswer, exchange
 from berylhaven.http1 import RETRY_AFTER, ConnectionPool, parse_retry_after_s
+from berylhaven.results import Outcome
 
 # The time that the way to the other instance and back takes, in seconds.
 HOP_MARGIN_S = 0.005
@@ -60,6 +61,33 @@
         self.return_s = return_s
 
 
+class PeerFailed(AttemptFailed):
+    """Another instance answered that a request failed and may have run."""
+
+
+def count_sent(failure: Exception, attempt_limit: int) -> int:
+    """Return the number of servers that a failed request counts as sent to.
+
+    Parameters
+    ----------
+    failure : Exception
+        How passing the request on ended.
+    attempt_limit : int
+        The number of servers that the other instance might use.
+
+    Returns
+    -------
+    int
+        All that it might use if it gave up by itself, one if its answer was lost.
+    """
+    if isinstance(failure, PeerFailed):
+        return attempt_limit
+    is_unsent = isinstance(failure, AttemptFailed) and (
+        failure.classification.outcome is Outcome.NOT_RUN
+    )
+    return 0 if is_unsent else 1
+
+
 class PeerForwarder:
     """Chooses other instances and sends requests to their callers' ports.
 
@@ -265,8 +293,8 @@
             return_s = parse_retry_after_s(text) if text is not None else None
             raise PeerRefused(message, return_s)
         if answer.status == HTTP_STATUS_TIMEOUT:
-            raise AttemptFailed(AttemptEnd.DEADLINE_BEFORE_HEAD, message)
-        raise AttemptFailed(AttemptEnd.BROKEN_BEFORE_HEAD, message)
+            raise PeerFailed(AttemptEnd.DEADLINE_BEFORE_HEAD, message)
+        raise PeerFailed(AttemptEnd.BROKEN_BEFORE_HEAD, message)
 
     def _set_member_aside(self, member: Member) -> None:
         now_s = monotonic_s()
--- a/berylhaven/gateway/tests/test_cut_from_servers.py
+++ b/berylhaven/gateway/tests/test_cut_from_servers.py
@@ -155,6 +155,12 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(self.fleet.requests("/order/lost"), 1)
 
+    def test_a_read_whose_answers_are_lost_goes_to_no_more_servers_than_allowed(self):
+        # Guards against attempts of each instance that it is passed on to.
+        self.answer("/read/lost", lambda sock, request: False)
+        self.assertEqual(self.exchange("lost", "/read/lost").status, 502)
+        self.assertLessEqual(self.fleet.requests("/read/lost"), 2)
+
     def test_an_order_that_the_other_instance_refuses_is_told_as_not_run(self):
         refusal = b"HTTP/1.1 503 Full\r\nWordy-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
         self.answer("/order/full", answers_raw(refusal))
