--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -13,6 +13,7 @@
 from berylhaven.entry.tests._local_fleet import CATALOGUE
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._server_exchange import exchange
 from berylhaven.gateway.tests._gateway_path import FakeDialect
@@ -166,7 +167,10 @@
     def gateway_exchange(self, connection, check_sending=lambda: None):
         body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
         now_s = monotonic_s()
-        request = GatewayRequest("POST", "/x", HeadFields([]), body, "c", now_s, None)
+        progress = RequestProgress("c", now_s)
+        request = GatewayRequest(
+            "POST", "/x", HeadFields([]), body, "c", now_s, progress, None
+        )
         return exchange(
             connection,
             request,
