Read what has arrived before a late instance ends its drain

What callers saw: while the hub was late, a request that was sent whole on a new connection ended unanswered, although kept connections were read; and a complete answer of a server was replaced by a 504.

Cause: one turn of the hub ran before the step of the drain. In it a connection is accepted, but its handler, which registers it, starts in the next turn, so nothing was pending and the process ended. An answer was read in it, but the green thread of its request had not run, and was given up.

Evidence: test_a_new_connection_is_read_before_the_instance_ends_early and test_an_answer_that_arrived_is_not_given_up_by_a_late_instance block the hub across the step. Four turns run, since a shared connection or an interim step of a request may take one more.

--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -6,6 +6,10 @@
 from berylhaven.gateway.callers._callers_port import CallersPort
 from berylhaven.gateway.callers._drain import Drain
 
+# A connection is accepted in one turn of the hub, its handler starts in the next one
+# and reads a request. An answer is read in one turn and taken in the next two.
+HUB_TURNS = 4
+
 
 class InstanceDrain:
     """Closes callers' connections in a drain, and tells when the instance may stop.
@@ -54,8 +58,9 @@
         if not self._drain.closes_idle(now_s):
             return False
         self._port.held.admit_last_answers()
-        # Answers that have arrived are read before their requests are given up.
-        sleep_s(0)
+        # What has arrived is read before requests are given up or the process ends.
+        for _ in range(HUB_TURNS):
+            sleep_s(0)
         self._port.give_up()
         self._port.close_idle()
         pending_count = self._port.pending_count + self._port.unread_count
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -17,6 +17,8 @@
 
 # Blocks the hub, as a starved process does.
 block_s = eventlet.patcher.original("time").sleep
+# Its sockets can be used in a callback of the hub, which must not wait.
+plain_socket = eventlet.patcher.original("socket")
 # The grace of the settings of GatewayPath.
 GRACE_S = 3.0
 # In the part of the drain in which each request is taken.
@@ -97,6 +99,54 @@
         self.assertIsNotNone(answer)
         self.assertEqual(answer.headers["connection"], "close")
 
+    def test_a_new_connection_is_read_before_the_instance_ends_early(self):
+        # Guards against unread requests on connections that a starved instance has not
+        # accepted when nothing else is pending.
+        host, _, port = self.path.callers_address.rpartition(":")
+        caller = plain_socket.socket()
+        self.addCleanup(caller.close)
+
+        def connect_late():
+            caller.connect((host, int(port)))
+            caller.sendall(request_bytes("/read/x"))
+            block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        # The main loop is due, and wakes up right after the late callback.
+        block_s(0.15)
+        get_hub().schedule_call_global(-1.0, connect_late)
+        self.path.waiter.wait()
+        caller.setblocking(False)
+        # An instance that is so late cannot know that the work would end in time.
+        self.assertEqual(caller.recv(12), b"HTTP/1.1 503")
+        self.assertEqual(self.run_ids, [])
+
+    def test_an_answer_that_arrived_is_not_given_up_by_a_late_instance(self):
+        # Guards against complete answers that are replaced at the end of the grace.
+        servers = []
+
+        def keep_waiting(sock, request):
+            servers.append(sock)
+            eventlet.sleep(LONG_WORK_S)
+
+        def answer_late():
+            head = f"HTTP/1.1 200 OK\r\n{ID_HEADER}: a\r\nContent-Length: 2\r\n\r\n"
+            servers[0].fd.send(head.encode() + b"ok")
+            block_s(GRACE_S - 0.4 - self.drained_s())
+
+        self.path.answer_all(ORDERS, keep_waiting)
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/order/x", method="POST", body=b"x"))
+            eventlet.sleep(0.2)
+            # The main loop is due, and wakes up right after the late callback.
+            block_s(0.15)
+            get_hub().schedule_call_global(-1.0, answer_late)
+            answer = caller.answer()
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+
     def test_a_late_instance_takes_only_what_is_due_in_time(self):
         # Guards against requests that a starved instance takes and cannot answer.
         block_s(0.6)
