Separate what callers' connections share from the port that accepts them

CallerConnection and CallersPort knew each other. ConnectionContext has what the connections share (limits, drain, answers, log lines); the port accepts, counts and closes them. Nothing else is changed.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -24,6 +24,7 @@
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.callers._callers_port import CallersPort
+from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.members._locate import Location, locate
@@ -159,7 +160,7 @@
         self._forwarder = path.forwarder
         self._evidence_spread = path.evidence_spread
         self._warmups = path.warmups
-        self._port = CallersPort(
+        context = ConnectionContext(
             self._forwarder.answer,
             self._routes,
             dialect,
@@ -169,6 +170,7 @@
             self._drain,
             self.metrics,
         )
+        self._port = CallersPort(context, event_log, self.metrics)
         self._instance_drain = InstanceDrain(
             self._drain, self._port, self._lateness, event_log
         )
--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -57,7 +57,7 @@
             )
         if not self._drain.closes_idle(now_s):
             return False
-        self._port.held.admit_last_answers()
+        self._port.context.held.admit_last_answers()
         # What has arrived is read before requests are given up or the process ends.
         for _ in range(HUB_TURNS):
             sleep_s(0)
--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -4,22 +4,19 @@
 import math
 import socket
 from collections import deque
-from typing import TYPE_CHECKING
 
 import eventlet
 import eventlet.event
 
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway.callers._close_reason import close_reason
+from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._passed_on import NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
 from berylhaven.gateway.callers._request import GatewayAnswer, error_answer
 from berylhaven.gateway.callers._request_progress import RequestStage
 
-if TYPE_CHECKING:
-    from berylhaven.gateway.callers._callers_port import CallersPort
-
 # The maximum number of concurrent requests on one connection.
 PIPELINE_LIMIT = 32
 # The part of an answer that is sent together with its head.
@@ -36,13 +33,13 @@
     ----------
     sock : socket.socket
         The caller's socket.
-    port : CallersPort
-        The port, which counts the closed connections.
+    context : ConnectionContext
+        What the connections of the port share.
     """
 
     __slots__ = (
         "_socket",
-        "_port",
+        "_context",
         "_pending",
         "_has_pending",
         "_slot_released",
@@ -51,9 +48,9 @@
         "is_broken",
     )
 
-    def __init__(self, sock: socket.socket, port: "CallersPort") -> None:
+    def __init__(self, sock: socket.socket, context: ConnectionContext) -> None:
         self._socket = sock
-        self._port = port
+        self._context = context
         self._pending: deque[PendingAnswer] = deque()
         self._has_pending = eventlet.event.Event()
         self._slot_released = eventlet.event.Event()
@@ -110,11 +107,11 @@
             is_received = progress.stage is RequestStage.RECEIVED
             # An answer that was read is due now, also on a starved machine.
             due_at_s = -math.inf if is_received else progress.due_at_s
-            if not self._port.gives_up(due_at_s):
+            if not self._context.gives_up(due_at_s):
                 continue
             pending.thread.kill()
             answer = _stop_answer(pending)
-            self._port.drain_log.record_given_up(progress, answer.status)
+            self._context.drain_log.record_given_up(progress, answer.status)
             progress.record_answered(monotonic_s())
             pending.answered.send(answer)
 
@@ -149,12 +146,12 @@
         reason = close_reason(
             pending.must_close,
             pending.is_body_ended,
-            self._port.is_draining,
+            self._context.is_draining,
             len(self._pending),
         )
         is_last = self.is_closing = reason is not None
         if is_last:
-            self._port.record_close(reason)
+            self._context.record_close(reason)
         self._send_answer(*answer_bytes(pending, answer, is_last))
         self._pending.popleft()
         self._release_slot()
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -2,13 +2,13 @@
 
 import math
 import socket
-from typing import TYPE_CHECKING
 
 import eventlet
 
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.gateway.callers._answer_queue import AnswerQueue
 from berylhaven.gateway.callers._close_reason import CloseReason
+from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._input_check import has_input
@@ -30,9 +30,6 @@
 from berylhaven.overload import SMALL_BYTES, HeldKind, body_kind
 from berylhaven.results import CallRefused, SenderTooSlow
 
-if TYPE_CHECKING:
-    from berylhaven.gateway.callers._callers_port import CallersPort
-
 # Bodies up to this size are read before the request is processed.
 PREREAD_BODY_LIMIT_BYTES = 1_000_000
 # The interval at which the end of a larger body is polled for.
@@ -62,26 +59,26 @@
         The caller's socket.
     reader : io.BufferedReader
         The buffered reader of the socket.
-    port : CallersPort
-        The port, with its application, limits and drain state.
+    context : ConnectionContext
+        What the connections of the port share.
     """
 
     __slots__ = (
         "_socket",
         "_reader",
-        "_port",
+        "_context",
         "_answers",
         "_is_receiving",
         "_reading_thread",
     )
 
     def __init__(
-        self, sock: socket.socket, reader: object, port: "CallersPort"
+        self, sock: socket.socket, reader: object, context: ConnectionContext
     ) -> None:
         self._socket = sock
         self._reader = reader
-        self._port = port
-        self._answers = AnswerQueue(sock, port)
+        self._context = context
+        self._answers = AnswerQueue(sock, context)
         # Whether a request has begun to arrive that is not yet among the pending ones.
         self._is_receiving = False
         # The green thread that reads the requests.
@@ -106,7 +103,7 @@
             # The caller's connection broke; its requests are cancelled below.
             return
         finally:
-            self._port.drain_log.record_unanswered(
+            self._context.drain_log.record_unanswered(
                 self.pending_progress(), "the caller closed its connection"
             )
             self._answers.cancel()
@@ -123,7 +120,7 @@
     def give_up(self) -> None:
         """Answer the requests that the drain gives up, also one that is arriving."""
         self._answers.give_up()
-        if self._is_receiving and self._port.gives_up(math.inf):
+        if self._is_receiving and self._context.gives_up(math.inf):
             eventlet.kill(self._reading_thread, DrainRefusal, DrainRefusal(0.0))
 
     def close_if_idle(self) -> None:
@@ -135,7 +132,7 @@
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
         while True:
-            idle_timeout_s = self._port.caller_limits.idle_timeout_s
+            idle_timeout_s = self._context.caller_limits.idle_timeout_s
             with eventlet.Timeout(idle_timeout_s, False):
                 return bool(self._reader.peek(1)) and not self._answers.is_closing
             if not self._answers:
@@ -144,7 +141,7 @@
     def _read_request(self) -> bool:
         """Read a request and start it; False if the next byte begins no other one."""
         received_at_s = monotonic_s()
-        limits = self._port.caller_limits
+        limits = self._context.caller_limits
         head = None
         try:
             self._await_head_room()
@@ -167,7 +164,7 @@
     def _start_request(self, head: RequestHead, received_at_s: float) -> bool:
         """Start a request and read its body; False if it is the last that is read."""
         fields = head.fields
-        limits = self._port.caller_limits
+        limits = self._context.caller_limits
         body = RequestBody(
             self._reader,
             parse_framing(fields.pairs, head.version),
@@ -175,7 +172,7 @@
             self._send_continue if head.expects_continue else None,
         )
         caller_host = self._caller_host()
-        request_id = self._port.dialect.request_id(fields) or ""
+        request_id = self._context.dialect.request_id(fields) or ""
         progress = RequestProgress(request_id, received_at_s)
         request = GatewayRequest(
             method=head.method,
@@ -185,12 +182,12 @@
             request_id=request_id,
             received_at_s=received_at_s,
             progress=progress,
-            remaining_s=self._port.dialect.remaining_s(fields),
+            remaining_s=self._context.dialect.remaining_s(fields),
             caller_host=caller_host,
         )
         # Callers have no say in how instances treat one another's requests.
         attempt_limit = passed_on_attempt_limit(fields)
-        if attempt_limit is not None and self._port.is_peer(caller_host):
+        if attempt_limit is not None and self._context.is_peer(caller_host):
             request.passed_on_attempt_limit = attempt_limit
         pending = PendingAnswer(
             request.method == "HEAD",
@@ -202,7 +199,7 @@
             pending.naming_header = self._naming_header(fields)
         pending.reservation = self._reserve_head(head)
         if body.has_body:
-            self._port.check_intake(request)
+            self._context.check_intake(request)
             body.limit_bytes = limits.body_limit_bytes
             self._buffer_body(request)
         if self._answers.is_closing:
@@ -218,7 +215,7 @@
 
     def _reserve_head(self, head: RequestHead) -> Reservation:
         size_bytes = HEAD_COPY_COUNT * head.text_bytes
-        held = self._port.held
+        held = self._context.held
         if self._answers:
             # It was read because there was room, or the last answer is just written.
             size_bytes += PENDING_REQUEST_BYTES
@@ -229,8 +226,8 @@
 
     def _buffer_body(self, request: GatewayRequest) -> None:
         """Read the first part of a body, once there is room for it."""
-        body, held = request.body, self._port.held
-        idle_timeout_s = self._port.caller_limits.idle_timeout_s
+        body, held = request.body, self._context.held
+        idle_timeout_s = self._context.caller_limits.idle_timeout_s
         size_bytes = body.content_length
         if size_bytes is None:
             size_bytes = SMALL_BYTES
@@ -267,14 +264,14 @@
 
     def _await_head_room(self) -> None:
         """Leave further input unread while pipelined heads take up their share."""
-        held = self._port.held
+        held = self._context.held
         while self._answers and not self._answers.is_broken:
             if held.has_room(HeldKind.PIPELINED_HEAD, PENDING_REQUEST_BYTES):
                 return
             sleep_s(ROOM_POLL_INTERVAL_S)
 
     def _answer(self, request: GatewayRequest, pending: PendingAnswer) -> None:
-        answer = self._port.answer(request)
+        answer = self._context.answer(request)
         pending.progress.record_answered(monotonic_s())
         pending.is_body_ended = request.body.is_ended
         pending.answered.send(answer)
@@ -291,7 +288,7 @@
         head: RequestHead | None = None,
     ) -> None:
         answer = error_answer(status, message, retry_after_s)
-        request_id = self._port.dialect.request_id(head.fields) if head else None
+        request_id = self._context.dialect.request_id(head.fields) if head else None
         now_s = monotonic_s()
         progress = RequestProgress(request_id or "", now_s)
         progress.record_answered(now_s)
@@ -301,11 +298,11 @@
             answer.headers.append((OUTCOME, NOT_RUN))
             pending.naming_header = self._naming_header(head.fields)
         pending.answered.send(answer)
-        self._port.log_head_rejected(request_id, status, message)
+        self._context.log_head_rejected(request_id, status, message)
         self._enqueue(pending)
 
     def _naming_header(self, fields: HeadFields) -> tuple[str, str] | None:
-        dialect = self._port.dialect
+        dialect = self._context.dialect
         request_id = dialect.request_id(fields)
         return (dialect.request_id_header, request_id) if request_id else None
 
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -4,30 +4,17 @@
 import errno
 import functools
 import socket
-import traceback
 from collections.abc import Callable
 
 import eventlet
 import eventlet.wsgi
 
-from berylhaven.clock import monotonic_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._active_routes import ActiveRoutes
-from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway.callers._caller_connection import CallerConnection
-from berylhaven.gateway.callers._close_reason import CloseReason
-from berylhaven.gateway.callers._drain import Drain
-from berylhaven.gateway.callers._drain_log import DrainLog
-from berylhaven.gateway.callers._held_bytes import HeldBytes
-from berylhaven.gateway.callers._request import (
-    GatewayAnswer,
-    GatewayRequest,
-    error_answer,
-)
+from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._request_progress import RequestStage
 from berylhaven.http1 import serve
-from berylhaven.routes import CallerLimits
 
 # The maximum number of open connections; each takes a file descriptor and some
 # kilobytes.
@@ -41,67 +28,29 @@
 
     Parameters
     ----------
-    application : callable
-        Returns the answer to a request.
-    routes : ActiveRoutes
-        The active configuration, with the callers' limits.
-    dialect : Dialect
-        The header names of the deployment.
+    context : ConnectionContext
+        What the connections share.
     event_log : EventLog
-        Receives a line for each rejected head and each internal error.
-    is_peer : callable
-        Returns whether a host is that of another instance.
-    held : HeldBytes
-        The account of held bytes.
-    drain : Drain
-        Tells which requests are still taken.
+        Receives a line when connections can't be accepted.
     metrics : GatewayMetrics
-        Counts the connections that are closed after an answer.
+        Counts these failures.
     """
 
     __slots__ = (
-        "is_peer",
-        "held",
-        "_application",
-        "_routes",
-        "dialect",
+        "context",
         "_event_log",
         "_connections",
-        "_drain",
-        "_closed_connections",
         "_accept_failures",
-        "drain_log",
         "is_accepting",
     )
 
     def __init__(
-        self,
-        application: Callable[[GatewayRequest], GatewayAnswer],
-        routes: ActiveRoutes,
-        dialect: Dialect,
-        event_log: EventLog,
-        is_peer: Callable[[str], bool],
-        held: HeldBytes,
-        drain: Drain,
-        metrics: GatewayMetrics,
+        self, context: ConnectionContext, event_log: EventLog, metrics: GatewayMetrics
     ) -> None:
-        # The account of the bytes held for callers and servers.
-        self.held = held
-        # Whether a host is that of another instance.
-        self.is_peer = is_peer
-        self._application = application
-        self._routes = routes
-        # The header names of the deployment.
-        self.dialect = dialect
+        # What the connections share.
+        self.context = context
         self._event_log = event_log
         self._connections: set[CallerConnection] = set()
-        self._drain = drain
-        # Records the requests that a drain ends.
-        self.drain_log = DrainLog(drain, event_log, metrics)
-        self._closed_connections = metrics.counter(
-            "caller_connections_closed_total",
-            "Connections of callers that were closed after an answer, by reason.",
-        )
         self._accept_failures = metrics.counter(
             "accept_failures_total",
             "Times at which connections of callers could no longer be accepted.",
@@ -109,50 +58,6 @@
         # Whether connections of callers can be accepted.
         self.is_accepting = True
 
-    @property
-    def caller_limits(self) -> CallerLimits:
-        """The active limits for callers."""
-        return self._routes.caller_limits
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether connections are closed after their last pending answer."""
-        return self._drain.has_begun
-
-    def gives_up(self, due_at_s: float) -> bool:
-        """Return whether a pending request gets an answer of this instance now.
-
-        Parameters
-        ----------
-        due_at_s : float
-            The time at which the request has its final answer at the latest.
-
-        Returns
-        -------
-        bool
-            True at the end of a drain.
-        """
-        return self._drain.gives_up(monotonic_s(), due_at_s)
-
-    def check_intake(self, request: GatewayRequest) -> None:
-        """Raise an error if a request may not be taken, before its body is read.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            The caller's request.
-
-        Raises
-        ------
-        DrainRefusal
-            If its answer may be due after the end of the process.
-        """
-        if self._drain.has_begun and self._routes.is_loaded:
-            route = self._routes.table.find(request.host, request.path)
-            if route is not None:
-                due_at_s = request.due_at_s(route.timeout_s)
-                self._drain.check_intake(monotonic_s(), due_at_s)
-
     @property
     def pending_count(self) -> int:
         """The number of requests that have begun to arrive and are not yet answered."""
@@ -200,53 +105,6 @@
         self._accept_failures.inc({"error": errno.errorcode.get(error.errno, "other")})
         self._event_log.write_failure("callers", "not accepting", error=str(error))
 
-    def answer(self, request: GatewayRequest) -> GatewayAnswer:
-        """Answer one request; an internal error is answered with status 500.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            The caller's request.
-
-        Returns
-        -------
-        GatewayAnswer
-            The final answer.
-        """
-        try:
-            return self._application(request)
-        except Exception as error:
-            self._event_log.write_failure(
-                "callers",
-                "fault",
-                request=request.request_id,
-                error=type(error).__name__,
-                trace=traceback.format_exc(),
-            )
-            return error_answer(500, f"internal error of type {type(error).__name__}")
-
-    def log_head_rejected(
-        self, request_id: str | None, status: int, message: str
-    ) -> None:
-        """Log that a request was rejected by its head.
-
-        Parameters
-        ----------
-        request_id : str or None
-            The request id from the caller, if it is known.
-        status : int
-            The HTTP status of the answer.
-        message : str
-            The reason for the rejection.
-        """
-        self._event_log.write_failure(
-            "callers",
-            "head refused",
-            request=request_id,
-            status=status,
-            reason=message,
-        )
-
     def end_requests(self, reason: str) -> dict[str, int]:
         """Log the requests that the end of the process leaves unanswered.
 
@@ -268,7 +126,9 @@
             for progress in connection.pending_progress()
         )
         for connection in connections:
-            self.drain_log.record_unanswered(connection.pending_progress(), reason)
+            self.context.drain_log.record_unanswered(
+                connection.pending_progress(), reason
+            )
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
@@ -276,10 +136,6 @@
             "connections": len(connections),
         }
 
-    def record_close(self, reason: CloseReason) -> None:
-        """Count a connection that is closed after an answer."""
-        self._closed_connections.inc({"reason": reason.value})
-
     def add(self, connection: CallerConnection) -> None:
         """Register an open connection."""
         self._connections.add(connection)
@@ -327,7 +183,7 @@
 
     def handle(self) -> None:
         """Serve the connection until it is closed."""
-        connection = CallerConnection(self.connection, self.rfile, self._port)
+        connection = CallerConnection(self.connection, self.rfile, self._port.context)
         self._port.add(connection)
         try:
             connection.serve()
