Write the answers of the last step before the process ends

What callers saw: when the last step of a drain came within 0.3 s of the end of the grace, one of the requests that it gave up got neither its 504 nor its 503.

Cause: giving a request up wakes the writer of its connection, which runs in the next turn of the hub. The process ended in the same step: the listener was killed first, which closes all connections of callers. All but the last request were written, since giving up the next one let the hub run.

--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -63,6 +63,8 @@
             sleep_s(0)
         self._port.give_up()
         self._port.close_idle()
+        # The answers of what was given up are written, also in the last step.
+        sleep_s(0)
         pending_count = self._port.pending_count + self._port.unread_count
         return self._drain.has_ended(now_s, pending_count)
 
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -54,6 +54,10 @@
     def drained_s(self):
         return monotonic_s() - self.began_at_s
 
+    def connect_plain(self, caller):
+        host, _, port = self.path.callers_address.rpartition(":")
+        caller.connect((host, int(port)))
+
     def send_late(self, caller):
         """Send a request after the hub has polled sockets, and come back late."""
         caller.sock.fd.send(request_bytes("/read/x", "second"))
@@ -102,12 +106,11 @@
     def test_a_new_connection_is_read_before_the_instance_ends_early(self):
         # Guards against unread requests on connections that a starved instance has not
         # accepted when nothing else is pending.
-        host, _, port = self.path.callers_address.rpartition(":")
         caller = plain_socket.socket()
         self.addCleanup(caller.close)
 
         def connect_late():
-            caller.connect((host, int(port)))
+            self.connect_plain(caller)
             caller.sendall(request_bytes("/read/x"))
             block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
 
@@ -147,6 +150,28 @@
             answer = caller.answer()
         self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
+    def test_what_is_given_up_in_the_last_step_is_answered(self):
+        # Guards against a process that is so late that it ends before the answers of
+        # the requests that it has just given up are written.
+        self.start_drain()
+        eventlet.sleep(TAKEN_AFTER_S)
+        callers = [plain_socket.socket() for _ in range(3)]
+        for number, caller in enumerate(callers):
+            self.addCleanup(caller.close)
+            self.connect_plain(caller)
+            caller.sendall(request_bytes("/read/long", str(number)))
+        eventlet.sleep(0.2)
+        # The main loop is due, and wakes up right after the late callback.
+        block_s(0.15)
+        get_hub().schedule_call_global(
+            -1.0, lambda: block_s(GRACE_S - 0.25 - self.drained_s())
+        )
+        self.path.waiter.wait()
+        self.assertLess(self.drained_s(), GRACE_S)
+        for caller in callers:
+            caller.setblocking(False)
+            self.assertEqual(caller.recv(12), b"HTTP/1.1 504")
+
     def test_a_late_instance_takes_only_what_is_due_in_time(self):
         # Guards against requests that a starved instance takes and cannot answer.
         block_s(0.6)
