Refuse requests that are still arriving at the end of a drain

What callers saw: a request whose body came slowly ended without an answer when an entry instance of the older role stopped, although nothing of it had run.

Cause: such a request holds only its connection until its first part has arrived, so neither the drain nor the end of the calls at work knew of it; since the process waits for all answers, it also kept the instance until the limit.

Why this works: the wait for the first part ends when no call is at work, or at the cut, by the means that ends attempts; the caller gets 215 instance-leaving (not run), and its connection is closed after that.

--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -154,13 +154,16 @@
         if now_s >= drain.cuts_at_s and not self._has_cut_calls:
             self._has_cut_calls = True
             self._application.pending.log_cut()
+            self._application.refuse_arriving()
             self._handler.stop()
         if now_s >= drain.ends_by_s:
             self._application.pending.log_lost()
             return True
-        # The last answers may still be being written.
-        is_done = reading.value.stage is DrainStage.DONE
-        return is_done and not self._application.pending.count
+        if reading.value.stage is not DrainStage.DONE:
+            return False
+        # No call is at work, but answers may still be being written.
+        self._application.refuse_arriving()
+        return not self._application.pending.count
 
     def _serve_callers(self) -> eventlet.greenthread.GreenThread:
         closing_middleware = ConnectionCloseMiddleware(
--- a/berylhaven/entry/tests/test_drain_limit.py
+++ b/berylhaven/entry/tests/test_drain_limit.py
@@ -149,6 +149,21 @@
             self.assertIn(f"{service}/long-", line)
             self.assertIn(f"sent to {address}", line)
 
+    def test_a_request_that_is_still_arriving_is_refused_before_the_end(self):
+        # Guards against a process that ends, or waits, while a body is being sent.
+        with self.path.connect() as caller:
+            caller.send(post(f"{BOOKINGS}/late", "Content-Length: 2", body=b"b"))
+            instance = self.path.instances[0]
+            self.path.wait_until(lambda: instance._application.pending.count)
+            instance.leave()
+            began_at_s = monotonic_s()
+            instance.wait()
+            self.assertLess(monotonic_s() - began_at_s, LIMIT_S)
+            answer = caller.answer()
+        self.assertEqual(answer.header("Berylhaven-Result"), LEAVING)
+        self.assertEqual(answer.header("Berylhaven-Outcome"), "not-run")
+        self.assertEqual(self.run_names, set())
+
     def test_a_slow_reader_gets_the_rest_of_its_answer(self):
         # Guards against answers that are cut with the calls that have none.
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE_BYTES
--- a/berylhaven/proxy/_application.py
+++ b/berylhaven/proxy/_application.py
@@ -12,6 +12,7 @@
 from berylhaven.catalogue import CATALOGUE_SECTION, ActiveCatalogue, ServiceEntry
 from berylhaven.clock import PauseWatch, monotonic_s
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
+from berylhaven.http1._request_body import RequestBody
 from berylhaven.membership import (
     DRAIN_SECTION,
     MEMBERSHIP_SECTION,
@@ -41,6 +42,7 @@
 )
 from berylhaven.proxy._locate import locate_document
 from berylhaven.proxy._pending_calls import PendingCalls
+from berylhaven.proxy._stop_watch import StopRequested, StopWatch
 from berylhaven.results import (
     BodyTooLarge,
     CallRefused,
@@ -85,6 +87,7 @@
         "_handler",
         "_own_announcement",
         "pending",
+        "_arrivals",
         "_pause_watch",
         "_random",
         "_issuer_announcement",
@@ -104,6 +107,8 @@
         self._own_announcement = own_announcement
         # The requests that are not answered yet.
         self.pending = PendingCalls()
+        # The requests of which the first part is still arriving.
+        self._arrivals = StopWatch()
         self._random = random.Random()
         self._issuer_announcement: Announcement | None = None
         self._issuer_expires_at_s = float("-inf")
@@ -217,7 +222,7 @@
         body.limit_bytes = service.body_limit_bytes
         if not body.awaits_continue:
             # Until this part has arrived, a slow sender holds only its connection.
-            body.buffer_first_part(self._settings.proxy.chunk_bytes)
+            self._buffer_first_part(body)
             # It may have arrived late.
             self._check_drain(environ, deadline_s)
         return CallRequest(
@@ -235,6 +240,22 @@
             pending=environ[PENDING_CALL_KEY],
         )
 
+    def refuse_arriving(self) -> None:
+        """Refuse the requests that have not arrived yet; they can't be run in time."""
+        self._arrivals.stop()
+
+    def _buffer_first_part(self, body: RequestBody) -> None:
+        thread = None
+        try:
+            thread = self._arrivals.begin()
+            body.buffer_first_part(self._settings.proxy.chunk_bytes)
+        except StopRequested:
+            raise InstanceLeaving(
+                "this instance stopped before the request had arrived"
+            ) from None
+        finally:
+            self._arrivals.end(thread)
+
     def _check_drain(self, environ: dict, deadline_s: float) -> None:
         """Refuse a call whose answer may be due after the end of this instance."""
         reading = self._blackboard.read(DRAIN_SECTION)
