Count a field that is repeated with the same value once

A caller got 504 at its deadline although its server had answered, with the id header twice. Cause: repeated fields are joined, so the answer named "0, 0" and was skipped as that to another request. Change: equal values are not joined. Different ones still are: such an answer names no single request, and is skipped. Result: test_an_answer_that_names_its_request_twice_is_its_own waited until the deadline before, passes after.

--- a/berylhaven/gateway/tests/test_repeated_answers.py
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -164,6 +164,19 @@
                     return
                 eventlet.sleep(2 * FULL_SERVER_BACKOFF_S)
 
+    def test_an_answer_that_names_its_request_twice_is_its_own(self):
+        # Guards against a request that waits until its deadline beside its answer.
+        def answer(sock, request):
+            line = f"{ID_HEADER.upper()}: {request.header(ID_HEADER)}\r\n".encode()
+            head, end, body = success(request.header(ID_HEADER)).partition(b"\r\n\r\n")
+            request.sock.sendall(head + b"\r\n" + line + b"\r\n" + body)
+
+        self.path.answer_all(ORDERS, answer)
+        with self.path.connect() as caller:
+            for number in range(2):
+                answer = caller.exchange("/order/x", str(number), "POST", b"1")
+                self.assertEqual(answer.body.decode(), f"done {number}")
+
     def test_a_part_of_a_second_answer_changes_no_answer(self):
         # Guards against a head that begins with the status line of another answer: a
         # success for a failed request, or "not run" for one that runs.
--- a/berylhaven/http1/_head_fields.py
+++ b/berylhaven/http1/_head_fields.py
@@ -34,12 +34,15 @@
         self._values: dict[str, str] = {}
         for name, value in pairs:
             lowered = name.lower()
-            if lowered in self._values:
-                value = f"{self._values[lowered]}, {value}"
-            self._values[lowered] = value
+            known = self._values.get(lowered)
+            # A field that is repeated with the same value says the same.
+            if known is None or known == value:
+                self._values[lowered] = value
+            else:
+                self._values[lowered] = f"{known}, {value}"
 
     def get(self, name: str, default: str | None = None) -> str | None:
-        """Return the value of a field; repeated fields are joined by commas.
+        """Return the value of a field; repeated ones are joined unless they are equal.
 
         Parameters
         ----------
