--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -213,6 +213,7 @@
         if not self._was_sent:
             self._check_sending()
             self._request.progress.record_sent(self._server_id, monotonic_s())
+            self._connection.note_request(self._request.request_id)
         # A part of the request may reach the server even if sending fails.
         self._was_sent = True
         try:
