Excuse work at the end of a grace only for what ended there

A request whose connection was cut, or which got an answer of the gateway, before the last sixth of the grace was excused if its server worked on until then. The stand-in works on after a connection has closed; most servers do not.

--- a/bench/gateway_soak/_loss_rules.py
+++ b/bench/gateway_soak/_loss_rules.py
@@ -173,9 +173,11 @@
         return True
     if stop is None or request.sent_s - stop.signal_s > EARLY_REQUEST_LIMIT_S:
         return False
-    end_s = stop.signal_s + stop.grace_s
-    last_part_at_s = end_s - LAST_PART_RATIO * stop.grace_s
-    return any(arrival.is_at_work(last_part_at_s, end_s) for arrival in arrivals)
+    last_part_at_s = stop.signal_s + (1 - LAST_PART_RATIO) * stop.grace_s
+    # Servers work on here after their connections were closed; most others do not.
+    return request.ended_s >= last_part_at_s and any(
+        arrival.is_at_work(last_part_at_s, request.ended_s) for arrival in arrivals
+    )
 
 
 def _has_reached_limit(request: SentRequest) -> bool:
--- a/bench/gateway_soak/tests/test_loss_rules.py
+++ b/bench/gateway_soak/tests/test_loss_rules.py
@@ -40,6 +40,8 @@
         self.assertIs(self.judge(sent(), run(ended_s=104.9)), lost)
         # Sent later than 3 s after the signal: work to the end is no excuse.
         self.assertIs(self.judge(sent(103.1), run(103.1, None)), lost)
+        # The connection was cut before the last sixth, and the server worked on.
+        self.assertIs(self.judge(sent(ended_s=104.9), run(ended_s=None)), lost)
         # A server that got it and had not begun, and one without a planned stop.
         self.assertIs(self.judge(sent(), Arrival("i-1", 101.0)), lost)
         self.assertIs(self.judge(sent(), run(ended_s=None), stop=None), lost)
@@ -75,7 +77,9 @@
         request = sent(ended_s=104.0, **own)
         self.assertIs(self.judge(request, run(ended_s=104.5)), during)
         self.assertIs(self.judge(request, run(ended_s=103.0)), after)
-        self.assertIsNone(self.judge(request, run(ended_s=None)))
+        # Before the last sixth of the grace, work that goes on is no excuse.
+        self.assertIs(self.judge(request, run(ended_s=None)), during)
+        self.assertIsNone(self.judge(sent(ended_s=105.1, **own), run(ended_s=None)))
         self.assertIsNone(self.judge(request, Arrival("i-1", 101.0)))
         self.assertIsNone(self.judge(sent(limit_s=4.6, **own), run(ended_s=104.0)))
         refused = sent(ended_s=104.0, status=503, is_own_answer=True)
