Add faults of the store and reloads beside overlapping planned stops

The soak with all faults cannot tell what a stop has lost, since nearly always another fault acts on a server or a gateway within seconds of it. So faults that excuse no loss are injected into the run with planned stops: a store that refuses, is slow or forgets its history, and changed settings with SIGHUP.

--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from bench.gateway_soak._busy_processes import busy_processes
+from bench.gateway_soak._faults import SoakContext
 from bench.gateway_soak._loss_rules import (
     Arrival,
     LossClass,
@@ -16,6 +17,7 @@
     SentRequest,
     judge_request,
 )
+from bench.gateway_soak._soak import inject_faults
 from bench.gateway_soak._stop_callers import StopCallers
 from standins.gateway_fleet import GatewayFleet, GatewayProcess
 
@@ -32,10 +34,18 @@
 FURTHER_SIGNAL_RANGE_S = (0.5, 1.8)
 # The pauses of overlapping stops: before the next gateway is stopped, and before one
 # that has exited is started again.
-NEXT_STOP_RANGE_S = (1.0, 4.5)
+NEXT_STOP_RANGE_S = (0.2, 4.5)
 RESTART_LIMIT_S = 1.0
 CONFIGURATION_PAUSE_RANGE_S = (0.5, 2.0)
 LOG_LINES_LIMIT = 6
+# The faults that excuse no loss. The others may end requests at any time, so a soak
+# with them cannot tell what a stop has lost.
+HARMLESS_FAULTS = (
+    "store refuses",
+    "store slow",
+    "history forgotten",
+    "settings changed",
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,6 +67,8 @@
     sends_further_signals: bool = False
     # Whether configurations are written during the run.
     changes_configuration: bool = False
+    # Whether faults of the store and SIGHUP of other gateways come beside the stops.
+    injects_faults: bool = False
     # The slots of each server.
     slot_count: int = SLOT_COUNT
     # When a process that has not exited is killed. Less than the grace makes losses
@@ -70,6 +82,8 @@
 
     # The number of requests that were sent whole and ended, by kind and status.
     answers: collections.Counter = field(default_factory=collections.Counter)
+    # How often each fault was injected.
+    faults: collections.Counter = field(default_factory=collections.Counter)
     # Lost requests, and one line with the circumstances of each.
     losses: collections.Counter[LossClass] = field(default_factory=collections.Counter)
     lines: list[str] = field(default_factory=list)
@@ -117,12 +131,21 @@
 class _StopRun:
     """One run: the stops, the load and what was recorded."""
 
-    __slots__ = ("_fleet", "_options", "_source", "_stops", "_callers", "_report")
+    __slots__ = (
+        "_fleet",
+        "_options",
+        "_source",
+        "_context",
+        "_stops",
+        "_callers",
+        "_report",
+    )
 
     def __init__(self, fleet: GatewayFleet, options: StopOptions) -> None:
         self._fleet = fleet
         self._options = options
         self._source = random.Random(options.seed)
+        self._context = SoakContext(fleet, random.Random(f"{options.seed}/faults"))
         # The stops by HOST:PORT of the gateway.
         self._stops: dict[str, list[PlannedStop]] = collections.defaultdict(list)
         self._callers: StopCallers | None = None
@@ -143,8 +166,16 @@
             preferred,
         )
         eventlet.sleep(WARM_UP_S)
+        beside = []
         if options.changes_configuration:
-            writer = eventlet.spawn(self._write_configurations)
+            beside.append(eventlet.spawn(self._write_configurations))
+        if options.injects_faults:
+            source, counts = random.Random(f"{options.seed}/kinds"), self._report.faults
+            beside.append(
+                eventlet.spawn(
+                    inject_faults, self._context, source, HARMLESS_FAULTS, counts
+                )
+            )
         threads = []
         for index in range(options.stop_count):
             if index:
@@ -157,8 +188,8 @@
         for thread in threads:
             thread.wait()
         eventlet.sleep(AFTER_EXIT_S)
-        if options.changes_configuration:
-            writer.kill()
+        for thread in beside:
+            thread.kill()
         self._callers.stop()
 
     def report(self) -> StopReport:
@@ -188,6 +219,8 @@
     def _stop(self, gateway: GatewayProcess) -> None:
         """Stop a gateway and wait until it is gone; start it again among several."""
         process = gateway.process
+        index = self._fleet.gateways.index(gateway)
+        self._context.disturbed_gateways.add(index)
         process.send_signal(signal.SIGTERM)
         stop = PlannedStop(time.monotonic(), GRACE_S)
         self._stops[gateway.address()].append(stop)
@@ -204,6 +237,7 @@
             eventlet.sleep(self._source.uniform(0, RESTART_LIMIT_S))
             self._fleet.start_gateway(gateway)
             self._fleet.wait_until_ready(gateway)
+            self._context.disturbed_gateways.discard(index)
 
     def _send_further_signals(self, gateway: GatewayProcess) -> None:
         process = gateway.process
--- a/bench/gateway_soak/_soak.py
+++ b/bench/gateway_soak/_soak.py
@@ -58,7 +58,7 @@
         callers = GatewayCallers(fleet)
         series = [
             eventlet.spawn(
-                _inject_faults, context, random.Random(f"{seed}/{index}"), kinds, counts
+                inject_faults, context, random.Random(f"{seed}/{index}"), kinds, counts
             )
             for index in range(SERIES_COUNT)
         ]
@@ -76,13 +76,25 @@
     return SoakReport(answers, counts, dict(broken))
 
 
-def _inject_faults(
+def inject_faults(
     context: SoakContext,
     source: random.Random,
     kinds: tuple[str, ...],
     counts: collections.Counter,
 ) -> None:
-    """Inject one fault after another, each kind once before any is repeated."""
+    """Inject one fault after another, each kind once before any is repeated.
+
+    Parameters
+    ----------
+    context : SoakContext
+        The soak's context; nothing is injected once it is ending.
+    source : random.Random
+        The source of the order and the pauses.
+    kinds : tuple of str
+        The names of the faults; all if empty.
+    counts : collections.Counter
+        Counts the faults by name.
+    """
     left: list[str] = []
     while not context.is_ending:
         left = left or list(kinds or FAULTS)
