Play the end of a drain on a paused clock

On a machine with load 50 the tests of the end of a drain failed now and then: their windows are tenths of a second of a grace of 3 s.

--- a/berylhaven/clock/_manual_clock.py
+++ b/berylhaven/clock/_manual_clock.py
@@ -55,3 +55,13 @@
         self._now_s += duration_s
         for _ in range(HUB_TURNS_PER_ADVANCE):
             eventlet.sleep(0)
+
+    def block_s(self, duration_s: float) -> None:
+        """Advance the clock while no green thread runs, as when the hub is late.
+
+        Parameters
+        ----------
+        duration_s : float
+            Seconds by which to advance the clock.
+        """
+        self._now_s += duration_s
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -6,7 +6,7 @@
 import eventlet.patcher
 from eventlet.hubs import get_hub
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
     ORDERS,
@@ -15,8 +15,6 @@
     request_bytes,
 )
 
-# Blocks the hub, as a starved process does.
-block_s = eventlet.patcher.original("time").sleep
 # Its sockets can be used in a callback of the hub, which must not wait.
 plain_socket = eventlet.patcher.original("socket")
 # The grace of the settings of GatewayPath.
@@ -31,12 +29,17 @@
 LARGE_BYTES = 5_000_000
 # A server that works until then is waited for.
 LAST_PART_S = 5 / 6 * GRACE_S
+STEP_S = 0.05
+# What is sent over sockets goes through several green threads in each step.
+HUB_TURNS_PER_STEP = 40
 
 
 class DrainEndTest(unittest.TestCase):
     def setUp(self):
         self.path = GatewayPath()
         self.addCleanup(self.path.stop)
+        self.clock = ManualClock(monotonic_s())
+        self.enterContext(self.clock)
         self.run_ids = []
         for service in (READS, ORDERS):
             self.path.answer_all(service, self.run_request)
@@ -51,6 +54,32 @@
         self.path.instance.leave()
         self.began_at_s = monotonic_s()
 
+    def pass_s(self, duration_s):
+        """Let time pass in small steps, so that the hub is not late."""
+        end_s = monotonic_s() + duration_s
+        while monotonic_s() < end_s:
+            self.clock.advance_s(min(STEP_S, end_s - monotonic_s()))
+            self.turn()
+
+    def turn(self):
+        for _ in range(HUB_TURNS_PER_STEP):
+            eventlet.sleep(0)
+
+    def result_of(self, function, *args, **kwargs):
+        """Return what a function returns that waits while time passes."""
+        thread = eventlet.spawn(function, *args, **kwargs)
+        self.turn()
+        while not thread.dead:
+            self.pass_s(STEP_S)
+        return thread.wait()
+
+    def answer(self, caller):
+        return self.result_of(caller.answer)
+
+    def await_end(self):
+        while not self.path.waiter.dead:
+            self.pass_s(STEP_S)
+
     def drained_s(self):
         return monotonic_s() - self.began_at_s
 
@@ -61,20 +90,20 @@
     def send_late(self, caller):
         """Send a request after the hub has polled sockets, and come back late."""
         caller.sock.fd.send(request_bytes("/read/x", "second"))
-        block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+        self.clock.block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
 
     def test_an_answer_behind_a_longer_one_is_written_before_the_end(self):
         # Guards against the loss of answers that wait for another one.
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         with self.path.connect() as caller:
             caller.send(request_bytes("/read/long", "long"))
             caller.send(request_bytes("/order/x", "behind", "POST", b"x"))
-            first = caller.answer()
+            first = self.answer(caller)
             self.assertIsNotNone(first)
             self.assertEqual(first.status, 504)
             self.assertGreaterEqual(self.drained_s(), LAST_PART_S)
-            second = caller.answer()
+            second = self.answer(caller)
         self.assertEqual((second.status, second.body), (200, b"ok"))
         self.assertEqual(set(self.run_ids), {"behind", "long"})
 
@@ -84,7 +113,7 @@
         head = request_bytes("/order/x", "cut", "POST", Content_Length="9")
         with self.path.connect() as caller:
             caller.send(head + b"part")
-            answer = caller.answer()
+            answer = self.answer(caller)
         self.assertIsNotNone(answer)
         self.assertEqual(answer.status, 503)
         self.assertEqual(answer.headers["connection"], "close")
@@ -93,13 +122,14 @@
     def test_input_that_was_received_is_read_before_its_connection_is_closed(self):
         # Guards against unread requests at a starved instance that closes idle callers.
         with self.path.connect() as caller:
-            self.assertEqual(caller.exchange("/read/x", "first").status, 200)
+            first = self.result_of(caller.exchange, "/read/x", "first")
+            self.assertEqual(first.status, 200)
             self.start_drain()
-            eventlet.sleep(TAKEN_AFTER_S)
+            self.pass_s(TAKEN_AFTER_S)
             # The main loop is due, and wakes up right after the late callback.
-            block_s(0.15)
+            self.clock.block_s(0.15)
             get_hub().schedule_call_global(-1.0, self.send_late, caller)
-            answer = caller.answer()
+            answer = self.answer(caller)
         self.assertIsNotNone(answer)
         self.assertEqual(answer.headers["connection"], "close")
 
@@ -112,14 +142,14 @@
         def connect_late():
             self.connect_plain(caller)
             caller.sendall(request_bytes("/read/x"))
-            block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+            self.clock.block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
 
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         # The main loop is due, and wakes up right after the late callback.
-        block_s(0.15)
+        self.clock.block_s(0.15)
         get_hub().schedule_call_global(-1.0, connect_late)
-        self.path.waiter.wait()
+        self.await_end()
         caller.setblocking(False)
         # An instance that is so late cannot know that the work would end in time.
         self.assertEqual(caller.recv(12), b"HTTP/1.1 503")
@@ -136,37 +166,37 @@
         def answer_late():
             head = f"HTTP/1.1 200 OK\r\n{ID_HEADER}: a\r\nContent-Length: 2\r\n\r\n"
             servers[0].fd.send(head.encode() + b"ok")
-            block_s(GRACE_S - 0.4 - self.drained_s())
+            self.clock.block_s(GRACE_S - 0.4 - self.drained_s())
 
         self.path.answer_all(ORDERS, keep_waiting)
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         with self.path.connect() as caller:
             caller.send(request_bytes("/order/x", method="POST", body=b"x"))
-            eventlet.sleep(0.2)
+            self.pass_s(0.2)
             # The main loop is due, and wakes up right after the late callback.
-            block_s(0.15)
+            self.clock.block_s(0.15)
             get_hub().schedule_call_global(-1.0, answer_late)
-            answer = caller.answer()
+            answer = self.answer(caller)
         self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
     def test_what_is_given_up_in_the_last_step_is_answered(self):
         # Guards against a process that is so late that it ends before the answers of
         # the requests that it has just given up are written.
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         callers = [plain_socket.socket() for _ in range(3)]
         for number, caller in enumerate(callers):
             self.addCleanup(caller.close)
             self.connect_plain(caller)
             caller.sendall(request_bytes("/read/long", str(number)))
-        eventlet.sleep(0.2)
+        self.pass_s(0.2)
         # The main loop is due, and wakes up right after the late callback.
-        block_s(0.15)
+        self.clock.block_s(0.15)
         get_hub().schedule_call_global(
-            -1.0, lambda: block_s(GRACE_S - 0.25 - self.drained_s())
+            -1.0, lambda: self.clock.block_s(GRACE_S - 0.25 - self.drained_s())
         )
-        self.path.waiter.wait()
+        self.await_end()
         self.assertLess(self.drained_s(), GRACE_S)
         for caller in callers:
             caller.setblocking(False)
@@ -174,15 +204,20 @@
 
     def test_a_late_instance_takes_only_what_is_due_in_time(self):
         # Guards against requests that a starved instance takes and cannot answer.
-        block_s(0.6)
-        eventlet.sleep(0.2)
+        self.clock.block_s(0.6)
+        self.pass_s(0.2)
         self.start_drain()
         with self.path.connect() as caller:
-            answer = caller.exchange("/order/x", "long", "POST", b"x")
+            answer = self.result_of(caller.exchange, "/order/x", "long", "POST", b"x")
             self.assertEqual(answer.status, 503)
         with self.path.connect() as caller:
-            answer = caller.exchange(
-                "/order/x", "short", "POST", b"x", Wordy_Left_Ms="500"
+            answer = self.result_of(
+                caller.exchange,
+                "/order/x",
+                "short",
+                "POST",
+                b"x",
+                Wordy_Left_Ms="500",
             )
             self.assertEqual(answer.status, 200)
         self.assertEqual(self.run_ids, ["short"])
@@ -198,9 +233,9 @@
 
         self.path.answer_all(ORDERS, refuse_late)
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         with self.path.connect() as caller:
-            answer = caller.exchange("/order/x", "once", "POST", b"x")
+            answer = self.result_of(caller.exchange, "/order/x", "once", "POST", b"x")
         self.assertEqual(answer.status, 503)
         self.assertEqual(self.run_ids, ["once"])
 
@@ -213,11 +248,11 @@
         self.path.answer_all(READS, answer_large)
         callers = [self.path.connect() for _ in range(3)]
         self.start_drain()
-        eventlet.sleep(TAKEN_AFTER_S)
+        self.pass_s(TAKEN_AFTER_S)
         for number, caller in enumerate(callers):
             self.addCleanup(caller.close)
             caller.send(request_bytes("/read/large", str(number)))
         # None of the callers reads before idle connections are closed.
-        eventlet.sleep(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
-        sizes = [len(caller.answer().body) for caller in callers]
+        self.pass_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
+        sizes = [len(self.answer(caller).body) for caller in callers]
         self.assertEqual(sizes, [LARGE_BYTES] * 3)
