--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -24,8 +24,10 @@
 STARVED_LATENESS_S = 0.2
 # Requests at work are given up in this last part of the grace at the earliest.
 GIVING_UP_RATIO = 1 / 6
-# The instance stops this long before the end of the grace, so that it exits by itself.
+# The instance stops this long before the end of the grace, so that it exits by itself;
+# sooner by its lateness, up to this part of the grace.
 STOP_MARGIN_S = 0.3
+STOP_RATIO = 1 / 12
 # The time to write the answers of the requests that are given up last.
 WRITING_S = 0.2
 # The Retry-After value of a refused request: other instances take it at once.
@@ -137,6 +139,11 @@
     def _end_at_s(self) -> float:
         return self._began_at_s + self._grace_s
 
+    @property
+    def _stop_margin_s(self) -> float:
+        late_margin_s = STOP_MARGIN_S + self._lateness.recent_s
+        return max(STOP_MARGIN_S, min(late_margin_s, STOP_RATIO * self._grace_s))
+
     @property
     def _last_answer_margin_s(self) -> float:
         return LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * self._lateness.recent_s
@@ -167,7 +174,7 @@
         """
         if not self.has_begun:
             return False
-        last_s = STOP_MARGIN_S + WRITING_S
+        last_s = self._stop_margin_s + WRITING_S
         last_at_s = self._end_at_s - last_s
         if due_at_s <= last_at_s:
             return now_s >= last_at_s
@@ -191,6 +198,6 @@
         """
         if not self.has_begun:
             return False
-        if now_s >= self._end_at_s - STOP_MARGIN_S:
+        if now_s >= self._end_at_s - self._stop_margin_s:
             return True
         return self.closes_idle(now_s) and pending_count == 0
