Record a request that ends with the process only once

What operators saw: two lines for each request that the end of a drain left unanswered, the second with "the caller closed its connection" as its reason, and twice the count in requests_unanswered_total.

Cause: after the requests are recorded the listener is killed, which closes the sockets, and each connection records its pending requests again when it ends.

test_a_request_that_ends_with_the_process_is_recorded_once failed before with two lines. Nothing is recorded after the record of the end.

--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -269,6 +269,7 @@
         )
         for connection in connections:
             self.drain_log.record_unanswered(connection.pending_progress(), reason)
+        self.drain_log.end()
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
--- a/berylhaven/gateway/callers/_drain_log.py
+++ b/berylhaven/gateway/callers/_drain_log.py
@@ -22,7 +22,7 @@
         Counts them.
     """
 
-    __slots__ = ("_drain", "_event_log", "_unanswered", "_given_up")
+    __slots__ = ("_drain", "_event_log", "_unanswered", "_given_up", "_is_over")
 
     def __init__(
         self, drain: Drain, event_log: EventLog, metrics: GatewayMetrics
@@ -37,6 +37,7 @@
             "requests_given_up_total",
             "Requests that were answered at the end of a drain, by stage.",
         )
+        self._is_over = False
 
     def record_unanswered(
         self, requests: Sequence[RequestProgress], reason: str
@@ -50,12 +51,16 @@
         reason : str
             Why it ends.
         """
-        if not self._drain.has_begun:
+        if not self._drain.has_begun or self._is_over:
             return
         for position, progress in enumerate(requests):
             self._unanswered.inc({"stage": progress.stage.value})
             self._write("unanswered", progress, position=position, reason=reason)
 
+    def end(self) -> None:
+        """Record no further requests; the process ends their connections."""
+        self._is_over = True
+
     def record_given_up(self, progress: RequestProgress, status: int) -> None:
         """Record that a request gets an answer of this instance at the end.
 
--- a/berylhaven/gateway/tests/test_drain_records.py
+++ b/berylhaven/gateway/tests/test_drain_records.py
@@ -8,6 +8,8 @@
 from berylhaven.gateway.tests._gateway_path import READS, GatewayPath, request_bytes
 
 SLOW_WORK_S = 1.0
+# More than the sockets of a loopback connection hold.
+LARGE_BYTES = 16_000_000
 LINES_BYTES = 65_536
 
 
@@ -47,6 +49,22 @@
             self.assertIn('reason="the caller closed its connection"', line)
         self.assertTrue(re.search(r"answered_s_ago=0\.\d+", second))
 
+    def test_a_request_that_ends_with_the_process_is_recorded_once(self):
+        # Guards against a second line that gives the caller as the reason.
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BYTES}\r\n\r\n".encode()
+        self.path.answer_all(
+            READS, lambda sock, _: sock.sendall(head + bytes(LARGE_BYTES))
+        )
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/large", "large"))
+            eventlet.sleep(0.2)
+            self.path.instance.leave()
+            self.path.waiter.wait()
+            eventlet.sleep(0.1)
+        [line] = self.lines("unanswered")
+        self.assertIn("request=large stage=answered", line)
+        self.assertIn('reason="the instance stops"', line)
+
     def test_the_begin_and_the_end_tell_how_late_the_hub_is(self):
         # Guards against a starved process that looks like any other in the log.
         self.path.instance.leave()
