--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -129,6 +129,7 @@
             self.context.drain_log.record_unanswered(
                 connection.pending_progress(), reason
             )
+        self.context.drain_log.end()
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
