Refuse a head for a second status line only where one ends a line

A part of another answer is followed by the whole status line of the next one, so the value ends with it. The test failed before; the test that ends a part at each byte still passes.

--- a/berylhaven/gateway/tests/test_repeated_answers.py
+++ b/berylhaven/gateway/tests/test_repeated_answers.py
@@ -198,3 +198,17 @@
                     expected = (500, 502, 504) if is_behind_part else (200,)
                     self.assertIn(answer.status, expected)
         self.assertGreaterEqual(server.sent_count, part_count)
+
+    def test_an_answer_whose_header_mentions_a_status_line_is_forwarded(self):
+        # Guards against a refused answer because of a line of an access log in it.
+        access = b"X-Access: GET /x HTTP/1.1 200 5ms\r\n"
+        self.path.answer_all(
+            ORDERS,
+            lambda sock, _: sock.sendall(
+                b"HTTP/1.1 200 OK\r\n" + access + b"Content-Length: 2\r\n\r\nok"
+            ),
+        )
+        with self.path.connect() as caller:
+            for number in range(4):
+                answer = caller.exchange("/order/x", str(number), "POST", b"1")
+                self.assertEqual(answer.status, 200)
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -18,8 +18,11 @@
 STATUS_LINE_PATTERN = re.compile(
     rb"(HTTP/1\.[01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r\n"
 )
-# In a reason phrase or a field value: the head begins with a part of another answer.
-INNER_STATUS_LINE_PATTERN = re.compile(r"HTTP/1\.[01] [1-9][0-9]{2}(?: |$)")
+# At the end of a reason phrase or a field value: the head begins with a part of another
+# answer, whose line ends with the status line of this one.
+INNER_STATUS_LINE_PATTERN = re.compile(
+    r"HTTP/1\.[01] [1-9][0-9]{2}(?: [A-Za-z][A-Za-z' -]*| ?)$"
+)
 # The timeout parameter of Keep-Alive: the idle time after which the server closes the
 # connection, in seconds.
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"(?:^|[,\s])timeout=([0-9]{1,6})(?:$|[,\s])")
