Bound the additional memory of the last answers by a number

Three times the account is 24 MB by default, but 300 MB where operators set 100 MB. 16 MB more are admitted. A green thread that ends its connection is no longer told to refuse what is arriving.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -103,6 +103,7 @@
             # The caller's connection broke; its requests are cancelled below.
             return
         finally:
+            self._is_receiving = False
             self._context.drain_log.record_unanswered(
                 self.pending_progress(), "the caller closed its connection"
             )
--- a/berylhaven/gateway/callers/_held_bytes.py
+++ b/berylhaven/gateway/callers/_held_bytes.py
@@ -25,9 +25,9 @@
 # A kind that was full has room again once at least this part of the account is free
 # for it, so that the state does not change with every release.
 ROOM_RATIO = 1 / 32
-# How many times more is admitted at the end of a drain, for answers that would be lost
-# if they waited for room.
-LAST_ANSWERS_RATIO = 3
+# How much more is admitted at the end of a drain, for answers that would be lost if
+# they waited for room.
+LAST_ANSWERS_BYTES = 16_000_000
 
 
 class NoRoom(Exception):
@@ -288,9 +288,7 @@
             kind,
             size_bytes,
             self.held_bytes,
-            LAST_ANSWERS_RATIO * self.limit_bytes
-            if self._is_ending
-            else self.limit_bytes,
+            self.limit_bytes + (LAST_ANSWERS_BYTES if self._is_ending else 0),
             self._rates[kind].per_s(monotonic_s()),
             wait_limit_s,
         )
