Give the requests of the model test their progress

The model of the connections to servers was written before requests recorded their stages, and waited for a request that ended with a TypeError.

--- a/berylhaven/gateway/tests/test_server_connections.py
+++ b/berylhaven/gateway/tests/test_server_connections.py
@@ -19,6 +19,7 @@
 from berylhaven.gateway import ServerEntry
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.gateway.servers._server_exchange import exchange
 from berylhaven.gateway.servers._server_probe import ServerProber
 from berylhaven.gateway.tests._gateway_path import (
@@ -211,6 +212,7 @@
             RequestBody(reader, BodyFraming(len(body), False), DEADLINE_S),
             request_id,
             monotonic_s(),
+            RequestProgress(request_id, monotonic_s()),
             None,
         )
         answer = None
