--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -232,7 +232,8 @@
                 process.wait()
                 self._report.killed_count += 1
             eventlet.sleep(EXIT_POLL_S)
-        self._report.exits_after_s.append(time.monotonic() - stop.signal_s)
+        stop.gone_s = time.monotonic()
+        self._report.exits_after_s.append(stop.gone_s - stop.signal_s)
         if self._options.stop_count > 1:
             eventlet.sleep(self._source.uniform(0, RESTART_LIMIT_S))
             self._fleet.start_gateway(gateway)
