--- a/bench/gateway_soak/_loss_rules.py
+++ b/bench/gateway_soak/_loss_rules.py
@@ -26,7 +26,7 @@
 
     # It was passed on to a server, and its connection ended without its answer.
     ANSWER_LOST = "answer lost"
-    # It was sent whole, no server got it, and its connection ended some time later, in a
+    # It was sent whole, no server got it, and its connection ended some time later in a
     # planned stop. Whether the gateway had read it cannot be seen from outside.
     NEVER_PASSED_ON = "never passed on"
     # The gateway answered by itself while the server was at work.
--- a/bench/gateway_soak/_stop_callers.py
+++ b/bench/gateway_soak/_stop_callers.py
@@ -116,6 +116,10 @@
         while True:
             eventlet.sleep(source.uniform(0, THINK_LIMIT_S))
             address = self._choose_address(source, avoided_until_s)
+            if address is None:
+                # Attempts without a pause would make the callers themselves late.
+                eventlet.sleep(AVOIDANCE_S)
+                continue
             reads_slowly = not pipelines and source.random() < LARGE_ANSWER_RATIO
             number += 1
             try:
@@ -131,13 +135,13 @@
 
     def _choose_address(
         self, source: random.Random, avoided_until_s: dict[str, float]
-    ) -> str:
+    ) -> str | None:
         addresses = [gateway.address() for gateway in self._fleet.gateways]
         now_s = time.monotonic()
         free = [a for a in addresses if avoided_until_s.get(a, 0.0) <= now_s]
         if self._preferred in free and source.random() < PREFERRED_RATIO:
             return self._preferred
-        return source.choice(free or addresses)
+        return source.choice(free) if free else None
 
     def _send_batch(
         self, connection: "_Connection", source: random.Random, pipelines: bool
