Name the state of passed-on requests by what it holds

"Set aside", "run" and "count sent" were read as something else in review: instances that are chosen last, the id of a run, and the number of servers that another instance has used.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -21,7 +21,7 @@
 from berylhaven.gateway.requests._peer_forwarder import (
     PeerForwarder,
     PeerRefused,
-    count_sent,
+    used_server_count,
 )
 from berylhaven.gateway.requests._request_quarantine import RequestQuarantine
 from berylhaven.gateway.servers._finish_estimate import expected_finish_s
@@ -367,7 +367,7 @@
             )
             ended = AttemptResult(None, answer)
         except Exception as error:
-            self._peer_sent_count += count_sent(error, attempt_limit)
+            self._peer_sent_count += used_server_count(error, attempt_limit)
             ended = error
         self._ended.put(ended)
 
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -34,7 +34,7 @@
 REASON_LIMIT_BYTES = 300
 # How long an instance that closes its connections is chosen last, in seconds. Gossip
 # tells by then that it is not ready, or that it no longer answers.
-SET_ASIDE_S = 5.0
+LAST_CHOICE_S = 5.0
 # Ends of exchanges after which nobody may be left at the address.
 UNREACHED_ENDS = frozenset(
     {
@@ -65,7 +65,7 @@
     """Another instance answered that a request failed and may have run."""
 
 
-def count_sent(failure: Exception, attempt_limit: int) -> int:
+def used_server_count(failure: Exception, attempt_limit: int) -> int:
     """Return the number of servers that a failed request counts as sent to.
 
     Parameters
@@ -118,7 +118,7 @@
         "_passed_on",
         "_memory",
         "_in_flight_counts",
-        "_set_aside",
+        "_last_choices",
     )
 
     def __init__(
@@ -145,7 +145,7 @@
         self._in_flight_counts: collections.Counter[str] = collections.Counter()
         # Runs of instances that are chosen last, and until when: address and
         # incarnation. They leave, and gossip has not told it yet.
-        self._set_aside: dict[tuple[str, int], float] = {}
+        self._last_choices: dict[tuple[str, int], float] = {}
 
     def choose(self, service: str, tried: frozenset[str]) -> Member | None:
         """Return the instance for a request, or None if none reaches the service.
@@ -174,7 +174,9 @@
             and not member.unreached_mask & bit
             and member.peers_address not in tried
         ]
-        staying = [m for m in usable if self._set_aside.get(_run(m), now_s) <= now_s]
+        staying = [
+            m for m in usable if self._last_choices.get(_run_id(m), now_s) <= now_s
+        ]
         usable = staying or usable
         own_data_centre = self._members.own.data_centre
         local = [m for m in usable if m.data_centre == own_data_centre]
@@ -268,7 +270,7 @@
             )
         except AttemptFailed as failure:
             if failure.end in UNREACHED_ENDS:
-                self._set_member_aside(member)
+                self._choose_last(member)
             raise
         finally:
             self._pool.release(connection, answer is not None and answer.is_reusable)
@@ -278,7 +280,7 @@
             outcome != ANSWERED or request.body.is_ended
         )
         if is_leaving:
-            self._set_member_aside(member)
+            self._choose_last(member)
         if outcome == ANSWERED:
             return answer
         reason = answer.body[:REASON_LIMIT_BYTES].decode("latin-1").strip()
@@ -296,11 +298,13 @@
             raise PeerFailed(AttemptEnd.DEADLINE_BEFORE_HEAD, message)
         raise PeerFailed(AttemptEnd.BROKEN_BEFORE_HEAD, message)
 
-    def _set_member_aside(self, member: Member) -> None:
+    def _choose_last(self, member: Member) -> None:
         now_s = monotonic_s()
-        kept = {run: end_s for run, end_s in self._set_aside.items() if end_s > now_s}
-        self._set_aside = {**kept, _run(member): now_s + SET_ASIDE_S}
+        kept = {
+            run: end_s for run, end_s in self._last_choices.items() if end_s > now_s
+        }
+        self._last_choices = {**kept, _run_id(member): now_s + LAST_CHOICE_S}
 
 
-def _run(member: Member) -> tuple[str, int]:
+def _run_id(member: Member) -> tuple[str, int]:
     return member.peers_address, member.incarnation
