--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -105,7 +105,7 @@
             if pending.answered.ready():
                 continue
             is_received = progress.stage is RequestStage.RECEIVED
-            # An answer that was read is due now, also on a starved machine.
+            # A request whose answer was read is given up only with the last ones.
             due_at_s = -math.inf if is_received else progress.due_at_s
             if not self._context.gives_up(due_at_s):
                 continue
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -35,7 +35,7 @@
 # How long an instance that closes its connections is chosen last, in seconds. Gossip
 # tells by then that it is not ready, or that it no longer answers.
 LAST_CHOICE_S = 5.0
-# Ends of exchanges after which nobody may be left at the address.
+# Ends of exchanges after which the instance may have stopped.
 UNREACHED_ENDS = frozenset(
     {
         AttemptEnd.NOT_CONNECTED,
