--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -3,6 +3,7 @@
 import collections
 import random
 import signal
+import subprocess
 import time
 from dataclasses import dataclass, field
 
@@ -74,6 +75,11 @@
     # When a process that has not exited is killed. Less than the grace makes losses
     # that the run must find.
     kill_after_s: float = GRACE_S
+    # For how long each process does not run from its SIGTERM on: it notices the signal
+    # late, as on a starved machine.
+    pause_s: float = 0.0
+    # The number of callers that send a request behind one with Connection: close.
+    closing_count: int = 0
 
 
 @dataclass(slots=True)
@@ -164,6 +170,7 @@
             options.caller_count,
             options.pipelining_count,
             preferred,
+            options.closing_count,
         )
         eventlet.sleep(WARM_UP_S)
         beside = []
@@ -221,8 +228,7 @@
         process = gateway.process
         index = self._fleet.gateways.index(gateway)
         self._context.disturbed_gateways.add(index)
-        process.send_signal(signal.SIGTERM)
-        stop = PlannedStop(time.monotonic(), GRACE_S)
+        stop = PlannedStop(self._send_sigterm(process), GRACE_S)
         self._stops[gateway.address()].append(stop)
         if self._options.sends_further_signals:
             eventlet.spawn(self._send_further_signals, gateway)
@@ -240,6 +246,15 @@
             self._fleet.wait_until_ready(gateway)
             self._context.disturbed_gateways.discard(index)
 
+    def _send_sigterm(self, process: subprocess.Popen) -> float:
+        """Send SIGTERM, at the start of a pause if there is one; return when."""
+        pause_s = self._options.pause_s
+        if pause_s:
+            process.send_signal(signal.SIGSTOP)
+            eventlet.spawn_after(pause_s, process.send_signal, signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+        return time.monotonic()
+
     def _send_further_signals(self, gateway: GatewayProcess) -> None:
         process = gateway.process
         for number in FURTHER_SIGNALS:
--- a/bench/gateway_soak/_stop_callers.py
+++ b/bench/gateway_soak/_stop_callers.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import time
+from dataclasses import dataclass
 
 import eventlet
 
@@ -16,6 +17,8 @@
 WORK_RANGES_S = {"short": (0.002, 0.02), "middle": (0.02, 0.5), "long": (0.5, 4.5)}
 # What a caller that pipelines sends in each batch, in any order.
 PIPELINED_LENGTHS = ("short", "middle", "long", "middle")
+# What a caller sends that asks for a close with its first request.
+CLOSING_LENGTHS = ("middle", "middle")
 SINGLE_LENGTHS = ("short", "short", "middle", "middle", "long")
 # Deadlines of callers in seconds; most leave the time to the route.
 DEADLINES_S = (4.0, 6.0, 10.0, 10.0, 10.0)
@@ -57,6 +60,9 @@
         The number of callers that send batches of four requests.
     preferred : str
         HOST:PORT of a gateway that gets most of the connections; empty for none.
+    closing_count : int
+        The number of callers that send ``Connection: close`` with a request and
+        another request behind it.
     """
 
     __slots__ = (
@@ -75,6 +81,7 @@
         caller_count: int,
         pipelining_count: int,
         preferred: str = "",
+        closing_count: int = 0,
     ) -> None:
         self._fleet = fleet
         self._preferred = preferred
@@ -84,13 +91,13 @@
         self.max_delay_s = 0.0
         self._ticks_s = (time.monotonic(),) * 2
         self._threads = [eventlet.spawn(self._tick)]
-        for index in range(caller_count + pipelining_count):
+        behaviours = [_Behaviour(keeps=not index % 2) for index in range(caller_count)]
+        behaviours += [_Behaviour(PIPELINED_LENGTHS)] * pipelining_count
+        behaviours += [_Behaviour(CLOSING_LENGTHS, asks_for_close=True)] * closing_count
+        for index, behaviour in enumerate(behaviours):
             name = f"c{index}"
             source = random.Random(f"{seed}/{name}")
-            pipelines = index >= caller_count
-            keeps = pipelines or index % 2 == 0
-            thread = eventlet.spawn(self._call, name, source, keeps, pipelines)
-            self._threads.append(thread)
+            self._threads.append(eventlet.spawn(self._call, name, source, behaviour))
 
     def stop(self) -> None:
         """Stop all callers at once; what they wait for stays without an end."""
@@ -108,9 +115,7 @@
             self.max_delay_s = max(self.max_delay_s, now_s - self._ticks_s[1] - TICK_S)
             self._ticks_s = (self._ticks_s[1], now_s)
 
-    def _call(
-        self, name: str, source: random.Random, keeps: bool, pipelines: bool
-    ) -> None:
+    def _call(self, name: str, source: random.Random, behaviour: "_Behaviour") -> None:
         avoided_until_s: dict[str, float] = {}
         number = 0
         while True:
@@ -120,7 +125,9 @@
                 # Attempts without a pause would make the callers themselves late.
                 eventlet.sleep(AVOIDANCE_S)
                 continue
-            reads_slowly = not pipelines and source.random() < LARGE_ANSWER_RATIO
+            reads_slowly = (
+                not behaviour.lengths and source.random() < LARGE_ANSWER_RATIO
+            )
             number += 1
             try:
                 connection = _Connection(f"{name}-{number}", address, reads_slowly)
@@ -128,7 +135,9 @@
                 avoided_until_s[address] = time.monotonic() + AVOIDANCE_S
                 continue
             with contextlib.closing(connection):
-                while self._send_batch(connection, source, pipelines) and keeps:
+                while (
+                    self._send_batch(connection, source, behaviour) and behaviour.keeps
+                ):
                     eventlet.sleep(source.uniform(0, THINK_LIMIT_S))
                 if connection.is_refused:
                     avoided_until_s[address] = time.monotonic() + AVOIDANCE_S
@@ -144,15 +153,18 @@
         return source.choice(free) if free else None
 
     def _send_batch(
-        self, connection: "_Connection", source: random.Random, pipelines: bool
+        self,
+        connection: "_Connection",
+        source: random.Random,
+        behaviour: "_Behaviour",
     ) -> bool:
         """Send requests and read their answers; False if the connection has ended."""
         lengths = [source.choice(SINGLE_LENGTHS)]
-        if pipelines:
-            lengths = source.sample(PIPELINED_LENGTHS, len(PIPELINED_LENGTHS))
+        if behaviour.lengths:
+            lengths = source.sample(behaviour.lengths, len(behaviour.lengths))
         batch = []
         for index, length in enumerate(lengths):
-            kind = "read" if pipelines else source.choice(KINDS)
+            kind = "read" if behaviour.lengths else source.choice(KINDS)
             deadline_s = source.choice(DEADLINES_S)
             request = SentRequest(
                 request_id=f"{source.getrandbits(64):016x}",
@@ -165,7 +177,12 @@
             )
             batch.append(request)
             self.requests.append(request)
-            connection.send(request, source, source.uniform(*WORK_RANGES_S[length]))
+            connection.send(
+                request,
+                source,
+                source.uniform(*WORK_RANGES_S[length]),
+                behaviour.asks_for_close and index == 0,
+            )
         connection.request_count += len(batch)
         stays = True
         for request in batch:
@@ -176,6 +193,19 @@
         return stays
 
 
+@dataclass(slots=True, frozen=True)
+class _Behaviour:
+    """How a caller uses its connections."""
+
+    # The lengths of the requests that it sends at once; empty if it waits for each
+    # answer.
+    lengths: tuple[str, ...] = ()
+    # Whether it uses a connection for further requests.
+    keeps: bool = True
+    # Whether the first of these requests asks for a close.
+    asks_for_close: bool = False
+
+
 class _Connection:
     """A caller's connection to a gateway."""
 
@@ -216,7 +246,13 @@
         self._reader.close()
         self._socket.close()
 
-    def send(self, request: SentRequest, source: random.Random, work_s: float) -> None:
+    def send(
+        self,
+        request: SentRequest,
+        source: random.Random,
+        work_s: float,
+        asks_for_close: bool = False,
+    ) -> None:
         """Send a request; its time of sending stays empty if it was not sent whole."""
         body_bytes = 0
         if request.kind == "upload":
@@ -224,6 +260,8 @@
         answer_bytes = LARGE_ANSWER_BYTES if self.reads_slowly else 0
         method = "POST" if request.is_once_only else "GET"
         added = ADDED_HEADERS.format(work_ms=1_000 * work_s, answer_bytes=answer_bytes)
+        if asks_for_close:
+            added += "Connection: close\r\n"
         head = (
             f"{method} /{request.kind}/x HTTP/1.1\r\nHost: {ROUTES_HOST}\r\n"
             f"X-Request-Id: {request.request_id}\r\n"
