Record each request that ends without an answer, and which side ended it

A request whose connection ended outside a drain left no line and no count, an internal error that ended a connection was discarded by the WSGI server, and in a drain each end was put down to the caller. So the log could not tell a gateway that closes a connection with requests at work from callers that leave, nor a signal that was noticed late.

RequestEndLog (DrainLog before) writes a line at any time, with the side that ended the connection, the time left until the request was due, and the lateness of the hub; the metric requests_unanswered_total has a label for the reason. The line event=drain tells for how long the signal may have been unnoticed.

The two new tests of test_request_end_log.py fail on the commit before: no line is written. No decision changes.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -138,7 +138,7 @@
             SERVER_IDLE_LIMIT_S,
             self.metrics.record_new_connection,
         )
-        self._lateness = LoopLateness()
+        self._lateness = LoopLateness(monotonic_s())
         self._drain = Drain(self._lateness)
         path = RequestPath(
             InstanceParts(
@@ -168,6 +168,7 @@
             self._members.has_host,
             self.held,
             self._drain,
+            self._lateness,
             self.metrics,
         )
         self._port = CallersPort(context, event_log, self.metrics)
@@ -246,10 +247,9 @@
             self._update_ready()
             if self._settings_file is not None:
                 self._check_settings()
-            slept_at_s = monotonic_s()
+            due_at_s = monotonic_s() + WAIT_INTERVAL_S
             sleep_s(WAIT_INTERVAL_S)
-            lateness_s = monotonic_s() - slept_at_s - WAIT_INTERVAL_S
-            self._lateness.record(lateness_s)
+            lateness_s = self._lateness.record(due_at_s, monotonic_s())
             self.metrics.record_loop_lateness(lateness_s)
         self._instance_drain.record_end()
         self.stop()
--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -53,6 +53,7 @@
                 "drain",
                 pending=self._port.pending_count,
                 noticed_after_s=self._drain.age_s(now_s),
+                unnoticed_for_s=self._drain.unnoticed_s,
                 lateness_s=self._lateness.recent_s,
             )
         if not self._drain.closes_idle(now_s):
@@ -72,7 +73,7 @@
         self._event_log.write(
             "instance",
             "stop",
-            **self._port.end_requests("the instance stops"),
+            **self._port.end_requests(),
             drained_s=self._drain.age_s(monotonic_s()),
             lateness_s=self._lateness.recent_s,
         )
--- a/berylhaven/gateway/_loop_lateness.py
+++ b/berylhaven/gateway/_loop_lateness.py
@@ -6,20 +6,39 @@
 
 
 class LoopLateness:
-    """The lateness of the hub in the last second or so."""
+    """The lateness of the hub in the last second or so.
 
-    __slots__ = ("recent_s",)
+    Parameters
+    ----------
+    now_s : float
+        The time on the hub's clock.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("recent_s", "woke_at_s")
+
+    def __init__(self, now_s: float) -> None:
         # The highest recent lateness, in seconds.
         self.recent_s = 0.0
+        # When the last wake-up was recorded. The process has run then, and signals that
+        # were sent before had been noticed.
+        self.woke_at_s = now_s
 
-    def record(self, lateness_s: float) -> None:
-        """Record the lateness of one wake-up.
+    def record(self, due_at_s: float, now_s: float) -> float:
+        """Record one wake-up and return its lateness.
 
         Parameters
         ----------
-        lateness_s : float
-            The time from when a green thread was due until it ran, in seconds.
+        due_at_s : float
+            When a green thread was due, on the hub's clock.
+        now_s : float
+            The time at which it runs.
+
+        Returns
+        -------
+        float
+            The lateness in seconds.
         """
+        lateness_s = now_s - due_at_s
         self.recent_s = max(0.0, lateness_s, DECAY_RATIO * self.recent_s)
+        self.woke_at_s = now_s
+        return lateness_s
--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -45,6 +45,7 @@
         "_slot_released",
         "_writer",
         "is_closing",
+        "has_ended",
         "is_broken",
     )
 
@@ -57,6 +58,8 @@
         self._writer: eventlet.greenthread.GreenThread | None = None
         # Whether the last answer is being sent; further input is discarded.
         self.is_closing = False
+        # Whether the last answer was written.
+        self.has_ended = False
         # Whether an answer could not be written.
         self.is_broken = False
 
@@ -111,7 +114,7 @@
                 continue
             pending.thread.kill()
             answer = _stop_answer(pending)
-            self._context.drain_log.record_given_up(progress, answer.status)
+            self._context.end_log.record_given_up(progress, answer.status)
             progress.record_answered(monotonic_s())
             pending.answered.send(answer)
 
@@ -156,6 +159,7 @@
         self._pending.popleft()
         self._release_slot()
         if is_last:
+            self.has_ended = True
             self._shut_down(socket.SHUT_WR)
             eventlet.spawn_after(LINGER_TIMEOUT_S, self._shut_down, socket.SHUT_RDWR)
 
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -19,6 +19,7 @@
 )
 from berylhaven.gateway.callers._pending_answer import PendingAnswer
 from berylhaven.gateway.callers._request import GatewayRequest, error_answer
+from berylhaven.gateway.callers._request_end_log import ConnectionEnd
 from berylhaven.gateway.callers._request_head import RequestHead, read_head
 from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.http1 import (
@@ -92,6 +93,7 @@
     def serve(self) -> None:
         """Serve requests until the caller or the port closes the connection."""
         self._answers.start()
+        end = ConnectionEnd.INTERNAL_ERROR
         try:
             reads_on = True
             while reads_on and not self._answers.is_closing and self._await_request():
@@ -99,14 +101,20 @@
                 reads_on = self._read_request()
             if self._answers.is_closing or not reads_on:
                 self._finish()
+            has_ended = self._answers.has_ended
+            end = (
+                ConnectionEnd.LAST_ANSWER if has_ended else ConnectionEnd.CALLER_CLOSED
+            )
         except OSError:
-            # The caller's connection broke; its requests are cancelled below.
-            return
+            # Its requests are cancelled below.
+            end = ConnectionEnd.CALLER_BROKE
+        except Exception as error:
+            self._context.log_fault("", error)
         finally:
             self._is_receiving = False
-            self._context.drain_log.record_unanswered(
-                self.pending_progress(), "the caller closed its connection"
-            )
+            if self._answers.is_broken:
+                end = ConnectionEnd.WRITE_FAILED
+            self._context.end_log.record_unanswered(self.pending_progress(), end)
             self._answers.cancel()
 
     @property
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -13,6 +13,7 @@
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway.callers._caller_connection import CallerConnection
 from berylhaven.gateway.callers._connection_context import ConnectionContext
+from berylhaven.gateway.callers._request_end_log import ConnectionEnd
 from berylhaven.gateway.callers._request_progress import RequestStage
 from berylhaven.http1 import serve
 
@@ -105,14 +106,9 @@
         self._accept_failures.inc({"error": errno.errorcode.get(error.errno, "other")})
         self._event_log.write_failure("callers", "not accepting", error=str(error))
 
-    def end_requests(self, reason: str) -> dict[str, int]:
+    def end_requests(self) -> dict[str, int]:
         """Log the requests that the end of the process leaves unanswered.
 
-        Parameters
-        ----------
-        reason : str
-            Why they end.
-
         Returns
         -------
         dict of str to int
@@ -126,10 +122,10 @@
             for progress in connection.pending_progress()
         )
         for connection in connections:
-            self.context.drain_log.record_unanswered(
-                connection.pending_progress(), reason
+            self.context.end_log.record_unanswered(
+                connection.pending_progress(), ConnectionEnd.INSTANCE_STOPS
             )
-        self.context.drain_log.end()
+        self.context.end_log.end()
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
--- a/berylhaven/gateway/callers/_connection_context.py
+++ b/berylhaven/gateway/callers/_connection_context.py
@@ -8,15 +8,16 @@
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
+from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._drain import Drain
-from berylhaven.gateway.callers._drain_log import DrainLog
 from berylhaven.gateway.callers._held_bytes import HeldBytes
 from berylhaven.gateway.callers._request import (
     GatewayAnswer,
     GatewayRequest,
     error_answer,
 )
+from berylhaven.gateway.callers._request_end_log import RequestEndLog
 from berylhaven.routes import CallerLimits
 
 
@@ -39,6 +40,8 @@
         The account of held bytes.
     drain : Drain
         Tells which requests are still taken.
+    lateness : LoopLateness
+        How late the hub runs.
     metrics : GatewayMetrics
         Counts the connections that are closed after an answer.
     """
@@ -47,7 +50,7 @@
         "is_peer",
         "held",
         "dialect",
-        "drain_log",
+        "end_log",
         "_application",
         "_routes",
         "_event_log",
@@ -64,6 +67,7 @@
         is_peer: Callable[[str], bool],
         held: HeldBytes,
         drain: Drain,
+        lateness: LoopLateness,
         metrics: GatewayMetrics,
     ) -> None:
         # Whether a host is that of another instance.
@@ -72,8 +76,8 @@
         self.held = held
         # The header names of the deployment.
         self.dialect = dialect
-        # Records the requests that a drain ends.
-        self.drain_log = DrainLog(drain, event_log, metrics)
+        # Records the requests that end without a server's answer.
+        self.end_log = RequestEndLog(drain, lateness, event_log, metrics)
         self._application = application
         self._routes = routes
         self._event_log = event_log
@@ -143,15 +147,27 @@
         try:
             return self._application(request)
         except Exception as error:
-            self._event_log.write_failure(
-                "callers",
-                "fault",
-                request=request.request_id,
-                error=type(error).__name__,
-                trace=traceback.format_exc(),
-            )
+            self.log_fault(request.request_id, error)
             return error_answer(500, f"internal error of type {type(error).__name__}")
 
+    def log_fault(self, request_id: str, error: Exception) -> None:
+        """Log an internal error.
+
+        Parameters
+        ----------
+        request_id : str
+            The request that was handled; an empty string if it is not known.
+        error : Exception
+            The error.
+        """
+        self._event_log.write_failure(
+            "callers",
+            "fault",
+            request=request_id,
+            error=type(error).__name__,
+            trace="".join(traceback.format_exception(error)),
+        )
+
     def log_head_rejected(
         self, request_id: str | None, status: int, message: str
     ) -> None:
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -61,12 +61,15 @@
         How late the hub runs.
     """
 
-    __slots__ = ("_lateness", "_began_at_s", "_grace_s")
+    __slots__ = ("_lateness", "_began_at_s", "_grace_s", "unnoticed_s")
 
     def __init__(self, lateness: LoopLateness) -> None:
         self._lateness = lateness
         self._began_at_s: float | None = None
         self._grace_s = 0.0
+        # For how long the signal may have been unnoticed, in seconds: the process may
+        # not have run since its last wake-up.
+        self.unnoticed_s = 0.0
 
     @property
     def has_begun(self) -> bool:
@@ -90,6 +93,7 @@
         if self._began_at_s is None:
             self._began_at_s = now_s
             self._grace_s = grace_s
+            self.unnoticed_s = now_s - self._lateness.woke_at_s
 
     def check_intake(self, now_s: float, due_at_s: float) -> None:
         """Raise an error if a request may not be taken any more.
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -44,8 +44,8 @@
 
 def new_drain(grace_s, lateness_s=0.0):
     """Return a drain that began at BEGAN_AT_S."""
-    lateness = LoopLateness()
-    lateness.record(lateness_s)
+    lateness = LoopLateness(BEGAN_AT_S)
+    lateness.record(BEGAN_AT_S - lateness_s, BEGAN_AT_S)
     drain = Drain(lateness)
     drain.begin(BEGAN_AT_S, grace_s)
     return drain
--- a/berylhaven/gateway/tests/test_drain_records.py
+++ b/berylhaven/gateway/tests/test_request_end_log.py
@@ -1,7 +1,8 @@
-"""Tests of the log lines about requests that a drain leaves unanswered."""
+"""Tests of the log lines about requests that are left unanswered."""
 
 import re
 import unittest
+import unittest.mock
 
 import eventlet
 
@@ -13,7 +14,7 @@
 LINES_BYTES = 65_536
 
 
-class DrainRecordsTest(unittest.TestCase):
+class RequestEndRecordsTest(unittest.TestCase):
     def setUp(self):
         self.path = GatewayPath()
         self.addCleanup(self.path.stop)
@@ -49,6 +50,41 @@
             self.assertIn('reason="the caller closed its connection"', line)
         self.assertTrue(re.search(r"answered_s_ago=0\.\d+", second))
 
+    def test_requests_that_their_caller_leaves_are_recorded_outside_a_drain(self):
+        # Guards against lost requests without a line while no instance is stopped.
+        self.path.answer_all(READS, lambda sock, _: eventlet.sleep(SLOW_WORK_S))
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/slow", "left"))
+            eventlet.sleep(0.2)
+        eventlet.sleep(0.1)
+        [line] = self.lines("unanswered")
+        self.assertIn("request=left stage=sent", line)
+        self.assertIn('ended_by=caller reason="the caller closed its connection"', line)
+        self.assertRegex(line, r"due_in_s=[0-9.]+ .*lateness_s=[0-9.e-]+")
+        self.assertNotIn("drained_s", line)
+        self.assert_counted("sent", "caller_closed")
+
+    def test_a_connection_that_an_internal_error_ends_is_recorded(self):
+        # Guards against errors that the WSGI server discards.
+        self.path.answer_all(READS, lambda sock, _: eventlet.sleep(SLOW_WORK_S))
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/read/slow", "ended"))
+            eventlet.sleep(0.1)
+            target = "berylhaven.gateway.callers._caller_connection.read_head"
+            with unittest.mock.patch(target, side_effect=ZeroDivisionError):
+                caller.send(request_bytes("/read/x", "failed"))
+                eventlet.sleep(0.1)
+        [fault, line] = self.lines("fault", "unanswered")
+        self.assertIn("error=ZeroDivisionError", fault)
+        self.assertIn("request=ended", line)
+        self.assertIn("ended_by=instance", line)
+        self.assert_counted("sent", "internal_error")
+
+    def assert_counted(self, stage, reason):
+        text = self.path.instance.metrics.render("")[0].decode()
+        labels = f'{{reason="{reason}",stage="{stage}"}}'
+        self.assertIn(f"berylhaven_requests_unanswered_total{labels} 1", text)
+
     def test_a_request_that_ends_with_the_process_is_recorded_once(self):
         # Guards against a second line that gives the caller as the reason.
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BYTES}\r\n\r\n".encode()
