Send nothing to a server behind a caller's last request

Callers that send `Connection: close`, or HTTP/1.0 without keep-alive, and another request behind it on the same connection lost the second one: it was passed on to a sound server, and the connection was closed behind the first answer while the server worked.

Cause: the close was decided when an answer was written (`close_reason`), what is taken when a request was read, and the reader did not know of the close before.

`AnswerQueue` now keeps the one reason for which no further request is taken, set at the moment at which it is known: when the request is added (its head asks for a close, or was rejected), when it is answered while its body is due, or when its answer is written in a drain. The reader asks it before each request and before it adds one, `add` refuses a request behind the last one, and the last pending answer is written with `Connection: close` (`last_answer_reason`). What is behind the last request is read and discarded until the linger ends, so that the answer is not reset. The same for the other reasons: a request that is given up while its body arrives ends the input as `unread-body` (it kept `is_body_ended` at its default and was closed as `drain`), a request that waits for head room, or is rejected, behind an answer that has become the last one is neither read nor answered.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -9,7 +9,7 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway.callers._close_reason import close_reason
+from berylhaven.gateway.callers._close_reason import CloseReason, last_answer_reason
 from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._passed_on import NOT_RUN, OUTCOME
@@ -44,7 +44,7 @@
         "_has_pending",
         "_slot_released",
         "_writer",
-        "is_closing",
+        "_close_reason",
         "has_ended",
         "is_broken",
     )
@@ -56,8 +56,8 @@
         self._has_pending = eventlet.event.Event()
         self._slot_released = eventlet.event.Event()
         self._writer: eventlet.greenthread.GreenThread | None = None
-        # Whether the last answer is being sent; further input is discarded.
-        self.is_closing = False
+        # Why no further request is taken; None as long as others are.
+        self._close_reason: CloseReason | None = None
         # Whether the last answer was written.
         self.has_ended = False
         # Whether an answer could not be written.
@@ -71,16 +71,53 @@
         """The requests that are not yet answered, in their order."""
         return list(self._pending)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether no further request is taken; further input is discarded."""
+        return self._close_reason is not None
+
     def start(self) -> None:
         """Write answers from a new green thread until the last one."""
         self._writer = eventlet.spawn(self._write_answers)
 
-    def add(self, pending: PendingAnswer) -> None:
-        """Add a request behind the others."""
+    def add(
+        self, pending: PendingAnswer, close_reason: CloseReason | None = None
+    ) -> None:
+        """Add a request behind the others, unless no further one is taken.
+
+        Parameters
+        ----------
+        pending : PendingAnswer
+            The request.
+        close_reason : CloseReason or None
+            Why it is the last one; None if its head does not make it so.
+        """
+        if self.is_closing:
+            raise ValueError(
+                f"request {pending.progress.request_id!r} is behind the last one"
+            )
+        self._close_reason = close_reason
         self._pending.append(pending)
         if not self._has_pending.ready():
             self._has_pending.send()
 
+    def answer(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
+        """Hand over the answer to a pending request.
+
+        Parameters
+        ----------
+        pending : PendingAnswer
+            The request; nothing reads its body any more.
+        answer : GatewayAnswer
+            Its answer, which is written after those before it.
+        """
+        pending.progress.record_answered(monotonic_s())
+        if pending.body is not None and not pending.body.is_ended:
+            # No request was read behind an incomplete body, so this is the last one.
+            self._close_reason = self._close_reason or CloseReason.UNREAD_BODY
+        pending.body = None
+        pending.answered.send(answer)
+
     def await_slot(self) -> None:
         """Wait while the connection has as many requests as it may have."""
         while len(self._pending) >= PIPELINE_LIMIT and not self.is_broken:
@@ -96,9 +133,9 @@
         if self._pending and all(p.answered.ready() for p in self._pending):
             self._writer.wait()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection, which has no pending request."""
-        self.is_closing = True
+        self._close_reason = reason
         self._shut_down(socket.SHUT_RDWR)
 
     def give_up(self) -> None:
@@ -115,8 +152,7 @@
             pending.thread.kill()
             answer = _stop_answer(pending)
             self._context.end_log.record_given_up(progress, answer.status)
-            progress.record_answered(monotonic_s())
-            pending.answered.send(answer)
+            self.answer(pending, answer)
 
     def cancel(self) -> None:
         """Cancel the pending requests, which closes their server connections."""
@@ -129,7 +165,7 @@
 
     def _write_answers(self) -> None:
         try:
-            while not self.is_closing:
+            while not self.has_ended:
                 while not self._pending:
                     self._has_pending = eventlet.event.Event()
                     self._has_pending.wait()
@@ -146,14 +182,12 @@
         self._write(pending, pending.answered.wait())
 
     def _write(self, pending: PendingAnswer, answer: GatewayAnswer) -> None:
-        reason = close_reason(
-            pending.must_close,
-            pending.is_body_ended,
-            self._context.is_draining,
-            len(self._pending),
+        reason = last_answer_reason(
+            self._close_reason, self._context.is_draining, len(self._pending)
         )
-        is_last = self.is_closing = reason is not None
+        is_last = reason is not None
         if is_last:
+            self._close_reason = reason
             self._context.record_close(reason)
         self._send_answer(*answer_bytes(pending, answer, is_last))
         self._pending.popleft()
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -95,11 +95,10 @@
         self._answers.start()
         end = ConnectionEnd.INTERNAL_ERROR
         try:
-            reads_on = True
-            while reads_on and not self._answers.is_closing and self._await_request():
+            while not self._answers.is_closing and self._await_request():
                 self._is_receiving = True
-                reads_on = self._read_request()
-            if self._answers.is_closing or not reads_on:
+                self._read_request()
+            if self._answers.is_closing:
                 self._finish()
             has_ended = self._answers.has_ended
             end = (
@@ -136,7 +135,7 @@
         """Close the connection if it has no pending request and no unread input."""
         if self.pending_count or self._answers.is_closing or self.has_unread_input:
             return
-        self._answers.close()
+        self._answers.close(CloseReason.DRAIN)
 
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
@@ -147,31 +146,33 @@
             if not self._answers:
                 return False
 
-    def _read_request(self) -> bool:
-        """Read a request and start it; False if the next byte begins no other one."""
+    def _read_request(self) -> None:
+        """Read a request and start it, unless the connection is closed before it."""
         received_at_s = monotonic_s()
         limits = self._context.caller_limits
         head = None
         try:
             self._await_head_room()
+            if self._answers.is_closing:
+                return
             with eventlet.Timeout(limits.header_timeout_s, False):
                 head = read_head(self._reader, limits.header_limit_bytes)
             if head is not None:
-                return self._start_request(head, received_at_s)
+                self._start_request(head, received_at_s)
+                return
         except CallRefused as refusal:
             self._reject_head(refusal.code.status, refusal.message)
-            return False
+            return
         except (NoRoom, DrainRefusal) as refusal:
             self._reject_head(503, refusal.message, refusal.return_s, head)
-            return False
+            return
         message = (
             f"the request head was not complete within {limits.header_timeout_s} s"
         )
         self._reject_head(408, message)
-        return False
 
-    def _start_request(self, head: RequestHead, received_at_s: float) -> bool:
-        """Start a request and read its body; False if it is the last that is read."""
+    def _start_request(self, head: RequestHead, received_at_s: float) -> None:
+        """Start a request, and wait until its body was read or it is answered."""
         fields = head.fields
         limits = self._context.caller_limits
         body = RequestBody(
@@ -198,11 +199,7 @@
         attempt_limit = passed_on_attempt_limit(fields)
         if attempt_limit is not None and self._context.is_peer(caller_host):
             request.passed_on_attempt_limit = attempt_limit
-        pending = PendingAnswer(
-            request.method == "HEAD",
-            progress,
-            CloseReason.CALLER if head.asks_for_close else None,
-        )
+        pending = PendingAnswer(request.method == "HEAD", progress, body)
         if request.passed_on_attempt_limit is not None:
             pending.is_passed_on = True
             pending.naming_header = self._naming_header(fields)
@@ -213,14 +210,12 @@
             self._buffer_body(request)
         if self._answers.is_closing:
             # Behind the last answer it counts as unread, and its caller repeats it.
-            return False
-        self._enqueue(pending)
+            return
+        self._enqueue(pending, CloseReason.CALLER if head.asks_for_close else None)
         pending.thread = eventlet.spawn(self._answer, request, pending)
         self._await_body(body, pending)
-        if not body.is_ended:
-            return False
-        self._answers.await_slot()
-        return True
+        if not self._answers.is_closing:
+            self._answers.await_slot()
 
     def _reserve_head(self, head: RequestHead) -> Reservation:
         size_bytes = HEAD_COPY_COUNT * head.text_bytes
@@ -273,21 +268,18 @@
 
     def _await_head_room(self) -> None:
         """Leave further input unread while pipelined heads take up their share."""
-        held = self._context.held
-        while self._answers and not self._answers.is_broken:
+        held, answers = self._context.held, self._answers
+        while answers and not answers.is_broken and not answers.is_closing:
             if held.has_room(HeldKind.PIPELINED_HEAD, PENDING_REQUEST_BYTES):
                 return
             sleep_s(ROOM_POLL_INTERVAL_S)
 
     def _answer(self, request: GatewayRequest, pending: PendingAnswer) -> None:
-        answer = self._context.answer(request)
-        pending.progress.record_answered(monotonic_s())
-        pending.is_body_ended = request.body.is_ended
-        pending.answered.send(answer)
+        self._answers.answer(pending, self._context.answer(request))
 
-    def _enqueue(self, pending: PendingAnswer) -> None:
+    def _enqueue(self, pending: PendingAnswer, reason: CloseReason | None) -> None:
         self._is_receiving = False
-        self._answers.add(pending)
+        self._answers.add(pending, reason)
 
     def _reject_head(
         self,
@@ -296,19 +288,20 @@
         retry_after_s: float | None = None,
         head: RequestHead | None = None,
     ) -> None:
+        if self._answers.is_closing:
+            # Its caller counts it as unread.
+            return
         answer = error_answer(status, message, retry_after_s)
         request_id = self._context.dialect.request_id(head.fields) if head else None
-        now_s = monotonic_s()
-        progress = RequestProgress(request_id or "", now_s)
-        progress.record_answered(now_s)
-        pending = PendingAnswer(False, progress, CloseReason.REJECTED_HEAD)
+        progress = RequestProgress(request_id or "", monotonic_s())
+        pending = PendingAnswer(False, progress)
         if head is not None and passed_on_attempt_limit(head.fields) is not None:
             # The instance that passed the request on may try another one.
             answer.headers.append((OUTCOME, NOT_RUN))
             pending.naming_header = self._naming_header(head.fields)
-        pending.answered.send(answer)
         self._context.log_head_rejected(request_id, status, message)
-        self._enqueue(pending)
+        self._enqueue(pending, CloseReason.REJECTED_HEAD)
+        self._answers.answer(pending, answer)
 
     def _naming_header(self, fields: HeadFields) -> tuple[str, str] | None:
         dialect = self._context.dialect
--- a/berylhaven/gateway/callers/_close_reason.py
+++ b/berylhaven/gateway/callers/_close_reason.py
@@ -1,10 +1,10 @@
-"""Decides after which answer a caller's connection carries no further request."""
+"""Why a caller's connection carries no further request, and after which answer."""
 
 import enum
 
 
 class CloseReason(enum.Enum):
-    """Why a connection is closed after an answer."""
+    """Why no further request is taken from a connection, which is closed."""
 
     # The caller asked for it, or uses HTTP/1.0 without keep-alive.
     CALLER = "caller"
@@ -16,20 +16,15 @@
     DRAIN = "drain"
 
 
-def close_reason(
-    must_close: CloseReason | None,
-    is_body_ended: bool,
-    is_draining: bool,
-    pending_count: int,
+def last_answer_reason(
+    known_reason: CloseReason | None, is_draining: bool, pending_count: int
 ) -> CloseReason | None:
-    """Return why the connection must be closed after the answer to a request.
+    """Return why the connection is closed after the answer that is written next.
 
     Parameters
     ----------
-    must_close : CloseReason or None
-        The reason that the request's head gives.
-    is_body_ended : bool
-        Whether the body of the request was read to its end.
+    known_reason : CloseReason or None
+        Why no request is taken behind the pending ones; None if others are.
     is_draining : bool
         Whether the instance is draining.
     pending_count : int
@@ -38,12 +33,11 @@
     Returns
     -------
     CloseReason or None
-        None if the next byte from the caller begins another request.
+        None while other requests are pending: a connection is never closed before the
+        answers to what was taken from it.
     """
-    if must_close is not None:
-        return must_close
-    if not is_body_ended:
-        return CloseReason.UNREAD_BODY
-    if is_draining and pending_count == 1:
+    if pending_count > 1:
+        return None
+    if known_reason is None and is_draining:
         return CloseReason.DRAIN
-    return None
+    return known_reason
--- a/berylhaven/gateway/callers/_pending_answer.py
+++ b/berylhaven/gateway/callers/_pending_answer.py
@@ -5,10 +5,10 @@
 import eventlet
 import eventlet.event
 
-from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._held_bytes import Reservation
 from berylhaven.gateway.callers._request import GatewayAnswer
 from berylhaven.gateway.callers._request_progress import RequestProgress
+from berylhaven.http1 import RequestBody
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -21,10 +21,8 @@
     is_head_request: bool
     # How far the request has come.
     progress: RequestProgress
-    # Why its head makes it the last request; None if it does not.
-    must_close: CloseReason | None
-    # Whether its body was read to its end; known once it is answered.
-    is_body_ended: bool = True
+    # Its body, until it is answered; None if the head was rejected.
+    body: RequestBody | None = None
     # Carries the answer once it is available.
     answered: eventlet.event.Event = field(default_factory=eventlet.event.Event)
     # The green thread that processes the request.
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -28,6 +28,8 @@
 LONG_WORK_S = 4.0
 # Two such answers do not fit into the account of held bytes.
 LARGE_BYTES = 5_000_000
+# More than is read before a request is sent to a server.
+UPLOAD_BYTES = 1_200_000
 # A server that works until then is waited for.
 LAST_PART_S = 5 / 6 * GRACE_S
 STEP_S = 0.05
@@ -96,6 +98,25 @@
         caller.sock.fd.send(request_bytes("/read/x", "second"))
         self.clock.block_s(IDLE_CLOSED_AFTER_S - TAKEN_AFTER_S + 0.2)
 
+    def test_a_request_that_is_given_up_while_its_body_arrives_is_the_last(self):
+        # Guards against bytes of a body that are taken for requests.
+        self.start_drain()
+        self.pass_s(TAKEN_AFTER_S)
+        upload = request_bytes("/order/x", "up", "POST", Content_Length=UPLOAD_BYTES)
+        inner = request_bytes("/read/x", "inner")
+        with self.path.connect() as caller:
+            caller.send(upload + bytes(UPLOAD_BYTES - len(inner)))
+            answer = self.answer(caller)
+            self.assertEqual(answer.status, 504)
+            self.assertGreaterEqual(self.drained_s(), LAST_PART_S)
+            self.assertEqual(answer.headers["connection"], "close")
+            caller.send(inner)
+            self.turn()
+        self.assertNotIn("inner", self.run_ids)
+        text = self.path.instance.metrics.render("")[0].decode()
+        closed = 'berylhaven_caller_connections_closed_total{reason="unread-body"} 1'
+        self.assertIn(closed, text)
+
     def test_an_answer_behind_a_longer_one_is_written_before_the_end(self):
         # Guards against the loss of answers that wait for another one.
         self.start_drain()
