Count a caller's idle time from the last answer, and read input first

A caller lost requests on a connection that had been idle for less than the idle timeout: with a timeout of 5 s and an answer after 4.9 s the connection was closed 0.1 s behind the answer, while callers use connections again that have been idle for up to four fifths of it. A request that had been received was lost too where the hub ran late.

Cause: `_await_request` started the timeout when the previous request had been read, not when it was answered; and a hub that wakes up late from a poll fires due timers before it polls again, so that the timeout ended a wait whose input had been received.

`AnswerQueue.idle_since_s` is set with each answer that was written, the timeout counts from it, and a connection with input is read in any case. What the instance closes for idleness is counted as `idle` in `caller_connections_closed_total`; connections that a drain closes without a pending request now count there as `drain`.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -45,6 +45,7 @@
         "_slot_released",
         "_writer",
         "_close_reason",
+        "idle_since_s",
         "has_ended",
         "is_broken",
     )
@@ -58,6 +59,8 @@
         self._writer: eventlet.greenthread.GreenThread | None = None
         # Why no further request is taken; None as long as others are.
         self._close_reason: CloseReason | None = None
+        # Since when no request has been pending if none is, on the hub's clock.
+        self.idle_since_s = monotonic_s()
         # Whether the last answer was written.
         self.has_ended = False
         # Whether an answer could not be written.
@@ -136,6 +139,7 @@
     def close(self, reason: CloseReason) -> None:
         """Close the connection, which has no pending request."""
         self._close_reason = reason
+        self._context.record_close(reason)
         self._shut_down(socket.SHUT_RDWR)
 
     def give_up(self) -> None:
@@ -191,6 +195,7 @@
             self._context.record_close(reason)
         self._send_answer(*answer_bytes(pending, answer, is_last))
         self._pending.popleft()
+        self.idle_since_s = monotonic_s()
         self._release_slot()
         if is_last:
             self.has_ended = True
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -139,12 +139,20 @@
 
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
-        while True:
-            idle_timeout_s = self._context.caller_limits.idle_timeout_s
-            with eventlet.Timeout(idle_timeout_s, False):
+        # A late hub fires timers before it reads input that was received meanwhile.
+        while (left_s := self._idle_left_s()) > 0 or has_input(self._socket):
+            with eventlet.Timeout(max(0.0, left_s), False):
                 return bool(self._reader.peek(1)) and not self._answers.is_closing
-            if not self._answers:
-                return False
+        if not self._answers.is_closing:
+            self._answers.close(CloseReason.IDLE)
+        return False
+
+    def _idle_left_s(self) -> float:
+        """Return the time to the idle timeout, which starts with the last answer."""
+        idle_timeout_s = self._context.caller_limits.idle_timeout_s
+        if self._answers:
+            return idle_timeout_s
+        return self._answers.idle_since_s + idle_timeout_s - monotonic_s()
 
     def _read_request(self) -> None:
         """Read a request and start it, unless the connection is closed before it."""
--- a/berylhaven/gateway/callers/_close_reason.py
+++ b/berylhaven/gateway/callers/_close_reason.py
@@ -14,6 +14,8 @@
     UNREAD_BODY = "unread-body"
     # The instance is draining, and no other request is pending.
     DRAIN = "drain"
+    # No request came within the idle timeout.
+    IDLE = "idle"
 
 
 def last_answer_reason(
--- a/berylhaven/gateway/callers/_connection_context.py
+++ b/berylhaven/gateway/callers/_connection_context.py
@@ -43,7 +43,7 @@
     lateness : LoopLateness
         How late the hub runs.
     metrics : GatewayMetrics
-        Counts the connections that are closed after an answer.
+        Counts the connections that are closed.
     """
 
     __slots__ = (
@@ -84,7 +84,7 @@
         self._drain = drain
         self._closed_connections = metrics.counter(
             "caller_connections_closed_total",
-            "Connections of callers that were closed after an answer, by reason.",
+            "Connections of callers that this instance closed, by reason.",
         )
 
     @property
@@ -191,5 +191,5 @@
         )
 
     def record_close(self, reason: CloseReason) -> None:
-        """Count a connection that is closed after an answer."""
+        """Count a connection that is closed."""
         self._closed_connections.inc({"reason": reason.value})
