Spend no retry on a request that finds no free connection to another instance

Callers of an instance that reaches no server got 502 for reads that had been passed on to an instance which was then killed, although a third one would have served them. A request that found none free spent a retry of the shared budget for each instance tried, although nothing was sent.

The budget bounds arrivals at servers, and there are none here; the number of instances tried is bounded already. Connections to servers count as before.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -19,6 +19,7 @@
 )
 from berylhaven.gateway.requests._hedger import Hedger
 from berylhaven.gateway.requests._peer_forwarder import (
+    PeerBusy,
     PeerForwarder,
     PeerRefused,
     used_server_count,
@@ -466,6 +467,8 @@
             return False
         if not self._can_attempt():
             return False
+        if isinstance(ended, PeerBusy):
+            return True
         if isinstance(ended, AttemptFailed) and ended.end in UNCOUNTED_ENDS:
             return True
         return self._try_acquire_retry()
--- a/berylhaven/gateway/requests/_peer_forwarder.py
+++ b/berylhaven/gateway/requests/_peer_forwarder.py
@@ -61,6 +61,10 @@
         self.return_s = return_s
 
 
+class PeerBusy(AttemptFailed):
+    """All connections to another instance are in use; nothing was sent."""
+
+
 class PeerFailed(AttemptFailed):
     """Another instance answered that a request failed and may have run."""
 
@@ -217,7 +221,8 @@
         Raises
         ------
         AttemptFailed
-            `PeerRefused` if the other instance states that the request did not run.
+            `PeerRefused` if the other instance states that the request did not run,
+            `PeerBusy` if no connection to it is free.
         """
         address = member.callers_address
         began_at_s = monotonic_s()
@@ -255,9 +260,14 @@
     ) -> ServerAnswer:
         # A connection that the other instance closes for idleness must not take a
         # request with it that cannot be repeated.
-        connection = self._pool.acquire(
-            member.callers_address, requires_new_connection=not request.request_id
-        )
+        try:
+            connection = self._pool.acquire(
+                member.callers_address, requires_new_connection=not request.request_id
+            )
+        except AttemptFailed as failure:
+            if failure.end is AttemptEnd.CONNECTION_LIMIT:
+                raise PeerBusy(failure.end, failure.message) from failure
+            raise
         answer = None
         try:
             answer = exchange(
