End the checks of servers when an instance is stopped

Nothing of the product sent them to an evacuated data centre: the first test sends no request before the evacuation, and a trace of every send of it shows none, so that all ten came from elsewhere. `ReachMonitor` checks servers that do not answer until they do. A stopped instance went on with it, four probes each 0.25 s, in the process of the tests for all later tests; servers of these that got an old port were probed.

`GatewayInstance.stop` now ends these checks and closes the pool, which gives out no connection after that, so that retries and checks of ended servers send nothing either. A process of the product exits at that point anyway.

The test was red before: both servers that took an address over were connected to. `OpenCause` moves to a module of its own.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -86,6 +86,7 @@
         "_settings_file",
         "_settings_checked_at_s",
         "_source",
+        "_path",
         "_forwarder",
         "_event_log",
         "_random",
@@ -140,7 +141,7 @@
         )
         self._lateness = LoopLateness(monotonic_s())
         self._drain = Drain(self._lateness)
-        path = RequestPath(
+        path = self._path = RequestPath(
             InstanceParts(
                 settings,
                 dialect,
@@ -258,6 +259,7 @@
         """Stop at once, without a drain."""
         for thread in self._threads:
             thread.kill()
+        self._path.stop()
 
     def locate(self, data_centre: str) -> Location | None:
         """Return the instances that a caller should use, or None.
--- a/berylhaven/gateway/_request_path.py
+++ b/berylhaven/gateway/_request_path.py
@@ -77,7 +77,7 @@
         Tells a number of instances at once what this one does not reach.
     """
 
-    __slots__ = ("forwarder", "evidence_spread", "warmups")
+    __slots__ = ("forwarder", "evidence_spread", "warmups", "_pool", "_reach")
 
     def __init__(
         self,
@@ -86,6 +86,7 @@
         sharer_count: Callable[[], int],
         notify_peers: Callable[[int], None],
     ) -> None:
+        self._pool = pool
         evidence = CrashEvidence()
         # Tells crash evidence to other instances.
         self.evidence_spread = EvidenceSpread(
@@ -102,7 +103,7 @@
             parts.metrics,
         )
         parts.table.admission = self.warmups
-        reach = ReachMonitor(
+        reach = self._reach = ReachMonitor(
             parts.table,
             parts.members,
             parts.random,
@@ -173,6 +174,11 @@
             parts.drain,
         )
 
+    def stop(self) -> None:
+        """Send nothing to servers any more."""
+        self._reach.stop()
+        self._pool.close()
+
 
 def _peer_forwarder(parts: InstanceParts) -> PeerForwarder:
     pool = ConnectionPool(
--- a/berylhaven/gateway/servers/_reach_monitor.py
+++ b/berylhaven/gateway/servers/_reach_monitor.py
@@ -80,8 +80,8 @@
         # The last logged state of each service, and since when it holds.
         self._states: dict[str, Reach] = {}
         self._changed_at_s: dict[str, float] = {}
-        # Services whose servers are being checked.
-        self._checking: set[str] = set()
+        # The green threads that check servers, by service.
+        self._checking: dict[str, eventlet.greenthread.GreenThread] = {}
         self._gauge = metrics.gauge(
             "services_out_of_reach",
             "Services of which half of the servers or more do not answer.",
@@ -105,8 +105,13 @@
         reach = self._services.setdefault(service, ServiceReach())
         reach.record_silence(server_id, monotonic_s())
         if service not in self._checking:
-            self._checking.add(service)
-            eventlet.spawn(self._check_repeatedly, service)
+            self._checking[service] = eventlet.spawn(self._check_repeatedly, service)
+
+    def stop(self) -> None:
+        """End the checks, which otherwise last until the servers answer."""
+        for thread in list(self._checking.values()):
+            thread.kill()
+        self._checking.clear()
 
     def state(self, service: str) -> Reach:
         """Return how many servers of a service are reached.
@@ -167,7 +172,7 @@
                     return
                 self._check_some(service)
         finally:
-            self._checking.discard(service)
+            self._checking.pop(service, None)
 
     def _check_some(self, service: str) -> None:
         now_s = monotonic_s()
--- a/berylhaven/gateway/servers/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -173,7 +173,7 @@
     def _record_failure(self, server: ServerRecord, error: Exception) -> None:
         now_s = monotonic_s()
         end = error.end if isinstance(error, AttemptFailed) else None
-        if end is AttemptEnd.SERVER_EVACUATED:
+        if end in (AttemptEnd.SERVER_EVACUATED, AttemptEnd.INSTANCE_STOPS):
             return
         if end is AttemptEnd.CONNECTION_LIMIT:
             # This instance reached its limit and has no connection for requests either.
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -7,11 +7,7 @@
 )
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, parse_framing
 from berylhaven.http1._chunked_reader import ChunkedBodyError, ChunkedReader
-from berylhaven.http1._connection_pool import (
-    ConnectionCounts,
-    ConnectionPool,
-    OpenCause,
-)
+from berylhaven.http1._connection_pool import ConnectionCounts, ConnectionPool
 from berylhaven.http1._exchange_errors import (
     CALLER_ERROR_ENDS,
     CONNECTION_ERRORS,
@@ -19,6 +15,7 @@
 )
 from berylhaven.http1._head_fields import END_OF_HEAD, HeadFields, read_fields
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
+from berylhaven.http1._open_cause import OpenCause
 from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
 from berylhaven.http1._retry_after import RETRY_AFTER, parse_retry_after_s
 from berylhaven.http1._upstream_answer import (
--- a/berylhaven/http1/_connection_pool.py
+++ b/berylhaven/http1/_connection_pool.py
@@ -1,6 +1,5 @@
 """Pool of connections to backend servers, each used for one call at a time."""
 
-import enum
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,6 +7,7 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.http1._connect_backoff import ConnectBackoff
+from berylhaven.http1._open_cause import OpenCause
 from berylhaven.http1._upstream_connection import UpstreamConnection
 
 # A connection that was idle for longer may have been dropped by the network. A call
@@ -24,25 +24,6 @@
 CLOSE_CAUSES_LIMIT = 4_096
 
 
-class OpenCause(enum.Enum):
-    """Why a call could not reuse a connection to its server."""
-
-    # This instance has had no connection to the server, as far as it remembers.
-    FIRST = "first"
-    # All open connections were in use.
-    BUSY = "busy"
-    # The idle ones were idle for too long for a call that must not run twice.
-    TOO_IDLE = "too-idle"
-    # The last one had expired.
-    EXPIRED = "expired"
-    # The server had closed the last one.
-    CLOSED_BY_SERVER = "closed-by-server"
-    # The idle ones carried a request with the same id.
-    SAME_ID = "same-id"
-    # The last one was closed after a call that failed or was cancelled.
-    NOT_REUSABLE = "not-reusable"
-
-
 @dataclass(slots=True, frozen=True)
 class ConnectionCounts:
     """Numbers of open connections to one backend server."""
@@ -101,6 +82,7 @@
         "_servers",
         "_close_causes",
         "_swept_at_s",
+        "_is_closed",
     )
 
     def __init__(
@@ -120,6 +102,7 @@
         # Why the last connection to an address was closed, the latest one last.
         self._close_causes: dict[str, OpenCause] = {}
         self._swept_at_s = monotonic_s()
+        self._is_closed = False
 
     def acquire(
         self,
@@ -152,8 +135,10 @@
         ------
         AttemptFailed
             If no idle connection is usable and no new one may be opened now, because
-            of the backoff or of the connection limit.
+            of the backoff or of the connection limit, or if the pool was closed.
         """
+        if self._is_closed:
+            raise AttemptFailed(AttemptEnd.INSTANCE_STOPS, "this instance has stopped")
         now_s = monotonic_s()
         if now_s - self._swept_at_s >= SWEEP_INTERVAL_S:
             self.close_expired()
@@ -262,7 +247,7 @@
         server = self._server(connection.address)
         server.busy.discard(connection)
         self._update_backoff(server, connection)
-        if not is_reusable or not connection.is_open:
+        if not is_reusable or not connection.is_open or self._is_closed:
             connection.close()
             self._note_close(connection.address, OpenCause.NOT_REUSABLE)
             return
@@ -317,6 +302,16 @@
                 server.idle.pop().close()
         self._close_causes.pop(address, None)
 
+    def close(self) -> None:
+        """Close the idle connections, and give out no connection any more.
+
+        A check of a server or a retry may outlast the instance by seconds, and the
+        address may be that of another server then.
+        """
+        self._is_closed = True
+        for address in list(self._servers):
+            self.close_idle(address)
+
     def close_expired(self) -> None:
         """Close connections past their idle limit and drop unused server records."""
         now_s = self._swept_at_s = monotonic_s()
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -12,8 +12,8 @@
     NON_IDEMPOTENT_IDLE_LIMIT_S,
     ConnectionCounts,
     ConnectionPool,
-    OpenCause,
 )
+from berylhaven.http1._open_cause import OpenCause
 from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
 
 LIMIT = 4
