Close the log of an instance that a test has stopped

The log lines of an instance go to a descriptor; a test that is over closes the socket behind it. Green threads of a stopped instance wrote further lines, and the number was that of a later socket by then. If that is a caller's, its request begins with a log line, which is answered with 400. In a whole run of the tests of the gateway on one such line ('fleet: at=... event="servers reached"') arrived at an HTTP server of another test, which refused it with 400.

No other path gives a 400 here: an end of the input comes with the end of the connection for both directions, so that nothing can be written then, and a request that the drain gives up is refused with 503.

`EventLog.close` drops all further lines, and the paths and fleets of the tests close their logs before the descriptor. The program's own log is standard output and stays open.

--- a/berylhaven/event_log/_event_log.py
+++ b/berylhaven/event_log/_event_log.py
@@ -42,6 +42,7 @@
         "_window_started_at_s",
         "_written_count",
         "_written_failure_count",
+        "_is_closed",
         "dropped_count",
     )
 
@@ -59,6 +60,7 @@
         self._window_started_at_s = monotonic_s()
         self._written_count = 0
         self._written_failure_count = 0
+        self._is_closed = False
         # The number of lines dropped since the start.
         self.dropped_count = 0
 
@@ -92,6 +94,10 @@
         if self._try_acquire_failure_line():
             self._write(component, event, fields)
 
+    def close(self) -> None:
+        """Drop all further lines: the descriptor may soon be that of a connection."""
+        self._is_closed = True
+
     def _try_acquire_line(self) -> bool:
         self._advance_window()
         if self._written_count >= self._lines_per_s:
@@ -114,6 +120,9 @@
             self._written_count = self._written_failure_count = 0
 
     def _write(self, component: str, event: str, fields: dict[str, object]) -> None:
+        if self._is_closed:
+            self.dropped_count += 1
+            return
         line = format_line(component, event, fields)
         try:
             ready = self._poll.poll(0)
--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -43,12 +43,13 @@
             callers_address=self.callers_address, peers_address=self.peers_address
         ).replace("name = one", f"name = gateway-{index}\nseed_peers = {seed}")
         self._reader, self._writer = socket.socketpair()
+        self._event_log = EventLog(self._writer.fileno())
         self.log = b""
         self.instance = GatewayInstance(
             parse_gateway_settings(text),
             FakeDialect(),
             source,
-            EventLog(self._writer.fileno()),
+            self._event_log,
         )
         host, _, port = self.peers_address.rpartition(":")
         application = PeersApplication(self.instance)
@@ -69,6 +70,7 @@
         for thread in [*self._threads, self._server]:
             thread.kill()
         self.instance.stop()
+        self._event_log.close()
         self._reader.close()
         self._writer.close()
 
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -226,11 +226,12 @@
             settings_file = SettingsFile(str(settings_path))
         # Log lines are discarded: the tests examine sockets.
         self.reader, self.writer = socket.socketpair()
+        self.event_log = EventLog(self.writer.fileno())
         self.instance = GatewayInstance(
             settings,
             FakeDialect(),
             self.source,
-            EventLog(self.writer.fileno()),
+            self.event_log,
             settings_file,
         )
         self.instance.start()
@@ -266,6 +267,7 @@
         for backends in self.backends.values():
             for backend in backends:
                 backend.stop()
+        self.event_log.close()
         self.reader.close()
         self.writer.close()
 
--- a/berylhaven/gateway/tests/test_stopped_instance.py
+++ b/berylhaven/gateway/tests/test_stopped_instance.py
@@ -1,5 +1,6 @@
 """Tests that a stopped instance sends and writes nothing any more."""
 
+import os
 import unittest
 
 import eventlet
@@ -41,6 +42,21 @@
             with self.assertRaises(BlockingIOError):
                 listener.accept()
 
+    def test_a_caller_that_takes_the_descriptor_of_a_log_over_gets_no_400(self):
+        # Guards against log lines of a stopped instance before a caller's request.
+        other = GatewayPath()
+        self.addCleanup(other.stop)
+        descriptor = self.stopped.writer.fileno()
+        self.stop_now()
+        # No other socket gets the number.
+        with open(os.devnull, "rb") as null:
+            os.dup2(null.fileno(), descriptor)
+        self.addCleanup(os.close, descriptor)
+        with other.connect() as caller:
+            os.dup2(caller.sock.fileno(), descriptor)
+            self.stopped.instance._event_log.write_failure("fleet", "servers reached")
+            self.assertEqual(caller.exchange("/read/x").status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
