Wait in a drain until callers have received what was written

Seen: an answer of 2 MB was cut after 57,710 bytes. Its caller reads slowly on a kept connection, and sends its next request after 0.6 of the grace.

Cause: the kernel takes up to 4 MB of an answer, so that nothing was pending and the connection was closed as idle, or the process ended. Input that arrives after that resets the connection, and the kernel drops what it still holds. A server had run that request, and its caller has no whole answer.

Connections with output that the caller's system has not confirmed are not idle any more, and the process waits for them as for pending requests, at the longest until the end of its grace.

--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -65,7 +65,8 @@
         self._port.close_idle()
         # The answers of what was given up are written, also in the last step.
         _turn_hub()
-        pending_count = self._port.pending_count + self._port.unread_count
+        port = self._port
+        pending_count = port.pending_count + port.unread_count + port.undelivered_count
         return self._drain.has_ended(now_s, pending_count)
 
     def record_end(self) -> None:
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -12,6 +12,7 @@
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._input_check import has_input
+from berylhaven.gateway.callers._output_check import has_undelivered_output
 from berylhaven.gateway.callers._passed_on import (
     NOT_RUN,
     OUTCOME,
@@ -122,6 +123,11 @@
         """Whether bytes, or the end of the input, were received and not yet read."""
         return not self._answers.is_closing and has_input(self._socket)
 
+    @property
+    def has_undelivered_output(self) -> bool:
+        """Whether the caller has not received all of the answers that were written."""
+        return has_undelivered_output(self._socket)
+
     def pending_progress(self) -> list[RequestProgress]:
         """Return how far the pending requests have come, in their order."""
         return [pending.progress for pending in self._answers.pending]
@@ -133,9 +139,15 @@
             eventlet.kill(self._reading_thread, DrainRefusal, DrainRefusal(0.0))
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no pending request and no unread input."""
+        """Close the connection if nothing is pending, unread or undelivered.
+
+        Input that arrives after a close resets the connection, and the caller loses
+        what it has not received of the last answer.
+        """
         if self.pending_count or self._answers.is_closing or self.has_unread_input:
             return
+        if self.has_undelivered_output:
+            return
         self._answers.close()
 
     def _await_request(self) -> bool:
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -69,6 +69,11 @@
         """The number of connections with input that was received and not yet read."""
         return sum(connection.has_unread_input for connection in self._connections)
 
+    @property
+    def undelivered_count(self) -> int:
+        """The number of connections with output that the caller has not received."""
+        return sum(c.has_undelivered_output for c in self._connections)
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
@@ -113,7 +118,7 @@
         -------
         dict of str to int
             How many requests are at which stage, and how many connections have input
-            that was not read.
+            that was not read, or output that was not delivered.
         """
         connections = list(self._connections)
         stages = collections.Counter(
@@ -130,6 +135,7 @@
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
             "unread": self.unread_count,
+            "undelivered": self.undelivered_count,
             "connections": len(connections),
         }
 
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -257,9 +257,9 @@
     def remove_server(self, server_id):
         self.source.put(ServerRemoved(server_id))
 
-    def connect(self):
+    def connect(self, receive_buffer_bytes=None):
         """Return a new connection of a caller."""
-        return Caller(self.callers_address)
+        return Caller(self.callers_address, receive_buffer_bytes)
 
     def stop(self):
         self.waiter.kill()
@@ -303,9 +303,14 @@
 class Caller:
     """A connection that sends raw bytes."""
 
-    def __init__(self, address):
+    def __init__(self, address, receive_buffer_bytes=None):
         host, _, port = address.rpartition(":")
-        self.sock = eventlet.connect((host, int(port)))
+        self.sock = socket.socket()
+        if receive_buffer_bytes is not None:
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        self.sock.connect((host, int(port)))
         self.reader = self.sock.makefile("rb")
 
     def send(self, data):
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -35,6 +35,9 @@
 SLOW_WORK_S = 1.6
 # More than the sockets of a loopback connection hold.
 LARGE_BYTES = 16_000_000
+# Less than the instance's socket holds, and more than the caller's with its buffer.
+BUFFERED_BYTES = 2_000_000
+SMALL_BUFFER_BYTES = 32_768
 DEADLINE_MS = "700"
 
 
@@ -204,6 +207,26 @@
             answer = caller.answer()
         self.assertEqual(len(answer.body), LARGE_BYTES)
 
+    def test_an_answer_on_its_way_is_not_cut_by_the_next_request(self):
+        # Guards against the close of connections on which a caller still receives.
+        body = b"x" * BUFFERED_BYTES
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
+        with self.path.connect(SMALL_BUFFER_BYTES) as caller:
+            caller.send(request_bytes("/read/large", "large"))
+            eventlet.sleep(0.3)
+            self.assertEqual(self.path.instance._port.pending_count, 0)
+            self.path.instance.leave()
+            # Connections without pending requests are closed meanwhile.
+            eventlet.sleep(0.7 * GRACE_S)
+            caller.send(request_bytes("/read/next", "next"))
+            answer = caller.answer()
+            self.assertEqual(len(answer.body), BUFFERED_BYTES)
+            # The next one is due too late.
+            self.assertEqual(caller.answer().status, 503)
+        with eventlet.Timeout(0.1 * GRACE_S):
+            self.path.waiter.wait()
+
     def test_a_request_whose_body_is_still_arriving_is_answered(self):
         # Guards against a close of connections that are idle but for a body.
         with self.path.connect() as caller:
