--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -226,11 +226,12 @@
             settings_file = SettingsFile(str(settings_path))
         # Log lines are discarded: the tests examine sockets.
         self.reader, self.writer = socket.socketpair()
+        self.event_log = EventLog(self.writer.fileno())
         self.instance = GatewayInstance(
             settings,
             FakeDialect(),
             self.source,
-            EventLog(self.writer.fileno()),
+            self.event_log,
             settings_file,
         )
         self.instance.start()
@@ -256,9 +257,9 @@
     def remove_server(self, server_id):
         self.source.put(ServerRemoved(server_id))
 
-    def connect(self):
+    def connect(self, receive_buffer_bytes=None):
         """Return a new connection of a caller."""
-        return Caller(self.callers_address)
+        return Caller(self.callers_address, receive_buffer_bytes)
 
     def stop(self):
         self.waiter.kill()
@@ -266,6 +267,7 @@
         for backends in self.backends.values():
             for backend in backends:
                 backend.stop()
+        self.event_log.close()
         self.reader.close()
         self.writer.close()
 
@@ -301,9 +303,14 @@
 class Caller:
     """A connection that sends raw bytes."""
 
-    def __init__(self, address):
+    def __init__(self, address, receive_buffer_bytes=None):
         host, _, port = address.rpartition(":")
-        self.sock = eventlet.connect((host, int(port)))
+        self.sock = socket.socket()
+        if receive_buffer_bytes is not None:
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        self.sock.connect((host, int(port)))
         self.reader = self.sock.makefile("rb")
 
     def send(self, data):
