Keep the margins of a drain by its highest lateness, and end by fresh time

Callers of an instance on a starved machine got no answer at the end of a planned stop: the process was still there at the end of the grace and was killed, also when the grace counts from the signal.

Causes: the margins at the end follow a lateness that has faded since, and InstanceDrain.step decides whether the process may end by a time that it reads before eight turns of the hub. If these outlast the end, it sleeps again. With 64 busy processes the line of the end was written 6.1 s into a grace of 6 s, 0.4 s after the time of the end.

The margins now follow the highest lateness of the drain, with a wake-up that is overdue at the notice. What is taken early still follows the recent lateness, since a pause at the signal says little of what follows. When the time of the end passes in a step, requests are given up once more and the process ends. Nothing is given up before the last sixth of the grace, counted from the notice as well, unless the process must end sooner: the signal may have been sent just before it was noticed.

Red before the change, green after it: test_margins_follow_the_highest_lateness_of_the_drain, test_a_late_notice_gives_nothing_up_before_the_last_sixth_after_it, test_an_instance_that_is_late_while_it_answers_ends_at_once.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -14,7 +14,7 @@
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._instance_drain import InstanceDrain
 from berylhaven.gateway._instance_gauges import InstanceGauges
-from berylhaven.gateway._loop_lateness import LoopLateness
+from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
 from berylhaven.gateway._request_path import (
     ANSWER_HEAD_LIMIT_BYTES,
     InstanceParts,
@@ -55,7 +55,6 @@
 INITIAL_SHARER_COUNT = 730
 # With fewer connections to a server, a probe and a request could not run concurrently.
 MIN_CONNECTIONS = 2
-WAIT_INTERVAL_S = 0.1
 # How often the settings file is read without a signal; it is small.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 # A loop that failed by an internal error is restarted after this time.
@@ -247,8 +246,8 @@
             self._update_ready()
             if self._settings_file is not None:
                 self._check_settings()
-            due_at_s = monotonic_s() + WAIT_INTERVAL_S
-            sleep_s(WAIT_INTERVAL_S)
+            due_at_s = monotonic_s() + WAKE_UP_INTERVAL_S
+            sleep_s(WAKE_UP_INTERVAL_S)
             lateness_s = self._lateness.record(due_at_s, monotonic_s())
             self.metrics.record_loop_lateness(lateness_s)
         self._instance_drain.record_end()
--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -61,12 +61,19 @@
         self._port.context.held.admit_last_answers()
         # What has arrived is read before requests are given up or the process ends.
         _turn_hub()
-        self._port.give_up()
-        self._port.close_idle()
-        # The answers of what was given up are written, also in the last step.
-        _turn_hub()
-        pending_count = self._port.pending_count + self._port.unread_count
-        return self._drain.has_ended(now_s, pending_count)
+        while True:
+            # Reading and writing take long on a starved machine: at the end of the
+            # grace requests are given up once more, and the process ends.
+            now_s = monotonic_s()
+            self._port.give_up()
+            self._port.close_idle()
+            # The answers of what was given up are written, also in the last step.
+            _turn_hub()
+            pending_count = self._port.pending_count + self._port.unread_count
+            if self._drain.has_ended(now_s, pending_count):
+                return True
+            if not self._drain.has_ended(monotonic_s(), pending_count):
+                return False
 
     def record_end(self) -> None:
         """Log the end of the process, with the requests that it leaves unanswered."""
--- a/berylhaven/gateway/_loop_lateness.py
+++ b/berylhaven/gateway/_loop_lateness.py
@@ -1,5 +1,7 @@
 """How late the hub runs green threads that are due."""
 
+# How often the main loop wakes up to record its lateness.
+WAKE_UP_INTERVAL_S = 0.1
 # The part of an earlier lateness that is still expected at the next measurement, a
 # tenth of a second later: half of it after 0.7 s.
 DECAY_RATIO = 0.9
@@ -14,11 +16,13 @@
         The time on the hub's clock.
     """
 
-    __slots__ = ("recent_s", "woke_at_s")
+    __slots__ = ("recent_s", "highest_s", "woke_at_s")
 
     def __init__(self, now_s: float) -> None:
         # The highest recent lateness, in seconds.
         self.recent_s = 0.0
+        # The highest lateness since `restart_highest`, in seconds; it does not fade.
+        self.highest_s = 0.0
         # When the last wake-up was recorded. The process has run then, and signals that
         # were sent before had been noticed.
         self.woke_at_s = now_s
@@ -40,5 +44,17 @@
         """
         lateness_s = now_s - due_at_s
         self.recent_s = max(0.0, lateness_s, DECAY_RATIO * self.recent_s)
+        self.highest_s = max(self.highest_s, self.recent_s)
         self.woke_at_s = now_s
         return lateness_s
+
+    def restart_highest(self, now_s: float) -> None:
+        """Count the highest lateness from now on, with the recent and the present one.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock. The next wake-up may be overdue.
+        """
+        overdue_s = now_s - self.woke_at_s - WAKE_UP_INTERVAL_S
+        self.highest_s = max(self.recent_s, overdue_s)
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -22,7 +22,8 @@
 LATE_WAKE_UPS = 2
 # An instance that is later than this takes only what is due in time.
 STARVED_LATENESS_S = 0.2
-# Requests at work are given up in this last part of the grace at the earliest.
+# Requests at work are given up in this last part of the grace at the earliest, counted
+# from the notice of the signal, unless the process must end sooner.
 GIVING_UP_RATIO = 1 / 6
 # The instance stops this long before the end of the grace, so that it exits by itself;
 # sooner by its lateness, up to this part of the grace.
@@ -108,6 +109,8 @@
             self._began_at_s = min(now_s, self._lateness.woke_at_s)
             self._grace_s = grace_s
             self.unnoticed_s = now_s - self._began_at_s
+            # What was late once in a drain may be late again at its end.
+            self._lateness.restart_highest(now_s)
 
     def check_intake(self, now_s: float, due_at_s: float) -> None:
         """Raise an error if a request may not be taken any more.
@@ -159,12 +162,12 @@
 
     @property
     def _stop_margin_s(self) -> float:
-        late_margin_s = STOP_MARGIN_S + self._lateness.recent_s
+        late_margin_s = STOP_MARGIN_S + self._lateness.highest_s
         return max(STOP_MARGIN_S, min(late_margin_s, STOP_RATIO * self._grace_s))
 
     @property
     def _last_answer_margin_s(self) -> float:
-        return LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * self._lateness.recent_s
+        return LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * self._lateness.highest_s
 
     def closes_idle(self, now_s: float) -> bool:
         """Return whether connections without pending requests are closed."""
@@ -196,7 +199,9 @@
         last_at_s = self._end_at_s - last_s
         if due_at_s <= last_at_s:
             return now_s >= last_at_s
-        first_s = min(self._last_answer_margin_s, GIVING_UP_RATIO * self._grace_s)
+        # The signal may also have been sent just before it was noticed.
+        last_part_s = GIVING_UP_RATIO * self._grace_s - self.unnoticed_s
+        first_s = min(self._last_answer_margin_s, last_part_s)
         return now_s >= self._end_at_s - max(first_s, last_s)
 
     def has_ended(self, now_s: float, pending_count: int) -> bool:
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -8,10 +8,12 @@
 from hypothesis import strategies as st
 
 from berylhaven.clock import monotonic_s
-from berylhaven.gateway._loop_lateness import LoopLateness
+from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
 from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
 from berylhaven.gateway.callers._drain import (
     EARLY_LIMIT_S,
+    LAST_ANSWER_MARGIN_S,
+    LATE_WAKE_UPS,
     SERVING_RATIO,
     STARVED_LATENESS_S,
     STOP_MARGIN_S,
@@ -138,6 +140,53 @@
             return
         self.assertTrue(received_s < EARLY_LIMIT_S or due_at_s < end_s)
 
+    @PURE
+    @given(
+        grace_s=st.floats(6.0, 60.0),
+        unnoticed_s=st.floats(0.0, 2.0),
+        time_limit_s=st.floats(0.0, 90.0),
+        lateness_s=st.floats(0.0, 2.0),
+    )
+    def test_a_late_notice_gives_nothing_up_before_the_last_sixth_after_it(
+        self, grace_s, unnoticed_s, time_limit_s, lateness_s
+    ):
+        # Guards against requests that are broken off early, since the signal was sent
+        # shortly before it was noticed.
+        drain = new_drain(grace_s, lateness_s, unnoticed_s)
+        earliest_s = min(
+            BEGAN_AT_S + unnoticed_s + 5 / 6 * grace_s,
+            BEGAN_AT_S + grace_s - max(STOP_MARGIN_S, STOP_RATIO * grace_s) - WRITING_S,
+        )
+        due_at_s = BEGAN_AT_S + time_limit_s
+        self.assertFalse(drain.gives_up(earliest_s - 0.001, due_at_s))
+
+    @PURE
+    @given(
+        grace_s=st.floats(6.0, 60.0),
+        lateness_s=st.floats(0.0, 2.0),
+        unnoticed_s=st.floats(0.0, 2.0),
+        wake_up_count=st.integers(0, 40),
+    )
+    def test_margins_follow_the_highest_lateness_of_the_drain(
+        self, grace_s, lateness_s, unnoticed_s, wake_up_count
+    ):
+        # Guards against margins that are short at the end of a drain, since the
+        # lateness at its begin has faded.
+        lateness = LoopLateness(BEGAN_AT_S)
+        drain = Drain(lateness)
+        noticed_s = BEGAN_AT_S + unnoticed_s
+        drain.begin(noticed_s, grace_s)
+        lateness.record(noticed_s - lateness_s, noticed_s)
+        for number in range(wake_up_count):
+            lateness.record(noticed_s + number, noticed_s + number)
+        highest_s = max(lateness_s, unnoticed_s - WAKE_UP_INTERVAL_S)
+        margin_s = max(STOP_MARGIN_S, min(STOP_MARGIN_S + highest_s, grace_s / 12))
+        end_s = BEGAN_AT_S + grace_s
+        self.assertTrue(drain.has_ended(end_s - 0.999 * margin_s, pending_count=1))
+        late_s = end_s - 0.999 * (LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * highest_s)
+        with self.assertRaises(DrainRefusal):
+            drain.check_sending(end_s - 0.1, late_s)
+
     def test_the_first_signal_counts(self):
         drain = new_drain(GRACE_S)
         drain.begin(BEGAN_AT_S + 2.0, GRACE_S)
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -7,6 +7,7 @@
 from eventlet.hubs import get_hub
 
 from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
     ORDERS,
@@ -218,6 +219,25 @@
             caller.setblocking(False)
             self.assertEqual(caller.recv(12), b"HTTP/1.1 504")
 
+    def test_an_instance_that_is_late_while_it_answers_ends_at_once(self):
+        # Guards against a process that is killed, since it takes the time before it
+        # reads and writes for the time after that, and sleeps again.
+        self.path.answer_all(READS, self.answer_large)
+        self.start_drain()
+        with self.path.connect() as caller:
+            # Its answer is not read, so that it is pending for the whole drain.
+            caller.send(request_bytes("/read/large", "large"))
+            self.pass_s(IDLE_CLOSED_AFTER_S + STEP_S)
+            self.await_wake_up()
+            self.clock.block_s(WAKE_UP_INTERVAL_S)
+            hub, left_s = get_hub(), GRACE_S - 0.25 - self.drained_s()
+            # The main loop is due, and the later callback runs after it.
+            hub.schedule_call_global(
+                -1.0, hub.schedule_call_global, 0, self.clock.block_s, left_s
+            )
+            self.turn()
+            self.assertTrue(self.path.waiter.dead)
+
     def test_an_instance_that_notices_its_signal_late_ends_within_its_grace(self):
         # Guards against a process that is killed with requests at work, since it counts
         # its grace from the time at which it has noticed the signal.
