Count the limit of the older role's drain from the earliest signal, too

Calls at an entry instance that noticed its SIGTERM late could end with the process: its limit counted from the first step of the drain controller after the notice, up to 0.3 s after it, and the notice itself is late where the process did not run.

LoopLateness moves to berylhaven.clock, so that both roles share the bound (earliest_signal_s). The older role records its wake-ups in the overload controller, which sleeps for a short time anyway. The limit, the cut and the intake count from the bound; the stage in which callers have old addresses counts from the begin of the drain as before, since peers are told then.

LocalInstance.is_leaving is derived from left_at_s now; test_leaving_is_known_everywhere_by_urgent_updates calls leave for that. No run with real processes of the older role was made.

--- a/berylhaven/gateway/_loop_lateness.py
+++ b/berylhaven/clock/_loop_lateness.py
@@ -48,6 +48,24 @@
         self.woke_at_s = now_s
         return lateness_s
 
+    def earliest_signal_s(self, now_s: float) -> float:
+        """Return the earliest time at which a signal may have been sent.
+
+        A handler runs before a wake-up after its signal is stored, so that a signal
+        that is noticed now was sent after the last wake-up.
+
+        Parameters
+        ----------
+        now_s : float
+            The time at which the signal is noticed, on the hub's clock.
+
+        Returns
+        -------
+        float
+            A time on the hub's clock.
+        """
+        return min(now_s, self.woke_at_s)
+
     def restart_highest(self, now_s: float) -> None:
         """Count the highest lateness from now on, with the recent and the present one.
 
--- a/berylhaven/controllers/_context.py
+++ b/berylhaven/controllers/_context.py
@@ -5,6 +5,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
+from berylhaven.clock import LoopLateness
 from berylhaven.discovery import (
     ConfigurationService,
     InstanceListService,
@@ -37,6 +38,8 @@
     urgent_signal: UrgentSignal
     # The load records of backend servers.
     load_table: LoadTable
+    # How late the hub runs, and when it last woke up.
+    lateness: LoopLateness
     # The admission gate, which holds the limits of the services.
     gate: AdmissionGate
     # The client of the configuration service.
--- a/berylhaven/controllers/_drain_controller.py
+++ b/berylhaven/controllers/_drain_controller.py
@@ -46,7 +46,12 @@
 
     def _begin(self, now_s: float) -> Drain:
         proxy = self._context.settings.proxy
-        self._drain = Drain(now_s, proxy.locate_time_to_live_s, proxy.drain_limit_s)
+        self._drain = Drain(
+            now_s,
+            proxy.locate_time_to_live_s,
+            proxy.drain_limit_s,
+            now_s - self._context.local_instance.left_at_s,
+        )
         # Peers remove the instance from their locate answers when they receive this.
         self._context.local_instance.next_announcement()
         self._context.urgent_signal.set()
--- a/berylhaven/controllers/_overload_controller.py
+++ b/berylhaven/controllers/_overload_controller.py
@@ -9,21 +9,26 @@
 
 @register_controller("overload")
 class OverloadController:
-    """Sleeps for a short time, and reports the lateness of the timer to the estimator.
+    """Sleeps for a short time, and records the lateness of the timer.
+
+    The overload estimator is told, and a signal that is noticed later was sent after
+    the recorded wake-up.
 
     Parameters
     ----------
     context : ControllerContext
-        Provides the gate with the overload estimator.
+        Provides the lateness, and the gate with the overload estimator.
     """
 
     interval_s = 0.1
 
     def __init__(self, context: ControllerContext) -> None:
         self._overload = context.gate.overload
+        self._lateness = context.lateness
 
     def step(self) -> None:
         """Measure the lateness of one timer."""
         due_at_s = monotonic_s() + TIMER_DELAY_S
         sleep_s(TIMER_DELAY_S)
-        self._overload.observe_lateness(monotonic_s() - due_at_s)
+        lateness_s = self._lateness.record(due_at_s, monotonic_s())
+        self._overload.observe_lateness(lateness_s)
--- a/berylhaven/controllers/tests/test_exchange_controller.py
+++ b/berylhaven/controllers/tests/test_exchange_controller.py
@@ -118,7 +118,7 @@
     def test_leaving_is_known_everywhere_by_urgent_updates(self):
         fleet = self.fleet(20)
         leaving_node = fleet.nodes[address(7)]
-        leaving_node.local.is_leaving = True
+        leaving_node.local.leave(self.clock())
         leaving_node.context.urgent_signal.set()
         fleet.run(2)
         for node in fleet.nodes.values():
--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -6,7 +6,7 @@
 
 from berylhaven.admission import AdmissionGate
 from berylhaven.blackboard import Blackboard
-from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.clock import LoopLateness, monotonic_s, sleep_s
 from berylhaven.controllers import (
     ControllerContext,
     controller_classes,
@@ -127,8 +127,12 @@
             sleep_s(DRAIN_CHECK_INTERVAL_S)
 
     def leave(self) -> None:
-        """Start the final drain; safe in a signal handler, and idempotent."""
-        self._context.local_instance.is_leaving = True
+        """Start the final drain; safe in a signal handler, and idempotent.
+
+        Its limit counts from the earliest time at which the signal may have been sent.
+        """
+        left_at_s = self._context.lateness.earliest_signal_s(monotonic_s())
+        self._context.local_instance.leave(left_at_s)
 
     def stop(self) -> None:
         """Stop at once, without draining."""
@@ -218,6 +222,7 @@
         peer_traffic=peer_traffic,
         urgent_signal=UrgentSignal(),
         load_table=load_table,
+        lateness=LoopLateness(monotonic_s()),
         gate=gate,
         configuration_service=ConfigurationService(settings.platform),
         instance_list_service=InstanceListService(settings.platform, settings.instance),
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -7,14 +7,19 @@
 
 import eventlet
 
-from berylhaven.clock import monotonic_s, sleep_s, wall_clock_ms
+from berylhaven.clock import (
+    WAKE_UP_INTERVAL_S,
+    LoopLateness,
+    monotonic_s,
+    sleep_s,
+    wall_clock_ms,
+)
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._instance_drain import InstanceDrain
 from berylhaven.gateway._instance_gauges import InstanceGauges
-from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
 from berylhaven.gateway._request_path import (
     ANSWER_HEAD_LIMIT_BYTES,
     InstanceParts,
--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -1,8 +1,7 @@
 """The steps of an instance's drain, from the signal to the end of the process."""
 
-from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.clock import LoopLateness, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._callers_port import CallersPort
 from berylhaven.gateway.callers._drain import Drain
 
--- a/berylhaven/gateway/callers/_connection_context.py
+++ b/berylhaven/gateway/callers/_connection_context.py
@@ -3,12 +3,11 @@
 import traceback
 from collections.abc import Callable
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import LoopLateness, monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._active_routes import ActiveRoutes
 from berylhaven.gateway._dialect import Dialect
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._close_reason import CloseReason
 from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._held_bytes import HeldBytes
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -6,7 +6,7 @@
 is late, so that all of this happens to requests that were taken in time.
 """
 
-from berylhaven.gateway._loop_lateness import LoopLateness
+from berylhaven.clock import LoopLateness
 
 # Requests that are received in this part of the grace are taken however long they may
 # work, since most of them end long before the process does.
@@ -106,7 +106,7 @@
             The time until the process is killed, in seconds.
         """
         if self._began_at_s is None:
-            self._began_at_s = min(now_s, self._lateness.woke_at_s)
+            self._began_at_s = self._lateness.earliest_signal_s(now_s)
             self._grace_s = grace_s
             self.unnoticed_s = now_s - self._began_at_s
             # What was late once in a drain may be late again at its end.
--- a/berylhaven/gateway/callers/_request_end_log.py
+++ b/berylhaven/gateway/callers/_request_end_log.py
@@ -3,10 +3,9 @@
 import enum
 from collections.abc import Sequence
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import LoopLateness, monotonic_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
-from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._drain import Drain
 from berylhaven.gateway.callers._request_progress import RequestProgress
 
--- a/berylhaven/gateway/tests/test_drain.py
+++ b/berylhaven/gateway/tests/test_drain.py
@@ -7,8 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from berylhaven.clock import monotonic_s
-from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
+from berylhaven.clock import WAKE_UP_INTERVAL_S, LoopLateness, monotonic_s
 from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
 from berylhaven.gateway.callers._drain import (
     EARLY_LIMIT_S,
--- a/berylhaven/gateway/tests/test_drain_end.py
+++ b/berylhaven/gateway/tests/test_drain_end.py
@@ -6,8 +6,7 @@
 import eventlet.patcher
 from eventlet.hubs import get_hub
 
-from berylhaven.clock import ManualClock, monotonic_s
-from berylhaven.gateway._loop_lateness import WAKE_UP_INTERVAL_S
+from berylhaven.clock import WAKE_UP_INTERVAL_S, ManualClock, monotonic_s
 from berylhaven.gateway.tests._gateway_path import (
     ID_HEADER,
     ORDERS,
--- a/berylhaven/membership/_drain.py
+++ b/berylhaven/membership/_drain.py
@@ -34,23 +34,26 @@
 class Drain:
     """The start and the time limits of one drain."""
 
-    # When the drain began, on the hub's clock.
+    # When the drain began, on the hub's clock: peers are told from then on.
     began_at_s: float
     # How long callers may cache a locate answer, in seconds.
     locate_time_to_live_s: float
     # The maximum duration of the drain, in seconds.
     limit_s: float
+    # For how long the signal may have been sent before that, in seconds. The limit
+    # counts from there.
+    unnoticed_s: float = 0.0
 
     @property
     def closing_at_s(self) -> float:
         """When the last locate answer that names the instance expires."""
         floor_s = GOSSIP_SPREAD_S + self.locate_time_to_live_s
-        return self.began_at_s + min(floor_s, self.limit_s)
+        return min(self.began_at_s + floor_s, self.ends_by_s)
 
     @property
     def ends_by_s(self) -> float:
         """When the drain ends even if calls are in flight."""
-        return self.began_at_s + self.limit_s
+        return self.began_at_s - self.unnoticed_s + self.limit_s
 
     @property
     def cuts_at_s(self) -> float:
@@ -73,8 +76,9 @@
         bool
             Whether the call is early, or its answer is due before calls are cut.
         """
-        early_s = min(self.closing_at_s - self.began_at_s, EARLY_RATIO * self.limit_s)
-        return now_s - self.began_at_s < early_s or deadline_s <= self.cuts_at_s
+        early_s = EARLY_RATIO * self.limit_s - self.unnoticed_s
+        early_until_s = min(self.closing_at_s, self.began_at_s + early_s)
+        return now_s < early_until_s or deadline_s <= self.cuts_at_s
 
     def stage(self, now_s: float, in_flight_count: int) -> DrainStage:
         """Return the stage at a point in time.
--- a/berylhaven/membership/_local_instance.py
+++ b/berylhaven/membership/_local_instance.py
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "identity",
-        "is_leaving",
+        "left_at_s",
         "_settings",
         "_blackboard",
         "_load_ratio",
@@ -47,8 +47,8 @@
     ) -> None:
         # The identity of this run.
         self.identity = identity
-        # Set once, when the drain begins.
-        self.is_leaving = False
+        # When the drain began, on the hub's clock; None before that.
+        self.left_at_s: float | None = None
         self._settings = settings
         self._blackboard = blackboard
         self._load_ratio = load_ratio
@@ -60,6 +60,22 @@
         """Seconds since the start of this run, on its own clock."""
         return monotonic_s() - self._started_at_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the drain has begun."""
+        return self.left_at_s is not None
+
+    def leave(self, left_at_s: float) -> None:
+        """Begin the drain, unless it has begun; safe in a signal handler.
+
+        Parameters
+        ----------
+        left_at_s : float
+            The time from which the limit of the drain counts, on the hub's clock.
+        """
+        if self.left_at_s is None:
+            self.left_at_s = left_at_s
+
     @property
     def is_ready(self) -> bool:
         """Whether the instance accepts callers."""
