Let planned stops of the soak have another grace, and a pause before SIGTERM

StopOptions.grace_s sets the grace of the gateways and when a process is killed, and signal_after_s how long a process has been paused when SIGTERM is sent. The run with the signal at the end of a pause shows what a bound that is earlier than the signal costs.

--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -72,12 +72,15 @@
     injects_faults: bool = False
     # The slots of each server.
     slot_count: int = SLOT_COUNT
-    # When a process that has not exited is killed. Less than the grace makes losses
-    # that the run must find.
-    kill_after_s: float = GRACE_S
-    # For how long each process does not run from its SIGTERM on: it notices the signal
-    # late, as on a starved machine.
+    # The time that each process has between SIGTERM and its end.
+    grace_s: float = GRACE_S
+    # When a process that has not exited is killed, None for the grace. Less than the
+    # grace makes losses that the run must find.
+    kill_after_s: float | None = None
+    # For how long each process does not run around its SIGTERM, and how long after the
+    # begin of this the signal is sent: it is noticed late, as on a starved machine.
     pause_s: float = 0.0
+    signal_after_s: float = 0.0
     # The number of callers that send a request behind one with Connection: close.
     closing_count: int = 0
 
@@ -124,7 +127,7 @@
         servers_per_service=SERVERS_PER_SERVICE,
         slot_count=options.slot_count,
         slow_share=0.0,
-        grace_s=GRACE_S,
+        grace_s=options.grace_s,
         timeout_s=TIMEOUT_S,
     )
     with fleet:
@@ -228,12 +231,16 @@
         process = gateway.process
         index = self._fleet.gateways.index(gateway)
         self._context.disturbed_gateways.add(index)
-        stop = PlannedStop(self._send_sigterm(process), GRACE_S)
+        grace_s = self._options.grace_s
+        kill_after_s = self._options.kill_after_s
+        if kill_after_s is None:
+            kill_after_s = grace_s
+        stop = PlannedStop(self._send_sigterm(process), grace_s)
         self._stops[gateway.address()].append(stop)
         if self._options.sends_further_signals:
             eventlet.spawn(self._send_further_signals, gateway)
         while process.poll() is None:
-            if time.monotonic() - stop.signal_s > self._options.kill_after_s:
+            if time.monotonic() - stop.signal_s > kill_after_s:
                 process.kill()
                 process.wait()
                 self._report.killed_count += 1
@@ -247,11 +254,12 @@
             self._context.disturbed_gateways.discard(index)
 
     def _send_sigterm(self, process: subprocess.Popen) -> float:
-        """Send SIGTERM, at the start of a pause if there is one; return when."""
+        """Send SIGTERM, within a pause if there is one; return when."""
         pause_s = self._options.pause_s
         if pause_s:
             process.send_signal(signal.SIGSTOP)
             eventlet.spawn_after(pause_s, process.send_signal, signal.SIGCONT)
+            eventlet.sleep(self._options.signal_after_s)
         process.send_signal(signal.SIGTERM)
         return time.monotonic()
 
