--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -1,8 +1,7 @@
 """The steps of an instance's drain, from the signal to the end of the process."""
 
-from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.clock import LoopLateness, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
-from berylhaven.gateway._loop_lateness import LoopLateness
 from berylhaven.gateway.callers._callers_port import CallersPort
 from berylhaven.gateway.callers._drain import Drain
 
@@ -61,13 +60,19 @@
         self._port.context.held.admit_last_answers()
         # What has arrived is read before requests are given up or the process ends.
         _turn_hub()
-        self._port.give_up()
-        self._port.close_idle()
-        # The answers of what was given up are written, also in the last step.
-        _turn_hub()
-        port = self._port
-        pending_count = port.pending_count + port.unread_count + port.undelivered_count
-        return self._drain.has_ended(now_s, pending_count)
+        while True:
+            # Reading and writing take long on a starved machine: at the end of the
+            # grace requests are given up once more, and the process ends.
+            now_s = monotonic_s()
+            self._port.give_up()
+            self._port.close_idle()
+            # The answers of what was given up are written, also in the last step.
+            _turn_hub()
+            left_count = self._port.left_count
+            if self._drain.has_ended(now_s, left_count):
+                return True
+            if not self._drain.has_ended(monotonic_s(), left_count):
+                return False
 
     def record_end(self) -> None:
         """Log the end of the process, with the requests that it leaves unanswered."""
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -74,6 +74,11 @@
         """The number of connections with output that the caller has not received."""
         return sum(c.has_undelivered_output for c in self._connections)
 
+    @property
+    def left_count(self) -> int:
+        """The number of requests and connections that keep a drain from its end."""
+        return self.pending_count + self.unread_count + self.undelivered_count
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
