Write the answers that are there to a half-closed connection

A caller that closes its sending side behind its requests, and still reads, got an answer cut at 4 MB of 8 MB, and none of the ready ones behind it: the end of the input ended the connection at once, though only the last answer of a closing connection was to be waited for.

The end of the input is now one more moment from which no further request is taken (`AnswerQueue.end_input`), and the answers are written if all of them are there. `await_last` waits until none is pending: the writer does not end where the answer that is being written was not the last one when it began. A request at work is still cancelled, since a caller that has left looks alike.

Red before: the test, 3 of 3 subtests; green now.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -123,18 +123,25 @@
 
     def await_slot(self) -> None:
         """Wait while the connection has as many requests as it may have."""
-        while len(self._pending) >= PIPELINE_LIMIT and not self.is_broken:
+        self._await_pending_below(PIPELINE_LIMIT)
+
+    def _await_pending_below(self, count: int) -> None:
+        while len(self._pending) >= count and not self.is_broken:
             self._slot_released = eventlet.event.Event()
             self._slot_released.wait()
 
     def await_last(self) -> None:
-        """Wait for the writer if all answers are there.
+        """Wait until all answers are written, if all are there.
 
         A caller that has closed its sending side may still read its answers, but waits
         for no request that is at work.
         """
-        if self._pending and all(p.answered.ready() for p in self._pending):
-            self._writer.wait()
+        if all(pending.answered.ready() for pending in self._pending):
+            self._await_pending_below(1)
+
+    def end_input(self) -> None:
+        """Take no further request: the caller has closed its sending side."""
+        self._close_reason = self._close_reason or CloseReason.CALLER
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection, which has no pending request."""
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -98,8 +98,8 @@
             while not self._answers.is_closing and self._await_request():
                 self._is_receiving = True
                 self._read_request()
-            if self._answers.is_closing:
-                self._finish()
+            self._answers.end_input()
+            self._finish()
             has_ended = self._answers.has_ended
             end = (
                 ConnectionEnd.LAST_ANSWER if has_ended else ConnectionEnd.CALLER_CLOSED
--- a/berylhaven/gateway/tests/test_last_requests.py
+++ b/berylhaven/gateway/tests/test_last_requests.py
@@ -1,5 +1,6 @@
 """Tests of requests behind the one with which a caller ends its connection."""
 
+import socket
 import unittest
 
 import eventlet
@@ -143,6 +144,28 @@
         self.assertEqual(len(answer.body), LARGE_BYTES)
         self.assertEqual(self.run_ids(), ["last"])
 
+    def test_a_half_closed_connection_gets_the_answers_that_are_there(self):
+        # Guards against a caller that ends its sending side and loses ready answers.
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE_BYTES
+        body = b"x" * LARGE_BYTES
+        large, small = request_bytes("/read/x", "a"), BEHIND[1]
+        for requests, lengths in (
+            (large, [LARGE_BYTES]),
+            (large + small, [LARGE_BYTES, 4]),
+            (small + large, [4, LARGE_BYTES]),
+        ):
+            self.setUp()
+            self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
+            self.release.send()
+            with self.subTest(lengths=lengths), self.path.connect() as caller:
+                caller.send(requests)
+                eventlet.sleep(2 * PASS_ON_S)
+                caller.sock.shutdown(socket.SHUT_WR)
+                eventlet.sleep(PASS_ON_S)
+                received = [len(caller.answer().body) for _ in lengths]
+                self.assertEqual(received, lengths)
+                self.assertIsNone(caller.answer())
+
     def test_a_rejected_request_ends_what_is_read(self):
         # Guards against bytes behind a rejected head that are taken for a request.
         malformed = f"GET /read/x HTTP/1.1\r\nHost : {HOST}\r\n\r\n".encode()
