Linger after each last answer of the entry instance

A caller of the older role that sent `Connection: close`, or HTTP/1.0, and went on writing lost the end of the answer to a call that had run: 3,990,431 of 5,000,000 bytes, then a reset. Cause: closing a socket with unread bytes resets it, and only refusals and the answers of a drain lingered. All last answers do now, within the same limits.

Nothing behind a last request is run there: the WSGI server reads one request at a time and none once `close_connection` is set (test, green before).

Red before: test_a_caller_that_writes_behind_its_last_request_gets_the_answer. Green now, as are test_answer_edges, test_bounded_bodies, test_upload_while_server_leaves, test_outcome_table and test_entry*.

--- a/berylhaven/proxy/_callers_protocol.py
+++ b/berylhaven/proxy/_callers_protocol.py
@@ -29,8 +29,8 @@
 HEAD_END = b"\r\n\r\n"
 HTTP_1_1 = "HTTP/1.1"
 CONTINUE_EXPECTATION = "100-continue"
-# After a refusal, what the caller still sends is read up to these limits, since closing
-# a socket with unread bytes resets it and the refusal may be lost.
+# After the last answer, what the caller still sends is read up to these limits, since
+# closing a socket with unread bytes resets it and the answer may be lost.
 LINGER_TIMEOUT_S = 1.0
 LINGER_LIMIT_BYTES = 1_000_000
 # SO_LINGER with these values resets the connection on close.
@@ -222,12 +222,14 @@
     def handle_one_response(self) -> None:
         """Send the answer; plan a reset if it was cut and HTTP/1.0 cannot show that."""
         super().handle_one_response()
+        if self.close_connection:
+            self._must_linger = True
         body = self.environ.get(ANSWER_BODY_KEY)
         if self.request_version != HTTP_1_1 and getattr(body, "is_cut", False):
             self._must_reset = True
 
     def finish(self) -> None:
-        """Close; by a reset after a cut answer, with lingering after a refusal."""
+        """Close; by a reset after a cut answer, with lingering after the last one."""
         if self._must_reset:
             self._reset()
             return
--- a/berylhaven/proxy/tests/test_request_edges.py
+++ b/berylhaven/proxy/tests/test_request_edges.py
@@ -5,6 +5,7 @@
 import eventlet
 import orjson
 
+from berylhaven.http1.tests._raw_backend import answers_raw
 from berylhaven.proxy.tests._proxy_path import (
     BOOKINGS,
     POSITIONS,
@@ -237,6 +238,45 @@
             bodies = [caller.answer().body for _ in range(5)]
         self.assertEqual(bodies, [b"0", b"1", b"2", b"3", b"4"])
 
+    def test_nothing_behind_the_last_request_is_run(self):
+        # Guards against work whose connection is closed behind an earlier answer.
+        backend = self.path.raw["positions"]
+        last_requests = (
+            get(POSITIONS + "/last", "Connection: close"),
+            get(POSITIONS + "/last", version="HTTP/1.0"),
+        )
+        for data in last_requests:
+            with self.subTest(data=data[:40]), self.path.connect() as caller:
+                backend.requests.clear()
+                caller.send(data + get(POSITIONS + "/behind"))
+                answer = caller.answer()
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.header("Connection"), "close")
+                self.assertTrue(caller.is_closed())
+                self.assertEqual([r.path for r in backend.requests], ["/last"])
+
+    def test_a_caller_that_writes_behind_its_last_request_gets_the_answer(self):
+        # Guards against a reset that takes the answer of a call that has run.
+        length = 5_000_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+        backend = self.path.raw["positions"]
+        backend.answers["/large"] = answers_raw(head + b"x" * length)
+        with self.path.connect() as caller:
+            caller.send(get(POSITIONS + "/large", "Connection: close"))
+            behind = get(POSITIONS + "/behind")
+
+            def keep_writing():
+                while True:
+                    caller.send(behind)
+                    eventlet.sleep(0.001)
+
+            writer = eventlet.spawn(keep_writing)
+            self.addCleanup(writer.kill)
+            eventlet.sleep(0.3)
+            answer = caller.answer()
+        self.assertEqual(len(answer.body), length)
+        self.assertTrue(answer.is_whole)
+
     def test_hop_by_hop_headers_are_not_forwarded(self):
         data = get(
             POSITIONS + "/x?q=%2F&r",
