Cover passed-on requests and an earlier build in the soak of planned stops

No run with real processes covered them. Judged for all: no double run, no false not-run, no foreign answer. The end of another gateway is no reason to close a caller's connection; after a kill only what may run once, and reads that were passed on a second time in vain, may get an answer of the gateway's own. The killed gateway's callers are excused.

What an earlier build loses in its own stop is counted apart, all else is judged.

--- a/bench/gateway_soak/__init__.py
+++ b/bench/gateway_soak/__init__.py
@@ -2,11 +2,11 @@
 
 from bench.gateway_soak._faults import FAULTS
 from bench.gateway_soak._planned_stops import (
-    StopOptions,
-    StopReport,
     run_planned_stops,
 )
 from bench.gateway_soak._soak import SoakReport, run_soak
+from bench.gateway_soak._stop_options import StopOptions
+from bench.gateway_soak._stop_report import StopReport
 
 __all__ = [
     "FAULTS",
--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -36,7 +36,7 @@
 def print_stop_report(seed: int, report: StopReport) -> None:
     """Print the counts and losses of a run with planned stops."""
     exits = ", ".join(f"{time_s:.2f}" for time_s in report.exits_after_s)
-    verdict = "good" if not report.losses else "BROKEN"
+    verdict = "good" if not (report.losses or report.broken) else "BROKEN"
     answered = sum(n for (_, status), n in report.answers.items() if status)
     print(
         f"seed {seed}: {verdict}, {sum(report.answers.values())} requests, "
@@ -47,6 +47,12 @@
     print("  statuses: " + ", ".join(f"{s}: {n}" for s, n in counts.most_common()))
     for found, count in report.losses.items():
         print(f"  {found.value}: {count}")
+    if report.passed_on_count:
+        print(f"  named by the log as passed on: {report.passed_on_count}")
+    for found, count in report.old_losses.items():
+        print(f"  in stops of the earlier build: {found.value}: {count}")
+    for line in report.broken:
+        print(f"  broken: {line}")
     if report.read_count:
         print(f"  named by the gateway's log, but never passed on: {report.read_count}")
     for line in report.lines:
@@ -61,7 +67,7 @@
     gateway_count: int = 3,
     kinds: str = "",
     planned_stops: int = 0,
-    **stop_options: int,
+    **stop_options: int | str,
 ) -> None:
     """Run soaks, or runs with planned stops, from the command line.
 
@@ -79,7 +85,7 @@
         The names of the faults to inject, separated by commas; all if empty.
     planned_stops : int
         The number of runs with planned stops instead of soaks.
-    **stop_options : int
+    **stop_options : int or str
         Further fields of `StopOptions`, such as caller_count or busy_count.
     """
     first = seed if seed >= 0 else random.randrange(RANDOM_SEED_LIMIT)
@@ -91,7 +97,7 @@
             )
             stop_report = run_planned_stops(options)
             print_stop_report(number, stop_report)
-            if stop_report.losses:
+            if stop_report.losses or stop_report.broken:
                 broken_seeds.append(number)
         end(planned_stops, broken_seeds)
     chosen = tuple(name.strip() for name in kinds.split(",") if name.strip())
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -30,6 +30,7 @@
     configuration_value,
 )
 from standins.metadata_store import server_value
+from standins.product_tree import export_tree
 
 PORTS_PER_GATEWAY = 4
 PORTS_PER_PROXY = 2
@@ -48,6 +49,8 @@
     settings_path: Path
     # The process; None before the first start.
     process: subprocess.Popen | None = None
+    # The root of the tree whose build it starts next; empty for the current tree.
+    tree: Path = Path()
 
     def address(self, index: int = 0) -> str:
         """Return HOST:PORT of one of its ports."""
@@ -184,7 +187,7 @@
         log_path = gateway.settings_path.with_suffix(".log")
         with log_path.open("ab") as log:
             gateway.process = subprocess.Popen(
-                [sys.executable, "platform/run.py"],
+                [sys.executable, str(gateway.tree / "platform/run.py")],
                 env={
                     **os.environ,
                     "BERYLHAVEN_NODE_FILE": str(gateway.settings_path),
@@ -194,6 +197,10 @@
                 process_group=0,
             )
 
+    def export_tree(self, commit: str) -> Path:
+        """Copy the product as of a commit into the fleet's folder; return its root."""
+        return export_tree(commit, self._directory)
+
     def wait_until_ready(self, gateway: GatewayProcess) -> None:
         """Wait until a gateway reports that it is ready for callers."""
         url = f"http://{gateway.address(1)}/ready"
