--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -67,7 +67,8 @@
     gateway_count: int = 3,
     kinds: str = "",
     planned_stops: int = 0,
-    **stop_options: int | str,
+    old_commit: str = "",
+    **stop_options: int,
 ) -> None:
     """Run soaks, or runs with planned stops, from the command line.
 
@@ -85,7 +86,9 @@
         The names of the faults to inject, separated by commas; all if empty.
     planned_stops : int
         The number of runs with planned stops instead of soaks.
-    **stop_options : int or str
+    old_commit : str
+        The commit of an earlier build that runs beside the current one.
+    **stop_options : int
         Further fields of `StopOptions`, such as caller_count or busy_count.
     """
     first = seed if seed >= 0 else random.randrange(RANDOM_SEED_LIMIT)
@@ -93,7 +96,10 @@
     if planned_stops:
         for number in range(first, first + planned_stops):
             options = StopOptions(
-                seed=number, gateway_count=gateway_count, **stop_options
+                seed=number,
+                gateway_count=gateway_count,
+                old_commit=str(old_commit),
+                **stop_options,
             )
             stop_report = run_planned_stops(options)
             print_stop_report(number, stop_report)
@@ -106,7 +112,7 @@
         sys.exit(f"no such fault: {', '.join(sorted(unknown))}")
     for number in range(first, first + count):
         duration = float(duration_s) or DEFAULT_DURATION_S
-        report = run_soak(duration, number, gateway_count, chosen)
+        report = run_soak(duration, number, gateway_count, chosen, str(old_commit))
         print_report(number, report)
         if report.broken:
             broken_seeds.append(number)
--- a/bench/gateway_soak/_faults.py
+++ b/bench/gateway_soak/_faults.py
@@ -1,28 +1,25 @@
 """The faults of a soak: functions that inject a fault and remove it again."""
 
 import contextlib
-import random
 import secrets
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import eventlet
 import urllib3
 
+from bench.gateway_soak._soak_context import SoakContext
 from standins.gateway_fleet import (
     GRACE_S,
     ORDERS,
     READS,
     ROUTES_HOST,
     SERVERS_PER_SERVICE,
-    GatewayFleet,
     GatewayProcess,
     wait_until,
 )
 
-FAULT_DURATION_RANGE_S = (0.2, 2.5)
 # A gateway must exit within its grace period and this margin after SIGTERM.
 STOP_MARGIN_S = 1.0
 DELAY_RANGE_S = (0.005, 0.2)
@@ -37,51 +34,6 @@
 HTTP_STATUS_OK = 200
 
 
-@dataclass(slots=True)
-class SoakContext:
-    """The state that the faults of a soak share."""
-
-    # The running fleet.
-    fleet: GatewayFleet
-    # The seeded source of the faults' targets and parameters.
-    source: random.Random
-    # Indexes of gateways that a fault is acting on, so that no other fault does.
-    disturbed_gateways: set[int] = field(default_factory=set)
-    # When the last fault that acted on a gateway ended, by index.
-    calm_since_s: dict[int, float] = field(default_factory=dict)
-    # Descriptions of broken guarantees that the faults detected.
-    broken: list[str] = field(default_factory=list)
-    # Whether a gateway is cut off from the servers.
-    is_cutting: bool = False
-    # Whether no further fault may be injected.
-    is_ending: bool = False
-    # The latest version of the configuration that was written.
-    version: int = 1
-    # How often connections were reset or made unresponsive, by proxy and counter.
-    counts: dict[tuple[str, str], int] = field(default_factory=dict)
-
-    def random_duration_s(self) -> float:
-        """Return a random duration of a fault in seconds."""
-        return self.source.uniform(*FAULT_DURATION_RANGE_S)
-
-    def random_server(self) -> str:
-        """Return HOST:PORT of a random server."""
-        service = self.source.choice((READS, ORDERS))
-        return self.source.choice(self.fleet.servers[service])
-
-    def is_calm(self, index: int, duration_s: float) -> bool:
-        """Return whether no fault has acted on a gateway for a time."""
-        if index in self.disturbed_gateways:
-            return False
-        return time.monotonic() - self.calm_since_s.get(index, 0.0) >= duration_s
-
-    def next_count(self, proxy: str, name: str) -> int:
-        """Increment a counter of a proxy and return its new value."""
-        key = (proxy, name)
-        self.counts[key] = self.counts.get(key, 0) + 1
-        return self.counts[key]
-
-
 Fault = Callable[[SoakContext], None]
 FAULTS: dict[str, Fault] = {}
 
@@ -122,8 +74,7 @@
     """Kill a gateway and restart it after a pause."""
     gateway.process.kill()
     eventlet.sleep(context.random_duration_s())
-    context.fleet.start_gateway(gateway)
-    context.fleet.wait_until_ready(gateway)
+    context.start_again(gateway)
 
 
 @register_fault("gateway restarted")
@@ -136,8 +87,7 @@
     except TimeoutError:
         context.broken.append("a gateway did not exit within its grace period")
         gateway.process.kill()
-    context.fleet.start_gateway(gateway)
-    context.fleet.wait_until_ready(gateway)
+    context.start_again(gateway)
 
 
 @register_fault("gateway paused")
--- a/bench/gateway_soak/_mixed_builds.py
+++ b/bench/gateway_soak/_mixed_builds.py
@@ -1,11 +1,12 @@
 """Gateways of an earlier build that are replaced by the current one, one by one."""
 
+from collections.abc import Sequence
 from pathlib import Path
 
-from bench.gateway_soak._faults import SoakContext
 from bench.gateway_soak._loss_rules import LossClass, PlannedStop
 from bench.gateway_soak._recovery_checks import check_configuration
-from standins.gateway_fleet import GatewayFleet, wait_until
+from bench.gateway_soak._soak_context import SoakContext
+from standins.gateway_fleet import GatewayFleet, GatewayProcess, wait_until
 
 # Gossip tells all members of a start within this time.
 MEMBERS_BOUND_S = 5.0
@@ -22,6 +23,36 @@
 CURRENT_BUILD = Path()
 
 
+def start_old_build(
+    fleet: GatewayFleet, gateways: Sequence[GatewayProcess], commit: str
+) -> Path:
+    """Restart gateways by an earlier build, and wait until they are ready.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        The fleet, without callers.
+    gateways : sequence of GatewayProcess
+        The gateways.
+    commit : str
+        The commit of the earlier build.
+
+    Returns
+    -------
+    Path
+        The root of its tree.
+    """
+    tree = fleet.export_tree(commit)
+    for gateway in gateways:
+        gateway.process.kill()
+        gateway.process.wait()
+        gateway.tree = tree
+        fleet.start_gateway(gateway)
+    for gateway in gateways:
+        fleet.wait_until_ready(gateway)
+    return tree
+
+
 def is_loss_of_old_build(found: LossClass, stops: list[PlannedStop]) -> bool:
     """Return whether an earlier build has lost a request in its own stop.
 
--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -10,7 +10,6 @@
 import eventlet
 
 from bench.gateway_soak._busy_processes import busy_processes
-from bench.gateway_soak._faults import SoakContext
 from bench.gateway_soak._gateway_cut import GatewayCut
 from bench.gateway_soak._loss_rules import (
     Arrival,
@@ -24,8 +23,10 @@
     check_mixed_fleet,
     ended_processes,
     is_loss_of_old_build,
+    start_old_build,
 )
 from bench.gateway_soak._soak import inject_faults
+from bench.gateway_soak._soak_context import SoakContext
 from bench.gateway_soak._stop_callers import StopCallers
 from bench.gateway_soak._stop_options import GRACE_S, StopOptions
 from bench.gateway_soak._stop_report import StopReport, describe_loss
@@ -126,7 +127,8 @@
         preferred = gateways[0].address() if options.stop_count == 1 else ""
         if options.old_commit:
             preferred = ""
-            self._start_old_build(str(options.old_commit))
+            commit = options.old_commit
+            self._old_build = start_old_build(self._fleet, gateways, commit)
         if options.cuts_gateway:
             cut_gateway = gateways[0 if options.stops_cut_gateway else -1]
             self._cut = GatewayCut(self._fleet, cut_gateway)
@@ -174,17 +176,6 @@
         for thread in threads:
             thread.wait()
 
-    def _start_old_build(self, commit: str) -> None:
-        """Restart all gateways by the earlier build, before there are any callers."""
-        self._old_build = self._fleet.export_tree(commit)
-        for gateway in self._fleet.gateways:
-            gateway.process.kill()
-            gateway.process.wait()
-            gateway.tree = self._old_build
-            self._fleet.start_gateway(gateway)
-        for gateway in self._fleet.gateways:
-            self._fleet.wait_until_ready(gateway)
-
     def _replace_builds(self, gateways: list[GatewayProcess]) -> None:
         """Replace one gateway after the other, and check the fleet each time."""
         replaced = gateways[: self._options.replaced_count or len(gateways)]
--- a/bench/gateway_soak/_recovery_checks.py
+++ b/bench/gateway_soak/_recovery_checks.py
@@ -5,7 +5,7 @@
 import eventlet
 import urllib3
 
-from bench.gateway_soak._faults import SoakContext
+from bench.gateway_soak._soak_context import SoakContext
 from standins.gateway_callers import GatewayCallers
 from standins.gateway_fleet import ORDERS, ROUTES_HOST, GatewayProcess
 
--- a/bench/gateway_soak/_soak.py
+++ b/bench/gateway_soak/_soak.py
@@ -6,8 +6,10 @@
 
 import eventlet
 
-from bench.gateway_soak._faults import FAULTS, SoakContext
+from bench.gateway_soak._faults import FAULTS
+from bench.gateway_soak._mixed_builds import CURRENT_BUILD, start_old_build
 from bench.gateway_soak._recovery_checks import check_recovery
+from bench.gateway_soak._soak_context import SoakContext
 from standins.gateway_callers import GatewayCallers, broken_promises
 from standins.gateway_fleet import GatewayFleet
 
@@ -32,7 +34,11 @@
 
 
 def run_soak(
-    duration_s: float, seed: int, gateway_count: int = 3, kinds: tuple[str, ...] = ()
+    duration_s: float,
+    seed: int,
+    gateway_count: int = 3,
+    kinds: tuple[str, ...] = (),
+    old_commit: str = "",
 ) -> SoakReport:
     """Run one soak.
 
@@ -46,6 +52,9 @@
         The number of gateways.
     kinds : tuple of str
         The names of the faults to inject; all if empty.
+    old_commit : str
+        The commit of an earlier build by which all gateways but one start; those that
+        end are started again by either build. Empty for the current build alone.
 
     Returns
     -------
@@ -55,6 +64,9 @@
     counts: collections.Counter = collections.Counter()
     with GatewayFleet(gateway_count, has_proxies=True) as fleet:
         context = SoakContext(fleet, random.Random(seed))
+        if old_commit:
+            old_build = start_old_build(fleet, fleet.gateways[1:], old_commit)
+            context.trees = (CURRENT_BUILD, old_build)
         callers = GatewayCallers(fleet)
         series = [
             eventlet.spawn(
--- a/bench/gateway_soak/tests/test_gateway_soak.py
+++ b/bench/gateway_soak/tests/test_gateway_soak.py
@@ -3,7 +3,8 @@
 import unittest
 
 from bench.gateway_soak import FAULTS, run_soak
-from bench.gateway_soak._faults import SoakContext, register_fault
+from bench.gateway_soak._faults import register_fault
+from bench.gateway_soak._soak_context import SoakContext
 
 
 class GatewaySoakTest(unittest.TestCase):
