--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -36,7 +36,7 @@
 def print_stop_report(seed: int, report: StopReport) -> None:
     """Print the counts and losses of a run with planned stops."""
     exits = ", ".join(f"{time_s:.2f}" for time_s in report.exits_after_s)
-    verdict = "good" if not report.losses else "BROKEN"
+    verdict = "good" if not (report.losses or report.broken) else "BROKEN"
     answered = sum(n for (_, status), n in report.answers.items() if status)
     print(
         f"seed {seed}: {verdict}, {sum(report.answers.values())} requests, "
@@ -47,6 +47,12 @@
     print("  statuses: " + ", ".join(f"{s}: {n}" for s, n in counts.most_common()))
     for found, count in report.losses.items():
         print(f"  {found.value}: {count}")
+    if report.passed_on_count:
+        print(f"  named by the log as passed on: {report.passed_on_count}")
+    for found, count in report.old_losses.items():
+        print(f"  in stops of the earlier build: {found.value}: {count}")
+    for line in report.broken:
+        print(f"  broken: {line}")
     if report.read_count:
         print(f"  named by the gateway's log, but never passed on: {report.read_count}")
     for line in report.lines:
@@ -61,6 +67,7 @@
     gateway_count: int = 3,
     kinds: str = "",
     planned_stops: int = 0,
+    old_commit: str = "",
     **stop_options: int,
 ) -> None:
     """Run soaks, or runs with planned stops, from the command line.
@@ -79,6 +86,8 @@
         The names of the faults to inject, separated by commas; all if empty.
     planned_stops : int
         The number of runs with planned stops instead of soaks.
+    old_commit : str
+        The commit of an earlier build that runs beside the current one.
     **stop_options : int
         Further fields of `StopOptions`, such as caller_count or busy_count.
     """
@@ -87,11 +96,14 @@
     if planned_stops:
         for number in range(first, first + planned_stops):
             options = StopOptions(
-                seed=number, gateway_count=gateway_count, **stop_options
+                seed=number,
+                gateway_count=gateway_count,
+                old_commit=str(old_commit),
+                **stop_options,
             )
             stop_report = run_planned_stops(options)
             print_stop_report(number, stop_report)
-            if stop_report.losses:
+            if stop_report.losses or stop_report.broken:
                 broken_seeds.append(number)
         end(planned_stops, broken_seeds)
     chosen = tuple(name.strip() for name in kinds.split(",") if name.strip())
@@ -100,7 +112,7 @@
         sys.exit(f"no such fault: {', '.join(sorted(unknown))}")
     for number in range(first, first + count):
         duration = float(duration_s) or DEFAULT_DURATION_S
-        report = run_soak(duration, number, gateway_count, chosen)
+        report = run_soak(duration, number, gateway_count, chosen, str(old_commit))
         print_report(number, report)
         if report.broken:
             broken_seeds.append(number)
