Play planned stops beside slow readers and a small account of held bytes

`--slow_ratio` is the part of the connections that read large answers slowly, `--held_limit_bytes` the bytes that each gateway may hold.

--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -19,7 +19,7 @@
     judge_request,
 )
 from bench.gateway_soak._soak import inject_faults
-from bench.gateway_soak._stop_callers import StopCallers
+from bench.gateway_soak._stop_callers import SLOW_RATIO, StopCallers
 from standins.gateway_fleet import GatewayFleet, GatewayProcess
 
 GRACE_S = 6.0
@@ -80,6 +80,10 @@
     pause_s: float = 0.0
     # The number of callers that send a request behind one with Connection: close.
     closing_count: int = 0
+    # The part of the reads with large answers that are read slowly.
+    slow_ratio: float = SLOW_RATIO
+    # The bytes that each gateway may hold; None for its default.
+    held_limit_bytes: int | None = None
 
 
 @dataclass(slots=True)
@@ -126,6 +130,7 @@
         slow_share=0.0,
         grace_s=GRACE_S,
         timeout_s=TIMEOUT_S,
+        held_limit_bytes=options.held_limit_bytes,
     )
     with fleet:
         run = _StopRun(fleet, options)
@@ -171,6 +176,7 @@
             options.pipelining_count,
             preferred,
             options.closing_count,
+            options.slow_ratio,
         )
         eventlet.sleep(WARM_UP_S)
         beside = []
--- a/bench/gateway_soak/_stop_callers.py
+++ b/bench/gateway_soak/_stop_callers.py
@@ -26,8 +26,8 @@
 UPLOAD_BYTES_RANGE = (60_000, 400_000)
 UPLOAD_PIECE_BYTES = 40_000
 UPLOAD_PAUSE_LIMIT_S = 0.1
-# A part of the reads has large answers, which are read slowly.
-LARGE_ANSWER_RATIO = 0.1
+# The part of the connections on which large answers are read slowly.
+SLOW_RATIO = 0.1
 LARGE_ANSWER_BYTES = 3_000_000
 SLOW_READ_BYTES = 200_000
 SLOW_READ_PAUSE_S = 0.03
@@ -63,6 +63,8 @@
     closing_count : int
         The number of callers that send ``Connection: close`` with a request and
         another request behind it.
+    slow_ratio : float
+        The part of the connections on which large answers are read slowly.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "max_delay_s",
         "_fleet",
         "_preferred",
+        "_slow_ratio",
         "_ticks_s",
         "_threads",
     )
@@ -82,7 +85,9 @@
         pipelining_count: int,
         preferred: str = "",
         closing_count: int = 0,
+        slow_ratio: float = SLOW_RATIO,
     ) -> None:
+        self._slow_ratio = slow_ratio
         self._fleet = fleet
         self._preferred = preferred
         # All requests, in the order of their first bytes.
@@ -125,9 +130,7 @@
                 # Attempts without a pause would make the callers themselves late.
                 eventlet.sleep(AVOIDANCE_S)
                 continue
-            reads_slowly = (
-                not behaviour.lengths and source.random() < LARGE_ANSWER_RATIO
-            )
+            reads_slowly = not behaviour.lengths and source.random() < self._slow_ratio
             number += 1
             try:
                 connection = _Connection(f"{name}-{number}", address, reads_slowly)
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -74,6 +74,8 @@
     grace_s: float = GRACE_S
     # The timeout of all routes, in seconds.
     timeout_s: float = 2.0
+    # The bytes that each gateway may hold; None for its default.
+    held_limit_bytes: int | None = None
     # The gateways.
     gateways: list[GatewayProcess] = field(default_factory=list)
     # HOST:PORT of each server, by service.
@@ -176,6 +178,8 @@
         lines += [f"{name} = {gateway.address(i)}" for i, name in enumerate(names)]
         lines.append(f"seed_peers = {self.gateways[0].address(2)}")
         lines += ["[store]", f"address = {store}"]
+        if self.held_limit_bytes is not None:
+            lines += ["[memory]", f"held_limit_bytes = {self.held_limit_bytes}"]
         lines += ["[drain]", f"grace_s = {self.grace_s}", ""]
         return "\n".join(lines)
 
