--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -83,6 +83,7 @@
         slow_share=0.0,
         grace_s=options.grace_s,
         timeout_s=TIMEOUT_S,
+        held_limit_bytes=options.held_limit_bytes,
     )
     with fleet:
         run = _StopRun(fleet, options)
@@ -142,6 +143,7 @@
             options.pipelining_count,
             preferred,
             options.closing_count,
+            options.slow_ratio,
         )
         eventlet.sleep(KILL_WARM_UP_S if options.kills else WARM_UP_S)
         beside = []
--- a/bench/gateway_soak/_stop_options.py
+++ b/bench/gateway_soak/_stop_options.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from bench.gateway_soak._stop_callers import SLOW_RATIO
+
 GRACE_S = 6.0
 SLOT_COUNT = 16
 
@@ -40,6 +42,10 @@
     signal_after_s: float = 0.0
     # The number of callers that send a request behind one with Connection: close.
     closing_count: int = 0
+    # The part of the connections on which large answers are read slowly.
+    slow_ratio: float = SLOW_RATIO
+    # The bytes that each gateway may hold; None for its default.
+    held_limit_bytes: int | None = None
     # Whether one gateway is cut off from all servers, so that it passes requests on;
     # it is the last one to be stopped, or the first one.
     cuts_gateway: bool = False
