--- a/bench/gateway_soak/_planned_stops.py
+++ b/bench/gateway_soak/_planned_stops.py
@@ -34,8 +34,8 @@
 
 TIMEOUT_S = 10.0
 WARM_UP_S = 1.0
-# The retry budget grows with the requests: after 1 s of load, 15 of 26 idempotent
-# requests that ended with a killed gateway could not be sent again.
+# The retry budget grows with the requests. After 1 s of load it is too small to send
+# all idempotent requests that end with a killed gateway again.
 KILL_WARM_UP_S = 5.0
 # The load goes on for this time after the last process has exited.
 AFTER_EXIT_S = 0.3
