Count the time for which callers are still served from the notice of a stop

An instance that was stopped towards the end of a pause was gone 2.3 s after its signal, while callers still had its address: they are told of the stop when it is noticed, but the time after which an instance without pending requests ends counted from the earliest time of the signal, as the grace does since.

The time after which connections are closed and the process may end counts from the notice, as in the older role, up to the last sixth of the grace. What is taken, sent and given up counts from the bound as before.

--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -170,10 +170,26 @@
         return LAST_ANSWER_MARGIN_S + LATE_WAKE_UPS * self._lateness.highest_s
 
     def closes_idle(self, now_s: float) -> bool:
-        """Return whether connections without pending requests are closed."""
-        return self.has_begun and (
-            now_s - self._began_at_s >= SERVING_RATIO * self._grace_s
-        )
+        """Return whether connections without pending requests are closed.
+
+        Others learn of the stop from its notice on, so the time for that counts from
+        there, up to the last part of the grace.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+
+        Returns
+        -------
+        bool
+            False before the drain and in its first part.
+        """
+        if not self.has_begun:
+            return False
+        serving_s = self.unnoticed_s + SERVING_RATIO * self._grace_s
+        last_part_s = GIVING_UP_RATIO * self._grace_s
+        return self.age_s(now_s) >= min(serving_s, self._grace_s - last_part_s)
 
     def gives_up(self, now_s: float, due_at_s: float) -> bool:
         """Return whether a pending request gets an answer of this instance now.
