Start no backoff after a cancelled connection attempt

Callers were refused 503 ("connecting to ... failed recently; backing off") though the server was sound: a request that was cancelled while its connection was being opened, since its caller had left or a hedge was faster, was counted as a failed connection attempt, and each one in a row lengthened the backoff, up to 2 s, for all requests to that server. Seen in a trial of the model test of callers' connections, in which callers leave early.

A connection whose opening is cancelled now counts as never attempted. Attempts that fail or time out count as before.

Red before: test_a_cancelled_connection_attempt_starts_no_backoff. Green now, as are test_server_connections, test_any_answers, test_attempts and test_caller_connections; test_hedg*.py has its known red test only.

--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from eventlet.hubs import trampoline
+from greenlet import GreenletExit
 from urllib3.connection import HTTPConnection
 
 from berylhaven.clock import monotonic_s
@@ -152,7 +153,7 @@
         self.opened_at_s: float | None = None
         # When its last answer ended, on the hub's clock.
         self.used_at_s = 0.0
-        # Whether `open` was called.
+        # Whether `open` was called and not cancelled.
         self.was_open_attempted = False
         # The idle limit derived from the server's Keep-Alive header; infinite without.
         self.idle_limit_s = math.inf
@@ -184,7 +185,12 @@
         """
         self.was_open_attempted = True
         self._http.timeout = timeout_s
-        self._http.connect()
+        try:
+            self._http.connect()
+        except GreenletExit:
+            # The caller left, or another attempt was faster: no sign of the server.
+            self.was_open_attempted = False
+            raise
         self._http.sock.settimeout(None)
         self._socket_reader = _SocketReader(self._http.sock)
         self.reader = io.BufferedReader(self._socket_reader, READ_BUFFER_BYTES)
--- a/berylhaven/http1/tests/test_connection_pool.py
+++ b/berylhaven/http1/tests/test_connection_pool.py
@@ -167,6 +167,16 @@
         self.clock.advance_s(10.0)
         self.pool.acquire(self.address)
 
+    def test_a_cancelled_connection_attempt_starts_no_backoff(self):
+        # Guards against refusals because another caller left while connecting.
+        connection = self.pool.acquire(self.address)
+        connection._http.connect = lambda: eventlet.sleep(1.0)
+        thread = eventlet.spawn(connection.open, 5.0)
+        self.clock.advance_s(0.1)
+        thread.kill()
+        self.pool.release(connection, is_reusable=False)
+        self.assertTrue(self.open().is_open)
+
     def test_a_connection_that_was_never_opened_starts_no_backoff(self):
         connection = self.pool.acquire(self.address)
         self.pool.release(connection, is_reusable=False)
