--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -170,11 +170,11 @@
 
 def _is_of(caller: socket.socket, pids: list[int]) -> bool:
     try:
-        port, own_port = caller.getpeername()[1], caller.getsockname()[1]
+        address, own_address = caller.getpeername(), caller.getsockname()
     except OSError:
         # The connection has ended meanwhile.
         return False
-    return owner_pid(port, own_port, pids) is not None
+    return owner_pid(address, own_address, pids) is not None
 
 
 def run(host: str, port: int, control_port: int, target: str) -> None:
