Test that the idle timeout cuts no answer that is still being received

The idle time counts from the moment at which the kernel took the answer, up to 4 MB, and not from the one at which the caller has received it.

--- /dev/null
+++ b/berylhaven/gateway/tests/test_undelivered_answers.py
@@ -0,0 +1,61 @@
+"""Tests of connections that end while their caller still receives an answer."""
+
+import unittest
+
+import eventlet
+
+from berylhaven.gateway.tests._gateway_path import (
+    READS,
+    GatewayPath,
+    configuration,
+    request_bytes,
+)
+
+# Less than the instance's socket holds, and more than the caller's with its buffer.
+BODY_BYTES = 2_000_000
+SMALL_BUFFER_BYTES = 32_768
+IDLE_TIMEOUT_S = 0.6
+# Receiving the answer takes 2 s at this rate.
+PIECE_BYTES = 20_000
+PIECE_INTERVAL_S = 0.02
+
+
+def receive_slowly(caller):
+    """Return the number of bytes of the first body that are received."""
+    data = bytearray()
+    try:
+        while len(data.partition(b"\r\n\r\n")[2]) < BODY_BYTES:
+            piece = caller.sock.recv(PIECE_BYTES)
+            if not piece:
+                break
+            data += piece
+            eventlet.sleep(PIECE_INTERVAL_S)
+    except OSError:
+        # The connection was reset.
+        pass
+    return min(BODY_BYTES, len(data.partition(b"\r\n\r\n")[2]))
+
+
+class UndeliveredAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.path = GatewayPath(configuration(idle_timeout_s=IDLE_TIMEOUT_S))
+        self.addCleanup(self.path.stop)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+        body = b"x" * BODY_BYTES
+        self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
+
+    def received_bytes(self, caller, wait_s):
+        """Return what is received if another request is sent meanwhile."""
+        thread = eventlet.spawn(receive_slowly, caller)
+        eventlet.sleep(wait_s)
+        self.assertFalse(thread.dead)
+        caller.send(request_bytes("/read/next", "next"))
+        return thread.wait()
+
+    def test_an_answer_is_not_cut_by_the_idle_timeout(self):
+        # Guards against an idle time that counts while the caller still receives: the
+        # next request resets the connection, and the rest of the answer is lost.
+        with self.path.connect(SMALL_BUFFER_BYTES) as caller:
+            caller.send(request_bytes("/read/large", "large"))
+            received_bytes = self.received_bytes(caller, 2 * IDLE_TIMEOUT_S)
+        self.assertEqual(received_bytes, BODY_BYTES)
