Test that the end of the linger cuts no answer that is still being received

A connection is read for 1 s after its last answer, counted from the moment at which the kernel took the answer. A caller that receives for longer and sends a request behind it after that, with Connection: close or in a drain, gets 851,936 to 1,050,464 of 2,000,000 bytes, then the end of the connection. In a drain the connection no longer counts as undelivered by then either, since it is removed.

--- a/berylhaven/gateway/tests/test_undelivered_answers.py
+++ b/berylhaven/gateway/tests/test_undelivered_answers.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
 from berylhaven.gateway.tests._gateway_path import (
     READS,
     GatewayPath,
@@ -59,3 +60,19 @@
             caller.send(request_bytes("/read/large", "large"))
             received_bytes = self.received_bytes(caller, 2 * IDLE_TIMEOUT_S)
         self.assertEqual(received_bytes, BODY_BYTES)
+
+    def test_a_last_answer_is_not_cut_by_the_end_of_the_linger(self):
+        # Guards against a linger that counts while the caller still receives: a request
+        # behind the last one resets the connection, and the rest of the answer is lost.
+        for is_draining in (False, True):
+            self.setUp()
+            headers = {} if is_draining else {"Connection": "close"}
+            if is_draining:
+                self.path.instance.leave()
+            with (
+                self.subTest(is_draining=is_draining),
+                self.path.connect(SMALL_BUFFER_BYTES) as caller,
+            ):
+                caller.send(request_bytes("/read/large", "large", **headers))
+                received_bytes = self.received_bytes(caller, LINGER_TIMEOUT_S + 0.3)
+                self.assertEqual(received_bytes, BODY_BYTES)
