Keep a connection until its caller has received the last answer

A caller that receives an answer of 2 MB slowly and sends another request meanwhile got 0.9 to 1.05 MB of it, then a reset: behind an answer after which the idle timeout was over, and behind a last answer (Connection: close, or in a drain) after 1 s.

Cause: idle time and linger counted from when the kernel had taken the answer, which may be megabytes before the caller has it. Input that arrives after the close resets the connection, and the kernel drops the rest.

OutputWatch tells whether the caller still receives; the idle timeout and the linger wait for that, as long as something is delivered within the idle timeout.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -8,10 +8,14 @@
 import eventlet
 import eventlet.event
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.gateway.callers._close_reason import CloseReason, last_answer_reason
 from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import DrainRefusal
+from berylhaven.gateway.callers._output_watch import (
+    OUTPUT_POLL_INTERVAL_S,
+    OutputWatch,
+)
 from berylhaven.gateway.callers._passed_on import NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
 from berylhaven.gateway.callers._request import GatewayAnswer, error_answer
@@ -21,8 +25,8 @@
 PIPELINE_LIMIT = 32
 # The part of an answer that is sent together with its head.
 FIRST_PIECE_BYTES = 8_192
-# How long a connection is still read after its last answer: closing a socket with
-# unread bytes resets the connection, and the caller could lose the answer.
+# How long a connection is still read after its last answer was delivered: closing a
+# socket with unread bytes resets the connection, and the caller could lose the answer.
 LINGER_TIMEOUT_S = 1.0
 
 
@@ -46,6 +50,7 @@
         "_writer",
         "_close_reason",
         "idle_since_s",
+        "output",
         "has_ended",
         "is_broken",
     )
@@ -61,6 +66,8 @@
         self._close_reason: CloseReason | None = None
         # Since when no request has been pending if none is, on the hub's clock.
         self.idle_since_s = monotonic_s()
+        # What of the answers the caller has not received.
+        self.output = OutputWatch(sock)
         # Whether the last answer was written.
         self.has_ended = False
         # Whether an answer could not be written.
@@ -207,7 +214,15 @@
         if is_last:
             self.has_ended = True
             self._shut_down(socket.SHUT_WR)
-            eventlet.spawn_after(LINGER_TIMEOUT_S, self._shut_down, socket.SHUT_RDWR)
+            eventlet.spawn(self._linger)
+
+    def _linger(self) -> None:
+        """Close the connection some time after the caller has received the answer."""
+        stall_limit_s = self._context.caller_limits.idle_timeout_s
+        while self.output.is_receiving(monotonic_s(), stall_limit_s):
+            sleep_s(OUTPUT_POLL_INTERVAL_S)
+        sleep_s(LINGER_TIMEOUT_S)
+        self._shut_down(socket.SHUT_RDWR)
 
     def _release_slot(self) -> None:
         if not self._slot_released.ready():
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -12,7 +12,7 @@
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._input_check import has_input
-from berylhaven.gateway.callers._output_check import has_undelivered_output
+from berylhaven.gateway.callers._output_watch import OUTPUT_POLL_INTERVAL_S
 from berylhaven.gateway.callers._passed_on import (
     NOT_RUN,
     OUTCOME,
@@ -125,7 +125,7 @@
     @property
     def has_undelivered_output(self) -> bool:
         """Whether the caller has not received all of the answers that were written."""
-        return has_undelivered_output(self._socket)
+        return self._answers.output.undelivered_bytes > 0
 
     def pending_progress(self) -> list[RequestProgress]:
         """Return how far the pending requests have come, in their order."""
@@ -152,19 +152,23 @@
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
         # A late hub fires timers before it reads input that was received meanwhile.
-        while (left_s := self._idle_left_s()) > 0 or has_input(self._socket):
-            with eventlet.Timeout(max(0.0, left_s), False):
+        while (wait_s := self._idle_wait_s()) > 0 or has_input(self._socket):
+            with eventlet.Timeout(wait_s, False):
                 return bool(self._reader.peek(1)) and not self._answers.is_closing
         if not self._answers.is_closing:
             self._answers.close(CloseReason.IDLE)
         return False
 
-    def _idle_left_s(self) -> float:
-        """Return the time to the idle timeout, which starts with the last answer."""
+    def _idle_wait_s(self) -> float:
+        """Return how long to wait for input; 0 once the connection has been idle."""
         idle_timeout_s = self._context.caller_limits.idle_timeout_s
         if self._answers:
             return idle_timeout_s
-        return self._answers.idle_since_s + idle_timeout_s - monotonic_s()
+        now_s = monotonic_s()
+        left_s = self._answers.idle_since_s + idle_timeout_s - now_s
+        if left_s <= 0 and self._answers.output.is_receiving(now_s, idle_timeout_s):
+            return OUTPUT_POLL_INTERVAL_S
+        return max(0.0, left_s)
 
     def _read_request(self) -> None:
         """Read a request and start it, unless the connection is closed before it."""
