--- a/bench/gateway_soak/_loss_rules.py
+++ b/bench/gateway_soak/_loss_rules.py
@@ -110,6 +110,8 @@
     gone_s: float | None = None
     # Whether it is killed without notice.
     is_kill: bool = False
+    # Whether another one was killed within the window of the retry budget before.
+    follows_kill: bool = False
     # Whether the process runs an earlier build, whose own stop may lose requests.
     is_old_build: bool = False
 
@@ -218,8 +220,9 @@
     if not peer_stop.is_kill:
         return False
     # An idempotent request is passed on again, and then the gateway that is left may
-    # have no room for it.
+    # have no room for it. After several kills the retry budget may be spent.
     may_fail = request.is_once_only or request.is_passed_on_again
+    may_fail = may_fail or peer_stop.follows_kill
     return may_fail and request.began_s <= peer_stop.signal_s <= request.ended_s
 
 
--- a/bench/gateway_soak/tests/test_loss_rules.py
+++ b/bench/gateway_soak/tests/test_loss_rules.py
@@ -143,6 +143,9 @@
         self.assertIs(self.judge(sent(99.5, **own), at_work, **ends), during)
         again = sent(99.5, is_passed_on_again=True, **own)
         self.assertIsNone(self.judge(again, at_work, **ends))
+        second = PlannedStop(100.0, 6.0, is_kill=True, follows_kill=True)
+        ends_again = {"stop": None, "peer_stops": [second]}
+        self.assertIsNone(self.judge(sent(99.5, **own), at_work, **ends_again))
         # It was sent after the kill, so nothing of it ended there.
         self.assertIs(
             self.judge(sent(100.05, kind="order", **own), run(100.06, None), **ends),
