--- a/bench/gateway_soak/_mixed_builds.py
+++ b/bench/gateway_soak/_mixed_builds.py
@@ -68,7 +68,9 @@
     bool
         False if the current build or the mix of both has lost it.
     """
-    return found in OWN_STOP_LOSSES and any(stop.is_old_build for stop in stops)
+    return found in OWN_STOP_LOSSES and any(
+        stop.is_old_build and not stop.is_kill for stop in stops
+    )
 
 
 def check_mixed_fleet(context: SoakContext) -> list[str]:
--- a/bench/gateway_soak/tests/test_loss_rules.py
+++ b/bench/gateway_soak/tests/test_loss_rules.py
@@ -172,6 +172,8 @@
         self.assertTrue(is_loss_of_old_build(LossClass.ANSWER_LOST, [old]))
         self.assertFalse(is_loss_of_old_build(LossClass.ANSWER_LOST, []))
         self.assertFalse(is_loss_of_old_build(LossClass.ANSWER_LOST, [STOP]))
+        killed = PlannedStop(100.0, 6.0, is_kill=True, is_old_build=True)
+        self.assertFalse(is_loss_of_old_build(LossClass.ANSWER_LOST, [killed]))
         for found in (
             LossClass.RUN_TWICE,
             LossClass.FALSE_NOT_RUN,
