Send no 100 Continue behind the last answer

In a drain the answer to the only pending request becomes the last one while the head of another one, which expects 100 Continue, is being received. Seen: the caller, which still received the answer, got 355,616 of 2,000,000 bytes. The attempt to send 100 Continue on the socket that no longer sends raised an error, the connection was closed without a linger, and the body behind reset it.

Red before: test_a_last_answer_is_not_cut_by_an_expectation_behind_it.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -329,7 +329,7 @@
         return (dialect.request_id_header, request_id) if request_id else None
 
     def _send_continue(self) -> None:
-        if not self._answers:
+        if not self._answers and not self._answers.is_closing:
             self._socket.sendall(CONTINUE_LINE)
 
     def _finish(self) -> None:
--- a/berylhaven/gateway/tests/test_undelivered_answers.py
+++ b/berylhaven/gateway/tests/test_undelivered_answers.py
@@ -6,6 +6,7 @@
 
 from berylhaven.gateway.callers._answer_queue import LINGER_TIMEOUT_S
 from berylhaven.gateway.tests._gateway_path import (
+    ORDERS,
     READS,
     GatewayPath,
     configuration,
@@ -76,3 +77,21 @@
                 caller.send(request_bytes("/read/large", "large", **headers))
                 received_bytes = self.received_bytes(caller, LINGER_TIMEOUT_S + 0.3)
                 self.assertEqual(received_bytes, BODY_BYTES)
+
+    def test_a_last_answer_is_not_cut_by_an_expectation_behind_it(self):
+        # Guards against 100 Continue that is sent behind the last answer: the error
+        # closes the connection without a linger.
+        behind = request_bytes(
+            "/order/x", "behind", "POST", Content_Length="4", Expect="100-continue"
+        )
+        self.path.instance.leave()
+        with self.path.connect(SMALL_BUFFER_BYTES) as caller:
+            caller.send(request_bytes("/read/large", "large") + behind[:20])
+            thread = eventlet.spawn(receive_slowly, caller)
+            # The answer is written by then, and the linger has not ended.
+            eventlet.sleep(0.3 * LINGER_TIMEOUT_S)
+            caller.send(behind[20:])
+            eventlet.sleep(0.1 * LINGER_TIMEOUT_S)
+            caller.send(b"body")
+            self.assertEqual(thread.wait(), BODY_BYTES)
+        self.assertEqual(self.path.requests(ORDERS), [])
