Test that a late hub passes on an answer that was received in time

The timer of an exchange fires before the hub polls, so that an order which its server has answered 1.0 s after it was read, within the route's timeout of 2 s, is answered 504 if the hub is late by 1.2 s: the answer is in the socket, and the connection is closed.

--- a/berylhaven/gateway/tests/test_late_timers.py
+++ b/berylhaven/gateway/tests/test_late_timers.py
@@ -3,11 +3,13 @@
 import unittest
 
 import eventlet
+import eventlet.event
 import eventlet.patcher
 from eventlet.green import socket
 
 from berylhaven.clock import ManualClock, monotonic_s
 from berylhaven.gateway.tests._gateway_path import (
+    ID_HEADER,
     ORDERS,
     READS,
     GatewayPath,
@@ -21,7 +23,7 @@
 BLOCK_S = 1.2
 # The timeout of the routes is 2 s; the answer comes before that.
 WORK_S = 1.0
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+ANSWER = f"HTTP/1.1 200 OK\r\n{ID_HEADER}: a\r\nContent-Length: 2\r\n\r\nok".encode()
 HUB_TURNS = 40
 REAL_PAUSE_S = 0.000_5
 
@@ -82,3 +84,22 @@
             self.turn()
             self.send_before_a_late_turn(caller.sock, data[-100:])
             self.assertEqual(self.status(caller), 200)
+
+    def test_an_answer_that_was_received_in_time_is_passed_on(self):
+        # Guards against 504 for an order that a server has answered in time.
+        server_sockets = []
+
+        def hold(sock, request):
+            server_sockets.append(sock)
+            eventlet.event.Event().wait()
+
+        self.path.answer_all(ORDERS, hold)
+        with self.path.connect() as caller:
+            caller.send(request_bytes("/order/x", "a", "POST", b"order"))
+            self.turn()
+            self.clock.advance_s(WORK_S)
+            self.turn()
+            [server_socket] = server_sockets
+            # The route's timeout passes meanwhile.
+            self.send_before_a_late_turn(server_socket, ANSWER)
+            self.assertEqual(self.status(caller), 200)
