Handle received input before timers that are overdue

A caller that had sent a request's head or body within its limits got 408, and one whose server had answered in time got 504, when a turn of the hub had taken long: input was in the socket, and the timer of the wait was fired first.

Cause: eventlet's hub fires timers before it polls. What is decided by a timer is then decided before input of the same time is known.

--- a/berylhaven/_patch.py
+++ b/berylhaven/_patch.py
@@ -15,6 +15,8 @@
 
 import eventlet  # noqa: E402
 
+from berylhaven.clock import use_input_first_hub  # noqa: E402
+
 LOCK_WARNING = "RLock(s) were not greened"
 LOCK_TYPE = _thread.RLock
 
@@ -22,12 +24,15 @@
 def patch_standard_library() -> None:
     """Patch the standard library before the rest of the program is imported.
 
+    The hub of the main thread handles input before timers that are overdue.
+
     The product is a single archive file. Its start-up code has opened the archive twice
     by now, and each open archive holds an unpatched lock. eventlet warns of these
     locks, but they are harmless: the start-up code no longer uses the archives, and
     reading one never switches green threads. The warning is suppressed if all locks
     that it can refer to belong to archives, and shown otherwise.
     """
+    use_input_first_hub()
     handler = logging.lastResort
     handler.addFilter(_is_relevant)
     try:
--- a/berylhaven/clock/__init__.py
+++ b/berylhaven/clock/__init__.py
@@ -1,5 +1,6 @@
 """The time of the eventlet hub, and a manual clock for tests."""
 
+from berylhaven.clock._input_first_hub import use_input_first_hub
 from berylhaven.clock._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
 from berylhaven.clock._manual_clock import ManualClock
 from berylhaven.clock._pause_watch import PauseWatch
@@ -12,5 +13,6 @@
     "PauseWatch",
     "monotonic_s",
     "sleep_s",
+    "use_input_first_hub",
     "wall_clock_ms",
 ]
