Keep a connection of the older role until its caller has the last answer

A caller of an entry instance that received its last answer of 2 MB slowly and sent a request behind it after 1.4 s got 1,282,150 bytes, then a reset: the linger ended 1 s after the kernel had taken the answer, or after 1 MB of further input.

OutputWatch moves to berylhaven.http1, and both roles wait until the caller has received the answer before the linger begins; further input is discarded meanwhile.

test_a_caller_that_receives_slowly_gets_its_whole_last_answer was red before.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -12,14 +12,11 @@
 from berylhaven.gateway.callers._close_reason import CloseReason, last_answer_reason
 from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import DrainRefusal
-from berylhaven.gateway.callers._output_watch import (
-    OUTPUT_POLL_INTERVAL_S,
-    OutputWatch,
-)
 from berylhaven.gateway.callers._passed_on import NOT_RUN, OUTCOME
 from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
 from berylhaven.gateway.callers._request import GatewayAnswer, error_answer
 from berylhaven.gateway.callers._request_progress import RequestStage
+from berylhaven.http1 import OutputWatch
 
 # The maximum number of concurrent requests on one connection.
 PIPELINE_LIMIT = 32
@@ -137,7 +134,7 @@
             self._slot_released = eventlet.event.Event()
             self._slot_released.wait()
 
-    def await_last(self) -> None:
+    def await_ready_answers(self) -> None:
         """Wait until all answers are written, if all are there.
 
         A caller that has closed its sending side may still read its answers, but waits
@@ -218,9 +215,7 @@
 
     def _linger(self) -> None:
         """Close the connection some time after the caller has received the answer."""
-        stall_limit_s = self._context.caller_limits.idle_timeout_s
-        while self.output.is_receiving(monotonic_s(), stall_limit_s):
-            sleep_s(OUTPUT_POLL_INTERVAL_S)
+        self.output.await_delivery(self._context.caller_limits.idle_timeout_s)
         sleep_s(LINGER_TIMEOUT_S)
         self._shut_down(socket.SHUT_RDWR)
 
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -12,7 +12,6 @@
 from berylhaven.gateway.callers._drain import DrainRefusal
 from berylhaven.gateway.callers._held_bytes import NoRoom, Reservation
 from berylhaven.gateway.callers._input_check import has_input
-from berylhaven.gateway.callers._output_watch import OUTPUT_POLL_INTERVAL_S
 from berylhaven.gateway.callers._passed_on import (
     NOT_RUN,
     OUTCOME,
@@ -25,6 +24,7 @@
 from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.http1 import (
     CONTINUE_LINE,
+    OUTPUT_POLL_INTERVAL_S,
     HeadFields,
     RequestBody,
     parse_framing,
@@ -341,4 +341,4 @@
         self._is_receiving = False
         while self._reader.read1(DISCARD_PIECE_BYTES):
             pass
-        self._answers.await_last()
+        self._answers.await_ready_answers()
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -16,6 +16,7 @@
 from berylhaven.http1._head_fields import END_OF_HEAD, HeadFields, read_fields
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
 from berylhaven.http1._open_cause import OpenCause
+from berylhaven.http1._output_watch import OUTPUT_POLL_INTERVAL_S, OutputWatch
 from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
 from berylhaven.http1._retry_after import RETRY_AFTER, parse_retry_after_s
 from berylhaven.http1._upstream_answer import (
@@ -38,6 +39,7 @@
     "CONTINUE_LINE",
     "END_OF_HEAD",
     "NO_BODY",
+    "OUTPUT_POLL_INTERVAL_S",
     "REQUEST_FRAMING",
     "SKIPPED_ANSWERS_LIMIT",
     "AnswerBodyError",
@@ -52,6 +54,7 @@
     "HeadFields",
     "NoAnswerLength",
     "OpenCause",
+    "OutputWatch",
     "RequestBody",
     "UpstreamAnswer",
     "UpstreamConnection",
--- a/berylhaven/gateway/callers/_output_watch.py
+++ b/berylhaven/http1/_output_watch.py
@@ -5,6 +5,8 @@
 import struct
 import termios
 
+from berylhaven.clock import monotonic_s, sleep_s
+
 COUNT = struct.Struct("i")
 # How often undelivered output is looked at while nothing else happens.
 OUTPUT_POLL_INTERVAL_S = 0.1
@@ -58,3 +60,14 @@
         if left_bytes != self._left_bytes:
             self._left_bytes, self._changed_at_s = left_bytes, now_s
         return left_bytes > 0 and now_s - self._changed_at_s < timeout_s
+
+    def await_delivery(self, timeout_s: float) -> None:
+        """Wait until the peer has received all output, or nothing for a time.
+
+        Parameters
+        ----------
+        timeout_s : float
+            The longest time between two changes, in seconds.
+        """
+        while self.is_receiving(monotonic_s(), timeout_s):
+            sleep_s(OUTPUT_POLL_INTERVAL_S)
--- a/berylhaven/proxy/_callers_protocol.py
+++ b/berylhaven/proxy/_callers_protocol.py
@@ -11,6 +11,7 @@
 
 from berylhaven.http1._body_framing import BodyFraming, parse_framing
 from berylhaven.http1._head_fields import END_OF_HEAD, HeadFields, read_fields
+from berylhaven.http1._output_watch import OutputWatch
 from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
 from berylhaven.proxy._call_answer import refusal_answer
 from berylhaven.results import (
@@ -29,10 +30,9 @@
 HEAD_END = b"\r\n\r\n"
 HTTP_1_1 = "HTTP/1.1"
 CONTINUE_EXPECTATION = "100-continue"
-# After the last answer, what the caller still sends is read up to these limits, since
-# closing a socket with unread bytes resets it and the answer may be lost.
+# What the caller still sends is read until it has received the last answer, and for
+# this time more: closing a socket with unread bytes resets it and the answer is lost.
 LINGER_TIMEOUT_S = 1.0
-LINGER_LIMIT_BYTES = 1_000_000
 # SO_LINGER with these values resets the connection on close.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Environment key of the answer body; its `is_cut`, if any, marks a truncated answer.
@@ -234,7 +234,7 @@
             self._reset()
             return
         if self._must_linger:
-            self._discard_rest()
+            self._linger()
         super().finish()
 
     def _reset(self) -> None:
@@ -247,12 +247,16 @@
             self.wfile.close()
         self.connection.close()
 
-    def _discard_rest(self) -> None:
-        remaining_bytes = LINGER_LIMIT_BYTES
-        with contextlib.suppress(OSError), eventlet.Timeout(LINGER_TIMEOUT_S, False):
+    def _linger(self) -> None:
+        with contextlib.suppress(OSError):
             self.connection.shutdown(socket.SHUT_WR)
-            while remaining_bytes > 0:
-                piece = self.connection.recv(65_536)
-                if not piece:
-                    return
-                remaining_bytes -= len(piece)
+        discarding = eventlet.spawn(self._discard_input)
+        OutputWatch(self.connection).await_delivery(self._settings.sender_timeout_s)
+        with eventlet.Timeout(LINGER_TIMEOUT_S, False):
+            discarding.wait()
+        discarding.kill()
+
+    def _discard_input(self) -> None:
+        with contextlib.suppress(OSError):
+            while self.connection.recv(65_536):
+                pass
--- a/berylhaven/proxy/tests/test_request_edges.py
+++ b/berylhaven/proxy/tests/test_request_edges.py
@@ -1,11 +1,14 @@
 """Tests of requests: framing, limits, truncated bodies and slow senders."""
 
+import contextlib
+import socket
 import unittest
 
 import eventlet
 import orjson
 
 from berylhaven.http1.tests._raw_backend import answers_raw
+from berylhaven.proxy._callers_protocol import LINGER_TIMEOUT_S
 from berylhaven.proxy.tests._proxy_path import (
     BOOKINGS,
     POSITIONS,
@@ -277,6 +280,32 @@
         self.assertEqual(len(answer.body), length)
         self.assertTrue(answer.is_whole)
 
+    def test_a_caller_that_receives_slowly_gets_its_whole_last_answer(self):
+        # Guards against a linger that ends while the caller still receives the answer.
+        length = 2_000_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+        backend = self.path.raw["positions"]
+        backend.answers["/large"] = answers_raw(head + b"x" * length)
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        caller.connect(("127.0.0.1", self.path.ports[0][0]))
+        caller.sendall(get(POSITIONS + "/large", "Connection: close"))
+
+        def receive_slowly():
+            data = bytearray()
+            with contextlib.suppress(OSError):
+                while piece := caller.recv(20_000):
+                    data += piece
+                    eventlet.sleep(0.02)
+            return len(data.partition(b"\r\n\r\n")[2])
+
+        receiver = eventlet.spawn(receive_slowly)
+        eventlet.sleep(LINGER_TIMEOUT_S + 0.4)
+        self.assertFalse(receiver.dead)
+        caller.sendall(get(POSITIONS + "/behind"))
+        self.assertEqual(receiver.wait(), length)
+
     def test_hop_by_hop_headers_are_not_forwarded(self):
         data = get(
             POSITIONS + "/x?q=%2F&r",
