--- a/berylhaven/clock/_loop_lateness.py
+++ b/berylhaven/clock/_loop_lateness.py
@@ -67,12 +67,14 @@
         return min(now_s, self.woke_at_s)
 
     def restart_highest(self, now_s: float) -> None:
-        """Count the highest lateness from now on, with the recent and the present one.
+        """Count the highest lateness from now on.
+
+        It begins with the recent one, or with that of a wake-up that is overdue now.
 
         Parameters
         ----------
         now_s : float
-            The time on the hub's clock. The next wake-up may be overdue.
+            The time on the hub's clock.
         """
         overdue_s = now_s - self.woke_at_s - WAKE_UP_INTERVAL_S
         self.highest_s = max(self.recent_s, overdue_s)
--- a/berylhaven/gateway/_instance_drain.py
+++ b/berylhaven/gateway/_instance_drain.py
@@ -68,10 +68,10 @@
             self._port.close_idle()
             # The answers of what was given up are written, also in the last step.
             _turn_hub()
-            left_count = self._port.left_count
-            if self._drain.has_ended(now_s, left_count):
+            unfinished_count = self._port.unfinished_count
+            if self._drain.has_ended(now_s, unfinished_count):
                 return True
-            if not self._drain.has_ended(monotonic_s(), left_count):
+            if not self._drain.has_ended(monotonic_s(), unfinished_count):
                 return False
 
     def record_end(self) -> None:
--- a/berylhaven/gateway/callers/_callers_port.py
+++ b/berylhaven/gateway/callers/_callers_port.py
@@ -75,7 +75,7 @@
         return sum(c.has_undelivered_output for c in self._connections)
 
     @property
-    def left_count(self) -> int:
+    def unfinished_count(self) -> int:
         """The number of requests and connections that keep a drain from its end."""
         return self.pending_count + self.unread_count + self.undelivered_count
 
@@ -135,7 +135,7 @@
             self.context.end_log.record_unanswered(
                 connection.pending_progress(), ConnectionEnd.INSTANCE_STOPS
             )
-        self.context.end_log.end()
+        self.context.end_log.stop()
         return {
             "pending": self.pending_count,
             **{stage.value: stages[stage.value] for stage in RequestStage},
--- a/berylhaven/gateway/callers/_drain.py
+++ b/berylhaven/gateway/callers/_drain.py
@@ -211,14 +211,14 @@
         """
         if not self.has_begun:
             return False
-        last_s = self._stop_margin_s + WRITING_S
-        last_at_s = self._end_at_s - last_s
-        if due_at_s <= last_at_s:
-            return now_s >= last_at_s
+        left_s = self._end_at_s - now_s
+        margin_s = self._stop_margin_s + WRITING_S
+        if due_at_s <= self._end_at_s - margin_s:
+            return left_s <= margin_s
         # The signal may also have been sent just before it was noticed.
         last_part_s = GIVING_UP_RATIO * self._grace_s - self.unnoticed_s
-        first_s = min(self._last_answer_margin_s, last_part_s)
-        return now_s >= self._end_at_s - max(first_s, last_s)
+        early_margin_s = min(self._last_answer_margin_s, last_part_s)
+        return left_s <= max(early_margin_s, margin_s)
 
     def has_ended(self, now_s: float, pending_count: int) -> bool:
         """Return whether the process may end.
--- a/berylhaven/gateway/callers/_request_end_log.py
+++ b/berylhaven/gateway/callers/_request_end_log.py
@@ -57,7 +57,7 @@
         "_event_log",
         "_unanswered",
         "_given_up",
-        "_is_over",
+        "_is_stopped",
     )
 
     def __init__(
@@ -78,7 +78,7 @@
             "requests_given_up_total",
             "Requests that were answered at the end of a drain, by stage.",
         )
-        self._is_over = False
+        self._is_stopped = False
 
     def record_unanswered(
         self, requests: Sequence[RequestProgress], end: ConnectionEnd
@@ -92,7 +92,7 @@
         end : ConnectionEnd
             Why it ends.
         """
-        if self._is_over:
+        if self._is_stopped:
             return
         for position, progress in enumerate(requests):
             labels = {"stage": progress.stage.value, "reason": end.name.lower()}
@@ -106,9 +106,9 @@
             is_failure = self._drain.has_begun or not end.is_by_caller
             self._write("unanswered", progress, is_failure, **fields)
 
-    def end(self) -> None:
+    def stop(self) -> None:
         """Record no further requests; the process ends their connections."""
-        self._is_over = True
+        self._is_stopped = True
 
     def record_given_up(self, progress: RequestProgress, status: int) -> None:
         """Record that a request gets an answer of this instance at the end.
