Wait for no half-closed caller that reads nothing

A caller that closes its sending side behind a request and reads nothing kept its connection and up to 8 MB of its answer until the socket timeout of 600 s, since waits until ready answers are written. Before that the end of the input ended them.

Ready answers are waited for as long as something is delivered within the idle timeout (OutputWatch.is_stalled). The test was red before: 1 connection instead of 0.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -16,7 +16,7 @@
 from berylhaven.gateway.callers._pending_answer import PendingAnswer, answer_bytes
 from berylhaven.gateway.callers._request import GatewayAnswer, error_answer
 from berylhaven.gateway.callers._request_progress import RequestStage
-from berylhaven.http1 import OutputWatch
+from berylhaven.http1 import OUTPUT_POLL_INTERVAL_S, OutputWatch
 
 # The maximum number of concurrent requests on one connection.
 PIPELINE_LIMIT = 32
@@ -127,10 +127,7 @@
 
     def await_slot(self) -> None:
         """Wait while the connection has as many requests as it may have."""
-        self._await_pending_below(PIPELINE_LIMIT)
-
-    def _await_pending_below(self, count: int) -> None:
-        while len(self._pending) >= count and not self.is_broken:
+        while len(self._pending) >= PIPELINE_LIMIT and not self.is_broken:
             self._slot_released = eventlet.event.Event()
             self._slot_released.wait()
 
@@ -138,10 +135,15 @@
         """Wait until all answers are written, if all are there.
 
         A caller that has closed its sending side may still read its answers, but waits
-        for no request that is at work.
+        for no request that is at work. One that reads nothing is not waited for.
         """
-        if all(pending.answered.ready() for pending in self._pending):
-            self._await_pending_below(1)
+        if not all(pending.answered.ready() for pending in self._pending):
+            return
+        stall_limit_s = self._context.caller_limits.idle_timeout_s
+        while self._pending and not self.is_broken:
+            if self.output.is_stalled(monotonic_s(), stall_limit_s):
+                return
+            sleep_s(OUTPUT_POLL_INTERVAL_S)
 
     def end_input(self) -> None:
         """Take no further request: the caller has closed its sending side."""
--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -151,7 +151,7 @@
 
     def _await_request(self) -> bool:
         """Wait for a request's first byte; False on a close or an idle timeout."""
-        # A late hub fires timers before it reads input that was received meanwhile.
+        # Input may have been received by the time at which the timer fires.
         while (wait_s := self._idle_wait_s()) > 0 or has_input(self._socket):
             with eventlet.Timeout(wait_s, False):
                 return bool(self._reader.peek(1)) and not self._answers.is_closing
--- a/berylhaven/gateway/tests/test_undelivered_answers.py
+++ b/berylhaven/gateway/tests/test_undelivered_answers.py
@@ -1,5 +1,6 @@
 """Tests of connections that end while their caller still receives an answer."""
 
+import socket
 import unittest
 
 import eventlet
@@ -16,6 +17,8 @@
 # Less than the instance's socket holds, and more than the caller's with its buffer.
 BODY_BYTES = 2_000_000
 SMALL_BUFFER_BYTES = 32_768
+# More than the sockets of a connection hold.
+UNREAD_BYTES = 7_000_000
 IDLE_TIMEOUT_S = 0.6
 # Receiving the answer takes 2 s at this rate.
 PIECE_BYTES = 20_000
@@ -62,6 +65,20 @@
             received_bytes = self.received_bytes(caller, 2 * IDLE_TIMEOUT_S)
         self.assertEqual(received_bytes, BODY_BYTES)
 
+    def test_a_half_closed_caller_that_reads_nothing_is_closed(self):
+        # Guards against answers that are held for callers that never read them.
+        body = b"x" * UNREAD_BYTES
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % UNREAD_BYTES
+        self.path.answer_all(READS, lambda sock, _: sock.sendall(head + body))
+        with self.path.connect(SMALL_BUFFER_BYTES) as caller:
+            caller.send(request_bytes("/read/large", "large"))
+            eventlet.sleep(0.3)
+            caller.sock.shutdown(socket.SHUT_WR)
+            eventlet.sleep(0.5 * IDLE_TIMEOUT_S)
+            self.assertEqual(self.path.instance._port.connection_count, 1)
+            eventlet.sleep(IDLE_TIMEOUT_S)
+            self.assertEqual(self.path.instance._port.connection_count, 0)
+
     def test_a_last_answer_is_not_cut_by_the_end_of_the_linger(self):
         # Guards against a linger that counts while the caller still receives: a request
         # behind the last one resets the connection, and the rest of the answer is lost.
--- a/berylhaven/http1/_output_watch.py
+++ b/berylhaven/http1/_output_watch.py
@@ -41,8 +41,8 @@
             return 0
         return COUNT.unpack(data)[0]
 
-    def is_receiving(self, now_s: float, timeout_s: float) -> bool:
-        """Return whether the peer still receives output.
+    def is_stalled(self, now_s: float, timeout_s: float) -> bool:
+        """Return whether output is undelivered and nothing of it was delivered lately.
 
         Parameters
         ----------
@@ -54,12 +54,29 @@
         Returns
         -------
         bool
-            False if all is delivered, or nothing was for the timeout.
+            False if all is delivered, or something was within the timeout.
         """
         left_bytes = self.undelivered_bytes
         if left_bytes != self._left_bytes:
             self._left_bytes, self._changed_at_s = left_bytes, now_s
-        return left_bytes > 0 and now_s - self._changed_at_s < timeout_s
+        return left_bytes > 0 and now_s - self._changed_at_s >= timeout_s
+
+    def is_receiving(self, now_s: float, timeout_s: float) -> bool:
+        """Return whether the peer still receives output.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+        timeout_s : float
+            The longest time between two changes, in seconds.
+
+        Returns
+        -------
+        bool
+            False if all is delivered, or nothing was for the timeout.
+        """
+        return not self.is_stalled(now_s, timeout_s) and self._left_bytes > 0
 
     def await_delivery(self, timeout_s: float) -> None:
         """Wait until the peer has received all output, or nothing for a time.
