Add an HTTP client whose answers have limits as a whole

Interim answers without end keep http.client in a loop.

BoundedClient sends requests through a PoolManager and reads the body in pieces: up to a size limit, as received and as decompressed, and within a time limit from the request to the last byte. An announced length over the limit is refused before the body. Pieces count at least 64 bytes, so chunks of two bytes end sooner than their bytes would. An answer that is not read to its end closes its connection.

Only deflate is decoded; it is the only encoding that is asked for.

--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -6,6 +6,13 @@
     match_answer,
 )
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, parse_framing
+from berylhaven.http1._bounded_client import (
+    REQUEST_ERRORS,
+    AnswerRefused,
+    AnswerTooLarge,
+    BoundedAnswer,
+    BoundedClient,
+)
 from berylhaven.http1._chunked_reader import ChunkedBodyError, ChunkedReader
 from berylhaven.http1._connection_pool import ConnectionCounts, ConnectionPool
 from berylhaven.http1._exchange_errors import (
@@ -40,13 +47,18 @@
     "END_OF_HEAD",
     "NO_BODY",
     "OUTPUT_POLL_INTERVAL_S",
+    "REQUEST_ERRORS",
     "REQUEST_FRAMING",
     "SKIPPED_ANSWERS_LIMIT",
     "AnswerBodyError",
     "AnswerHead",
     "AnswerMatch",
     "AnswerBodyReader",
+    "AnswerRefused",
+    "AnswerTooLarge",
     "BodyFraming",
+    "BoundedAnswer",
+    "BoundedClient",
     "ChunkedBodyError",
     "ChunkedReader",
     "ConnectionCounts",
