--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -170,8 +170,8 @@
             if self._awaits_peers():
                 return PEERS_CHECK_INTERVAL_S
             update = self._source.watch(self._revision, WATCH_WAIT_S)
-        except HistoryGone:
-            self._event_log.write("store", "history gone", **self._position())
+        except HistoryGone as error:
+            self._record_history_gone(error)
             update = self._source.wait_for_relay(self._revision)
             if update is None:
                 self._needs_snapshot = True
@@ -247,9 +247,9 @@
         try:
             update = self._source.fetch(self._revision, newest)
             self._apply_newer(update)
-        except HistoryGone:
+        except HistoryGone as error:
             # The watch may be waiting on a connection that no longer receives anything.
-            self._event_log.write("store", "history gone", **self._position())
+            self._record_history_gone(error)
             update = self._source.wait_for_relay(self._revision)
             if update is None:
                 self._catch_up_by_snapshot()
@@ -312,6 +312,11 @@
             self._revision = revision
         self._members.own.revision = self._revision
 
+    def _record_history_gone(self, error: HistoryGone) -> None:
+        self._event_log.write(
+            "store", "history gone", **self._position(), reason=str(error)
+        )
+
     def _record_failure(self, error: SourceUnavailable) -> float:
         self._failure_count += 1
         if self._failure_count == 1:
