Bound the answers of other instances

They use BoundedClient now: 1 MB for messages, the limit that the peers' port has, and 4 MB for updates, as received and as decompressed.

A late gossip answer marked the instance unreachable before as well, since urllib3 replaced the TimeoutError of the deadline by its own error; the branch for a plain TimeoutError was never taken and is gone. RelayedSource logs which peer failed and why; it logged nothing before.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -182,7 +182,9 @@
         )
         self._update_log = UpdateLog()
         self._follower = FleetFollower(
-            RelayedSource(source, self._members, self._update_log, self.metrics),
+            RelayedSource(
+                source, self._members, self._update_log, self.metrics, event_log
+            ),
             self._members,
             self._update_log,
             self._routes,
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -8,14 +8,16 @@
 from berylhaven.gateway._gateway_instance import GatewayInstance
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.members._evidence_spread import EVIDENCE_PATH, EVIDENCE_QUERY
-from berylhaven.gateway.members._member_codec import COMPRESSION_LEVEL
+from berylhaven.gateway.members._member_codec import (
+    COMPRESSION_LEVEL,
+    MESSAGE_LIMIT_BYTES,
+)
 from berylhaven.gateway.members._member_gossip import GOSSIP_PATH
 from berylhaven.gateway.store._fleet_source import HistoryGone, SourceUnavailable
 from berylhaven.gateway.store._relayed_source import UPDATE_ENCODING, UPDATES_PATH
 from berylhaven.gateway.store._update_codec import encode_update
 from berylhaven.http1 import answer_bytes, answer_status
 
-MESSAGE_LIMIT_BYTES = 1_000_000
 MILLISECONDS_PER_SECOND = 1_000
 # The longest time for which a request for an update is held.
 WAIT_LIMIT_S = 5.0
--- a/berylhaven/gateway/members/_evidence_spread.py
+++ b/berylhaven/gateway/members/_evidence_spread.py
@@ -5,7 +5,6 @@
 
 import eventlet
 import eventlet.event
-import urllib3
 
 from berylhaven.clock import monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
@@ -13,7 +12,9 @@
     decode_observations,
     encode_observations,
 )
+from berylhaven.gateway.members._member_codec import MESSAGE_LIMIT_BYTES
 from berylhaven.gateway.members._members import MemberTable
+from berylhaven.http1 import REQUEST_ERRORS, BoundedClient
 from berylhaven.quarantine import RETENTION_S, CrashEvidence, Observation
 
 EVIDENCE_PATH = "/v1/crashes"
@@ -26,6 +27,7 @@
 # Observations made within this time are pushed together.
 PUSH_INTERVAL_S = 0.05
 PUSH_TIMEOUT_S = 0.5
+CONNECTIONS_PER_PEER = 4
 # The maximum number of skipped rows of a message that are logged.
 LOGGED_SKIPPED_LIMIT = 3
 # The most observations that wait to be pushed; gossip tells the others.
@@ -69,7 +71,7 @@
         self._members = members
         self._random = random
         self._event_log = event_log
-        self._http = urllib3.PoolManager(num_pools=64, maxsize=4, retries=False)
+        self._http = BoundedClient(MESSAGE_LIMIT_BYTES, CONNECTIONS_PER_PEER)
         # News that was not pushed yet, and when it was made.
         self._pending: dict[Observation, float] = {}
         self._has_pending = eventlet.event.Event()
@@ -141,9 +143,8 @@
         """Send observations and return the answer, or None without one."""
         url = f"http://{peers_address}{EVIDENCE_PATH}{query}"
         try:
-            with eventlet.Timeout(PUSH_TIMEOUT_S, TimeoutError("no answer in time")):
-                answer = self._http.request("POST", url, body=body)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer = self._http.request("POST", url, PUSH_TIMEOUT_S, body)
+        except REQUEST_ERRORS as error:
             self._log_failure(peers_address, error)
             return None
         # Instances of earlier releases answer 404.
--- a/berylhaven/gateway/members/_member_codec.py
+++ b/berylhaven/gateway/members/_member_codec.py
@@ -13,6 +13,8 @@
 COMPRESSION_LEVEL = 1
 # The most rows of a message.
 ROWS_LIMIT = 2_000
+# The longest message between instances, as received.
+MESSAGE_LIMIT_BYTES = 1_000_000
 # The longest JSON text of a message after decompression.
 TEXT_LIMIT_BYTES = 1_000_000
 # The unit of the ages in a message.
--- a/berylhaven/gateway/members/_member_gossip.py
+++ b/berylhaven/gateway/members/_member_gossip.py
@@ -4,13 +4,17 @@
 from random import Random
 
 import eventlet
-import urllib3
 
 from berylhaven.clock import PauseWatch, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway.members._member import Member
-from berylhaven.gateway.members._member_codec import decode_members, encode_members
+from berylhaven.gateway.members._member_codec import (
+    MESSAGE_LIMIT_BYTES,
+    decode_members,
+    encode_members,
+)
 from berylhaven.gateway.members._members import MemberTable
+from berylhaven.http1 import REQUEST_ERRORS, BoundedClient
 
 GOSSIP_PATH = "/v1/members"
 # The interval between the exchanges of an instance.
@@ -72,7 +76,7 @@
         self.set_seeds(seeds)
         self._random = random
         self._event_log = event_log
-        self._http = urllib3.PoolManager(num_pools=64, maxsize=1, retries=False)
+        self._http = BoundedClient(MESSAGE_LIMIT_BYTES)
         self._exchange_count = 0
         self._known_live: set[str] = set()
         self._pause_watch = PauseWatch(GOSSIP_PAUSE_THRESHOLD_S)
@@ -144,16 +148,11 @@
         sent_at_s = monotonic_s()
         body = encode_members(self._reported(address), sent_at_s)
         try:
-            with eventlet.Timeout(
-                EXCHANGE_TIMEOUT_S, TimeoutError("no answer within the time limit")
-            ):
-                answer = self._http.request(
-                    "POST", f"http://{address}{GOSSIP_PATH}", body=body
-                )
+            answer = self._http.request(
+                "POST", f"http://{address}{GOSSIP_PATH}", EXCHANGE_TIMEOUT_S, body
+            )
             peer = self.merge(answer.data, monotonic_s() - sent_at_s)
-        except TimeoutError:
-            return
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except (*REQUEST_ERRORS, ValueError) as error:
             self._members.mark_unreachable(address)
             self._event_log.write(
                 "members", "talk failed", peer=address, reason=str(error)
--- a/berylhaven/gateway/store/_relayed_source.py
+++ b/berylhaven/gateway/store/_relayed_source.py
@@ -3,10 +3,8 @@
 import urllib.parse
 from collections.abc import Callable
 
-import eventlet
-import urllib3
-
 from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.event_log import EventLog
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._store_revision import NO_REVISION, StoreRevision
 from berylhaven.gateway.members._member import Member
@@ -19,6 +17,7 @@
 )
 from berylhaven.gateway.store._update_codec import decode_update
 from berylhaven.gateway.store._update_log import UpdateLog
+from berylhaven.http1 import REQUEST_ERRORS, BoundedClient
 
 UPDATES_PATH = "/v1/news"
 # A relay sends each configuration to its whole data centre, over a link that may be
@@ -46,6 +45,9 @@
 # the end of that time, after which the store itself is queried at once.
 PEER_WAIT_S = 0.8
 PEER_TIMEOUT_MARGIN_S = 0.25
+# A snapshot holds one configuration, whose value in the store has at most 1 MB, and
+# the servers: 3 MB are thousands of them.
+UPDATE_LIMIT_BYTES = 4_000_000
 # A relay that the store has not answered for this long reports it as unavailable.
 STORE_ANSWER_AGE_LIMIT_S = 2.0
 # The store is queried directly at this interval if no relay returns updates.
@@ -70,6 +72,8 @@
         Records the direct answers of the store.
     metrics : GatewayMetrics
         Counts the calls to the store.
+    event_log : EventLog
+        Receives the failures of other instances.
     """
 
     __slots__ = (
@@ -77,6 +81,7 @@
         "_members",
         "_log",
         "_metrics",
+        "_event_log",
         "_http",
         "_failed_at_s",
         "_direct_until_s",
@@ -92,12 +97,14 @@
         members: MemberTable,
         log: UpdateLog,
         metrics: GatewayMetrics,
+        event_log: EventLog,
     ) -> None:
         self._metrics = metrics
+        self._event_log = event_log
         self._direct = direct
         self._members = members
         self._log = log
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._http = BoundedClient(UPDATE_LIMIT_BYTES)
         # When a direct call to the store last failed, on the hub's clock.
         self._failed_at_s = float("-inf")
         self._direct_until_s = float("-inf")
@@ -317,19 +324,15 @@
             query["after"] = str(revision.number)
             query["era"] = str(revision.era)
         url = f"http://{peer.peers_address}{UPDATES_PATH}?"
-        late = SourceUnavailable(
-            f"{peer.peers_address}: no answer within "
-            f"{wait_s + PEER_TIMEOUT_MARGIN_S:.1f} s"
-        )
         try:
-            with eventlet.Timeout(wait_s + PEER_TIMEOUT_MARGIN_S, late):
-                answer = self._http.request(
-                    "GET",
-                    url + urllib.parse.urlencode(query),
-                    headers={"Accept-Encoding": UPDATE_ENCODING},
-                )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise SourceUnavailable(f"{peer.peers_address}: {error}") from error
+            answer = self._http.request(
+                "GET",
+                url + urllib.parse.urlencode(query),
+                wait_s + PEER_TIMEOUT_MARGIN_S,
+                headers={"Accept-Encoding": UPDATE_ENCODING},
+            )
+        except REQUEST_ERRORS as error:
+            raise self._peer_failed(peer, error) from error
         if answer.status == HTTP_STATUS_GONE:
             raise HistoryGone(
                 f"{peer.peers_address}: no changes kept after revision {revision}"
@@ -340,4 +343,10 @@
         try:
             return decode_update(answer.data, peer.peers_address)
         except ValueError as error:
-            raise SourceUnavailable(f"{peer.peers_address}: {error}") from None
+            raise self._peer_failed(peer, error) from None
+
+    def _peer_failed(self, peer: Member, error: Exception) -> SourceUnavailable:
+        self._event_log.write_failure(
+            "store", "peer failed", peer=peer.peers_address, reason=str(error)
+        )
+        return SourceUnavailable(f"{peer.peers_address}: {error}")
--- a/berylhaven/gateway/tests/_gossip_fleet.py
+++ b/berylhaven/gateway/tests/_gossip_fleet.py
@@ -108,7 +108,9 @@
         ]
 
     def _request_of(self, sender: str):
-        def request(method: str, url: str, body: bytes) -> types.SimpleNamespace:
+        def request(
+            method: str, url: str, timeout_s: float, body: bytes
+        ) -> types.SimpleNamespace:
             receiver, _, path = url.removeprefix("http://").partition("/")
             if receiver not in self.gossips:
                 raise urllib3.exceptions.ConnectTimeoutError("no answer")
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -49,7 +49,9 @@
         self.log = UpdateLog()
         self.members = MemberTable(Member("own", "own", "here", 1, 0, True))
         self.follower = FleetFollower(
-            RelayedSource(self.source, self.members, self.log, GatewayMetrics()),
+            RelayedSource(
+                self.source, self.members, self.log, GatewayMetrics(), EventLog(1, 0, 0)
+            ),
             self.members,
             self.log,
             self.routes,
--- a/berylhaven/gateway/tests/test_relayed_source.py
+++ b/berylhaven/gateway/tests/test_relayed_source.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.event_log import EventLog
 from berylhaven.gateway import (
     FleetUpdate,
     HistoryGone,
@@ -51,7 +52,7 @@
         # An instance that is not ready is no relay itself.
         self.members = MemberTable(Member("own", "own", "here", 1, 1, False))
         self.relayed = RelayedSource(
-            self.source, self.members, UpdateLog(), GatewayMetrics()
+            self.source, self.members, UpdateLog(), GatewayMetrics(), EventLog(1, 0, 0)
         )
 
     def add_relay(self, address):
@@ -137,7 +138,9 @@
 
     def test_a_lost_history_counts_as_an_answer_of_the_store(self):
         log = UpdateLog()
-        relayed = RelayedSource(self.source, self.members, log, GatewayMetrics())
+        relayed = RelayedSource(
+            self.source, self.members, log, GatewayMetrics(), EventLog(1, 0, 0)
+        )
         self.source.failure = HistoryGone("forgotten")
         with self.assertRaises(HistoryGone):
             relayed.watch(at(1), 0.0)
