Move the strict checks of the callers' port to a base class

The other ports parse heads with eventlet's protocol, which accepts ambiguous framing and writes a line to standard error for each malformed head. The checks of CallersProtocol that are not about calls (head, framing, timer of the head, refusals, lingering) move to http1.StrictProtocol without a change, so that these ports can have them; the Host field stays a matter of callers.

--- a/berylhaven/proxy/tests/test_request_edges.py
+++ b/berylhaven/proxy/tests/test_request_edges.py
@@ -7,8 +7,8 @@
 import eventlet
 import orjson
 
+from berylhaven.http1._strict_protocol import LINGER_TIMEOUT_S
 from berylhaven.http1.tests._raw_backend import answers_raw
-from berylhaven.proxy._callers_protocol import LINGER_TIMEOUT_S
 from berylhaven.proxy.tests._proxy_path import (
     BOOKINGS,
     POSITIONS,
