Bound the requests to the small ports

One connection to the readiness port, or four to the directory's or the peers' port, held the hub with chunks of two bytes: eventlet's protocol reads and discards a body without a limit. It also took any number of bytes into memory for the peers' port, wrote a line to standard error for each malformed head, and 256 idle or slow connections kept everybody else out for as long as their timeouts.

serve() now uses BoundedProtocol unless it is given another one. A request is read whole before the application is called: the head up to 16 kB, the body up to a limit that the port is given, 0 by default and 1 MB for peers, head and body each within the timeout of the port. What exceeds this gets 413, 431 or 408, malformed framing 400, and the connection is closed after at most 64 kB were discarded. The bodies of a port together have the room of eight of the largest size; one that finds no room gets 503. When all connections of a port are taken, the one that has kept the port waiting for the longest time, at least 0.25 s, is closed.

--- a/berylhaven/entry/_entry_instance.py
+++ b/berylhaven/entry/_entry_instance.py
@@ -186,6 +186,7 @@
             application,
             PEER_CONNECTIONS_LIMIT,
             self._settings.proxy.sender_timeout_s,
+            body_limit_bytes=PeersApplication.BODY_LIMIT_BYTES,
         )
 
     def _serve_operators(self) -> eventlet.greenthread.GreenThread:
--- a/berylhaven/exchange/_application.py
+++ b/berylhaven/exchange/_application.py
@@ -6,7 +6,6 @@
 from berylhaven.exchange._peer_endpoint import PeerAnswer, PeerEndpoint, PeerRequest
 from berylhaven.exchange._traffic import PeerTraffic
 
-MESSAGE_LIMIT_BYTES = 1_000_000
 # The WSGI server adds this header to each answer; it is included in the counted size.
 DATE_HEADER = ("Date", "Thu, 01 Jan 1970 00:00:00 GMT")
 HTTP_STATUS_OK = "200 OK"
@@ -27,6 +26,9 @@
 
     __slots__ = ("_endpoints", "_traffic")
 
+    # The size limit of a request body.
+    BODY_LIMIT_BYTES = 1_000_000
+
     def __init__(
         self, endpoints: Mapping[str, PeerEndpoint], traffic: PeerTraffic
     ) -> None:
@@ -38,7 +40,7 @@
         request = PeerRequest(
             method=environ["REQUEST_METHOD"],
             query=environ.get("QUERY_STRING", ""),
-            body=environ["wsgi.input"].read(MESSAGE_LIMIT_BYTES),
+            body=environ["wsgi.input"].read(self.BODY_LIMIT_BYTES),
         )
         self._count_request(environ, request)
         status, answer = self._answer(environ["PATH_INFO"], request)
--- a/berylhaven/exchange/tests/test_traffic.py
+++ b/berylhaven/exchange/tests/test_traffic.py
@@ -32,7 +32,10 @@
         listener.close()
         self.traffic = PeerTraffic()
         application = PeersApplication({"/v1/echo": Echo()}, self.traffic)
-        thread = serve("127.0.0.1", self.port, application, 8, 5.0)
+        limit_bytes = PeersApplication.BODY_LIMIT_BYTES
+        thread = serve(
+            "127.0.0.1", self.port, application, 8, 5.0, body_limit_bytes=limit_bytes
+        )
         self.addCleanup(thread.kill)
         eventlet.sleep(0)
 
--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -36,6 +36,9 @@
 
     __slots__ = ("_instance",)
 
+    # The size limit of a request body.
+    BODY_LIMIT_BYTES = MESSAGE_LIMIT_BYTES
+
     def __init__(self, instance: GatewayInstance) -> None:
         self._instance = instance
 
--- a/berylhaven/gateway/tests/_gateway_fleet.py
+++ b/berylhaven/gateway/tests/_gateway_fleet.py
@@ -54,7 +54,12 @@
         host, _, port = self.peers_address.rpartition(":")
         application = PeersApplication(self.instance)
         self._server = serve(
-            host, int(port), application, CONNECTIONS_LIMIT, SOCKET_TIMEOUT_S
+            host,
+            int(port),
+            application,
+            CONNECTIONS_LIMIT,
+            SOCKET_TIMEOUT_S,
+            body_limit_bytes=PeersApplication.BODY_LIMIT_BYTES,
         )
         self.instance.start()
         self._threads = [
--- a/berylhaven/http1/_wsgi_server.py
+++ b/berylhaven/http1/_wsgi_server.py
@@ -1,10 +1,13 @@
 """The WSGI server of one port."""
 
+import functools
 from collections.abc import Callable
 
 import eventlet
 import eventlet.wsgi
 
+from berylhaven.http1._bounded_protocol import BoundedProtocol
+from berylhaven.http1._port_connections import PortConnections
 from berylhaven.http1._retrying_listener import RetryingListener
 
 LISTEN_BACKLOG = 512
@@ -28,9 +31,10 @@
     application: Callable,
     concurrency_limit: int,
     socket_timeout_s: float,
-    protocol: Callable = eventlet.wsgi.HttpProtocol,
+    protocol: Callable | None = None,
     request_line_limit_bytes: int = eventlet.wsgi.MAX_REQUEST_LINE,
     on_accept_failure: Callable[[OSError | None], None] = lambda error: None,
+    body_limit_bytes: int = 0,
 ) -> eventlet.greenthread.GreenThread:
     """Serve an application in a green thread.
 
@@ -46,20 +50,29 @@
         The maximum number of connections served concurrently.
     socket_timeout_s : float
         The time limit of a socket operation within a request, in seconds; the
-        connection is closed after it.
-    protocol : callable
-        Serves one connection, given its connection state and the server.
+        connection is closed after it. `BoundedProtocol` has it for a whole head and for
+        a whole body as well.
+    protocol : callable or None
+        Serves one connection, given its connection state and the server; None for a
+        `BoundedProtocol`.
     request_line_limit_bytes : int
         The size limit of the request line, in bytes.
     on_accept_failure : callable
         Called with the error when connections can't be accepted, and with None once
         they can be again.
+    body_limit_bytes : int
+        The size limit of a request body in bytes; for `BoundedProtocol` only.
 
     Returns
     -------
     GreenThread
         Runs until the listening socket is closed or the thread is killed.
     """
+    if protocol is None:
+        connections = PortConnections(concurrency_limit, body_limit_bytes)
+        protocol = functools.partial(BoundedProtocol, connections)
+    else:
+        connections = eventlet.GreenPool(concurrency_limit)
     listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
     return eventlet.spawn(
         eventlet.wsgi.server,
@@ -68,7 +81,7 @@
         log=_NullLog(),
         log_output=False,
         debug=False,
-        max_size=concurrency_limit,
+        custom_pool=connections,
         socket_timeout=socket_timeout_s,
         keepalive=KEEPALIVE_TIMEOUT_S,
         minimum_chunk_size=MIN_CHUNK_BYTES,
