Record long turns of the hub with their connection, and the peak memory

The hub measures turns; from 5 ms on they are in the histogram berylhaven_turn_seconds, from 0.1 s on a line names both ends of the connection that was used last, at most one a second. The gauge berylhaven_peak_memory_bytes is the highest memory of the process.

No behaviour changes. The hub's class is renamed, since it does more than to handle input first.

--- a/berylhaven/_patch.py
+++ b/berylhaven/_patch.py
@@ -15,7 +15,7 @@
 
 import eventlet  # noqa: E402
 
-from berylhaven.clock import use_input_first_hub  # noqa: E402
+from berylhaven.clock import use_turn_hub  # noqa: E402
 
 LOCK_WARNING = "RLock(s) were not greened"
 LOCK_TYPE = _thread.RLock
@@ -32,7 +32,7 @@
     reading one never switches green threads. The warning is suppressed if all locks
     that it can refer to belong to archives, and shown otherwise.
     """
-    use_input_first_hub()
+    use_turn_hub()
     handler = logging.lastResort
     handler.addFilter(_is_relevant)
     try:
--- a/berylhaven/clock/__init__.py
+++ b/berylhaven/clock/__init__.py
@@ -1,10 +1,10 @@
-"""The time of the eventlet hub, and a manual clock for tests."""
+"""The eventlet hub, its time and its turns, and a manual clock for tests."""
 
-from berylhaven.clock._input_first_hub import use_input_first_hub
 from berylhaven.clock._loop_lateness import WAKE_UP_INTERVAL_S, LoopLateness
 from berylhaven.clock._manual_clock import ManualClock
 from berylhaven.clock._pause_watch import PauseWatch
 from berylhaven.clock._time import monotonic_s, sleep_s, wall_clock_ms
+from berylhaven.clock._turn_hub import note_socket_use, set_turn_report, use_turn_hub
 
 __all__ = [
     "WAKE_UP_INTERVAL_S",
@@ -12,7 +12,9 @@
     "ManualClock",
     "PauseWatch",
     "monotonic_s",
+    "note_socket_use",
+    "set_turn_report",
     "sleep_s",
-    "use_input_first_hub",
+    "use_turn_hub",
     "wall_clock_ms",
 ]
--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -11,6 +11,7 @@
     WAKE_UP_INTERVAL_S,
     LoopLateness,
     monotonic_s,
+    set_turn_report,
     sleep_s,
     wall_clock_ms,
 )
@@ -28,6 +29,7 @@
 from berylhaven.gateway._settings import GatewayInstanceSettings, GatewaySettings
 from berylhaven.gateway._settings_file import SettingsFile
 from berylhaven.gateway._store_revision import StoreRevision
+from berylhaven.gateway._turn_monitor import TurnMonitor
 from berylhaven.gateway.callers._callers_port import CallersPort
 from berylhaven.gateway.callers._connection_context import ConnectionContext
 from berylhaven.gateway.callers._drain import Drain
@@ -222,6 +224,7 @@
 
     def start(self) -> None:
         """Listen for callers, and start to follow the platform and to gossip."""
+        set_turn_report(TurnMonitor(self.metrics, self._event_log).record)
         self._threads = [
             self._port.listen(self._settings.instance.callers_address),
             eventlet.spawn(self._keep_running, "follower", self._follower.run),
--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -41,7 +41,7 @@
         self._requests = self.counter(
             "requests_total", "Requests answered, by service, kind and status class."
         )
-        self._request_duration = self._histogram(
+        self._request_duration = self.histogram(
             "request_duration_seconds",
             "Time from a request's head to its final answer.",
             DURATION_BUCKETS_S,
@@ -49,7 +49,7 @@
         self._attempts = self.counter(
             "attempts_total", "Attempts at backend servers, by service and end."
         )
-        self._attempt_duration = self._histogram(
+        self._attempt_duration = self.histogram(
             "attempt_duration_seconds",
             "Time from the start of an attempt to its end.",
             DURATION_BUCKETS_S,
@@ -68,7 +68,7 @@
         self._store_calls = self.counter(
             "store_calls_total", "Calls to the store, by outcome."
         )
-        self._lateness = self._histogram(
+        self._lateness = self.histogram(
             "loop_lateness_seconds",
             "Delay of the wake-ups of the instance's main loop.",
             LATENESS_BUCKETS_S,
@@ -155,9 +155,10 @@
         """Register and return a new gauge."""
         return Gauge(f"berylhaven_{name}", help_text, registry=self.registry)
 
-    def _histogram(
+    def histogram(
         self, name: str, help_text: str, buckets_s: tuple[float, ...]
     ) -> Histogram:
+        """Register and return a new histogram of times in seconds."""
         return Histogram(
             f"berylhaven_{name}",
             help_text,
--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -13,7 +13,7 @@
 from greenlet import GreenletExit
 from urllib3.connection import HTTPConnection
 
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, note_socket_use
 from berylhaven.http1._head_fields import HeadFields, read_fields
 
 STATUS_LINE_PATTERN = re.compile(
@@ -104,6 +104,8 @@
 
     def readinto(self, buffer: memoryview) -> int | None:
         """Read into a buffer; return None while probing if no bytes are available."""
+        if not self.is_probing:
+            note_socket_use(self._sock)
         while True:
             try:
                 count = self._sock.fd.recv_into(buffer)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,10 +16,10 @@
 
 import eventlet  # noqa: E402
 
-from berylhaven.clock import use_input_first_hub  # noqa: E402
+from berylhaven.clock import use_turn_hub  # noqa: E402
 
 # The hub of the programs.
-use_input_first_hub()
+use_turn_hub()
 eventlet.monkey_patch()
 
 PACKAGES = ("berylhaven", "standins", "bench", "tools")
