End the turn of a green thread that has run too long before it uses a socket

Cause: a read that finds input, a write that finds room and an accept that finds a connection do not wait, so that their green thread keeps the hub; no timer fires and no other connection is read.

The socket class under all readers of the process asks the hub before each use.

--- a/berylhaven/http1/_upstream_connection.py
+++ b/berylhaven/http1/_upstream_connection.py
@@ -13,7 +13,7 @@
 from greenlet import GreenletExit
 from urllib3.connection import HTTPConnection
 
-from berylhaven.clock import monotonic_s, note_socket_use
+from berylhaven.clock import monotonic_s, use_socket
 from berylhaven.http1._head_fields import HeadFields, read_fields
 
 STATUS_LINE_PATTERN = re.compile(
@@ -105,7 +105,7 @@
     def readinto(self, buffer: memoryview) -> int | None:
         """Read into a buffer; return None while probing if no bytes are available."""
         if not self.is_probing:
-            note_socket_use(self._sock)
+            use_socket(self._sock)
         while True:
             try:
                 count = self._sock.fd.recv_into(buffer)
