Bound the framing of chunked bodies

Cause: chunks of a few bytes, or with extensions of 4 kB, cost far more to parse than they carry, and a body could have any number of them.

Change: a chunked body may have 256 kB more framing than content. A chunk counts 16 bytes and its extensions. Beyond it a caller's body is malformed (400), and an answer raises AnswerFramingError.

--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -22,6 +22,7 @@
 from berylhaven.http1._upstream_answer import (
     AnswerBodyError,
     AnswerBodyReader,
+    AnswerFramingError,
     NoAnswerLength,
     UpstreamAnswer,
     read_answer,
@@ -43,6 +44,7 @@
     "REQUEST_FRAMING",
     "SKIPPED_ANSWERS_LIMIT",
     "AnswerBodyError",
+    "AnswerFramingError",
     "AnswerHead",
     "AnswerMatch",
     "AnswerBodyReader",
--- a/berylhaven/http1/_chunked_reader.py
+++ b/berylhaven/http1/_chunked_reader.py
@@ -10,12 +10,21 @@
 LINE_LIMIT_BYTES = 4_096
 TRAILER_LIMIT_BYTES = 16_384
 LINE_END = b"\r\n"
+# What a chunk counts as besides its extensions: parsing one takes as long as parsing
+# some bytes, whatever its size.
+CHUNK_COST_BYTES = 16
+# How much more framing than body a message may have.
+FRAMING_ALLOWANCE_BYTES = 262_144
 
 
 class ChunkedBodyError(Exception):
     """A chunked body is malformed or truncated."""
 
 
+class ExcessiveFraming(ChunkedBodyError):
+    """A chunked body has far more framing than content."""
+
+
 class ChunkedReader:
     """Decodes a chunked body piece by piece.
 
@@ -29,12 +38,20 @@
         Positioned at the size line of the first chunk.
     """
 
-    __slots__ = ("_reader", "_remaining_bytes", "_is_first_chunk", "is_ended")
+    __slots__ = (
+        "_reader",
+        "_remaining_bytes",
+        "_is_first_chunk",
+        "_framing_left_bytes",
+        "is_ended",
+    )
 
     def __init__(self, reader: io.BufferedReader) -> None:
         self._reader = reader
         self._remaining_bytes = 0
         self._is_first_chunk = True
+        # The framing that may follow, before further content.
+        self._framing_left_bytes = FRAMING_ALLOWANCE_BYTES
         # Whether the last chunk and the trailer section were read.
         self.is_ended = False
 
@@ -54,7 +71,8 @@
         Raises
         ------
         ChunkedBodyError
-            If the body is malformed or truncated.
+            If the body is malformed or truncated; `ExcessiveFraming` if its framing
+            exceeds its content by more than the allowance.
         """
         if self.is_ended:
             return b""
@@ -64,6 +82,7 @@
         if not piece:
             raise ChunkedBodyError("the body was truncated inside a chunk")
         self._remaining_bytes -= len(piece)
+        self._framing_left_bytes += len(piece)
         return piece
 
     def _read_chunk_size(self) -> bool:
@@ -75,6 +94,7 @@
             raise ChunkedBodyError(
                 "malformed chunk size line, or the body was truncated"
             )
+        self._count_framing(CHUNK_COST_BYTES + len(match[2] or b""))
         self._remaining_bytes = int(match[1], 16)
         if self._remaining_bytes == 0:
             self._skip_trailer()
@@ -82,6 +102,14 @@
             return False
         return True
 
+    def _count_framing(self, size_bytes: int) -> None:
+        self._framing_left_bytes -= size_bytes
+        if self._framing_left_bytes < 0:
+            raise ExcessiveFraming(
+                "the chunk sizes and extensions exceed the content by more than "
+                f"{FRAMING_ALLOWANCE_BYTES} bytes"
+            )
+
     def _skip_trailer(self) -> None:
         remaining_bytes = TRAILER_LIMIT_BYTES
         while True:
--- a/berylhaven/http1/_upstream_answer.py
+++ b/berylhaven/http1/_upstream_answer.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 
 from berylhaven.http1._body_framing import NO_BODY, BodyFraming, parse_framing
-from berylhaven.http1._chunked_reader import ChunkedBodyError, ChunkedReader
+from berylhaven.http1._chunked_reader import (
+    ChunkedBodyError,
+    ChunkedReader,
+    ExcessiveFraming,
+)
 from berylhaven.http1._head_fields import HeadFields
 from berylhaven.http1._upstream_connection import AnswerHead
 
@@ -16,6 +20,10 @@
     """The body of an answer is truncated or malformed."""
 
 
+class AnswerFramingError(AnswerBodyError):
+    """The body of an answer has far more framing than content."""
+
+
 class NoAnswerLength(Exception):
     """An answer's body would be delimited only by the close of the connection.
 
@@ -64,7 +72,8 @@
         Raises
         ------
         AnswerBodyError
-            If the body is truncated or malformed.
+            If the body is truncated or malformed; `AnswerFramingError` if it has far
+            more framing than content.
         """
         try:
             if self._chunks is not None:
@@ -72,6 +81,8 @@
             if self._remaining_bytes == 0:
                 return b""
             piece = self._reader.read1(min(size_bytes, self._remaining_bytes))
+        except ExcessiveFraming as fault:
+            raise AnswerFramingError(str(fault)) from None
         except ChunkedBodyError as fault:
             raise AnswerBodyError(str(fault)) from None
         except OSError as error:
