Let answers take memory only for what has come, and one exceed the room

Cause: an announced length was reserved and allocated at once, so that a length of 1 TB kept the room from all others, and 31 MB of which nothing came took 31 MB; answers without a length were counted and never refused.

Change: AnswerBuffer joins the pieces of an answer in one buffer. Room is reserved before more is read: a length that fits is claimed for 0.5 s once 64 kB have come, anything else in steps. One answer at a time may exceed the room, so that announced ones do not wait for one another. Three ends of attempts tell why, with a log line and berylhaven_cut_answers_total. Tests of reserve_answer use what replaces it, and the account of the download test counts expected answers too.

--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -57,6 +57,12 @@
     FOREIGN_ANSWER = "foreign-answer"
     # The answer names no call, and may be one to an earlier call on its connection.
     UNPROVEN_ANSWER = "unproven-answer"
+    # The answer exceeds the size limit of one answer.
+    ANSWER_TOO_LARGE = "answer-too-large"
+    # The instance has no memory for more of an answer whose length is unknown.
+    ANSWER_WITHOUT_ROOM = "answer-without-room"
+    # The answer consists of far more framing than body.
+    EXCESSIVE_FRAMING = "excessive-framing"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
     # The instance stops before the answer is due; no byte was sent.
@@ -118,6 +124,15 @@
     AttemptEnd.UNPROVEN_ANSWER: EndClassification(
         Outcome.UNKNOWN, True, UpstreamBroken
     ),
+    AttemptEnd.ANSWER_TOO_LARGE: EndClassification(
+        Outcome.UNKNOWN, True, UpstreamBroken
+    ),
+    AttemptEnd.ANSWER_WITHOUT_ROOM: EndClassification(
+        Outcome.UNKNOWN, True, UpstreamBroken
+    ),
+    AttemptEnd.EXCESSIVE_FRAMING: EndClassification(
+        Outcome.UNKNOWN, True, UpstreamBroken
+    ),
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
--- a/berylhaven/gateway/_gateway_metrics.py
+++ b/berylhaven/gateway/_gateway_metrics.py
@@ -29,6 +29,7 @@
         "_attempt_duration",
         "_probes",
         "_foreign_answers",
+        "_cut_answers",
         "_new_connections",
         "_store_calls",
         "_lateness",
@@ -61,6 +62,10 @@
             "foreign_answers_total",
             "Answers of backend servers that were not used, by what they name.",
         )
+        self._cut_answers = self.counter(
+            "cut_answers_total",
+            "Answers of backend servers that were cut off, by service and reason.",
+        )
         self._new_connections = self.counter(
             "server_connections_opened_total",
             "New connections to backend servers, by why none could be reused.",
@@ -135,6 +140,18 @@
         """
         self._foreign_answers.add({"names": match.value}, count)
 
+    def record_cut_answer(self, service: str, reason: str) -> None:
+        """Count an answer that was cut off because of its size or framing.
+
+        Parameters
+        ----------
+        service : str
+            The server's service.
+        reason : str
+            The end of the attempt, or "probe" for an answer to a probe.
+        """
+        self._cut_answers.inc({"service": service, "reason": reason})
+
     def record_new_connection(self, cause: OpenCause) -> None:
         """Count a new connection to a backend server."""
         self._new_connections.inc({"cause": cause.value})
--- a/berylhaven/gateway/callers/_held_bytes.py
+++ b/berylhaven/gateway/callers/_held_bytes.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 
 import eventlet.event
 
@@ -15,6 +16,7 @@
     ReleaseRate,
     answer_kind,
     decide_admission,
+    decide_growth,
     room_bytes,
 )
 
@@ -60,7 +62,7 @@
         Their number, already counted.
     """
 
-    __slots__ = ("_account", "kind", "size_bytes")
+    __slots__ = ("_account", "kind", "size_bytes", "is_oversized")
 
     def __init__(self, account: "HeldBytes", kind: HeldKind, size_bytes: int) -> None:
         self._account = account
@@ -68,12 +70,16 @@
         self.kind = kind
         # Their number; 0 after the release.
         self.size_bytes = size_bytes
+        # Whether it is the answer that exceeds the room for answers.
+        self.is_oversized = False
 
     def release(self) -> None:
         """Release the bytes; a second call does nothing."""
         size_bytes, self.size_bytes = self.size_bytes, 0
         if size_bytes:
             self._account.release(self.kind, size_bytes)
+        if self.is_oversized:
+            self._account.end_excess(self)
 
     def shrink(self, size_bytes: int) -> None:
         """Release what exceeds the actual size.
@@ -86,6 +92,8 @@
         excess_bytes = self.size_bytes - size_bytes
         self.size_bytes = size_bytes
         self._account.release(self.kind, excess_bytes)
+        if self.is_oversized and self._account.has_room_left(self.kind):
+            self._account.end_excess(self)
 
     __del__ = release
 
@@ -107,6 +115,7 @@
         "limit_bytes",
         "held_bytes",
         "_is_ending",
+        "_has_oversized",
         "_event_log",
         "_refusals",
         "_gauge",
@@ -126,6 +135,8 @@
         # The bytes held now, by kind.
         self.held_bytes = dict.fromkeys(HeldKind, 0)
         self._is_ending = False
+        # Whether an answer exceeds the room for answers; only one at a time may.
+        self._has_oversized = False
         self._event_log = event_log
         self._refusals = None
         self._gauge = None
@@ -173,24 +184,56 @@
         NoRoom
             If there is no room and none is expected in time.
         """
+        decision = self._await_decision(
+            lambda left_s: self._decide(kind, size_bytes, left_s), wait_limit_s
+        )
+        if decision.admission is Admission.REFUSE:
+            raise self._refusal(kind, size_bytes, decision)
+        reservation = self.add(kind, size_bytes)
+        self._mark_oversized(reservation)
+        return reservation
+
+    def _await_decision(
+        self, decide: Callable[[float], AdmissionDecision], wait_limit_s: float
+    ) -> AdmissionDecision:
+        """Return a decision that does not let the bytes wait any more."""
         began_at_s = monotonic_s()
         left_s = wait_limit_s
-        decision = self._decide(kind, size_bytes, left_s)
+        decision = decide(left_s)
         while decision.admission is Admission.WAIT:
             self._wait_for_release(left_s)
             left_s = wait_limit_s - (monotonic_s() - began_at_s)
-            decision = self._decide(kind, size_bytes, left_s)
-        if decision.admission is Admission.ADMIT:
-            return self.add(kind, size_bytes)
+            decision = decide(left_s)
+        return decision
+
+    def _refusal(
+        self, kind: HeldKind, size_bytes: int, decision: AdmissionDecision
+    ) -> NoRoom:
         if self._refusals is not None:
             self._refusals.inc({"kind": kind.value})
-        raise NoRoom(
+        return NoRoom(
             f"no room for {size_bytes} bytes of kind {kind.value}: "
             f"{self.held_bytes[kind]} of this kind and {self.reserved_bytes} in all "
             f"are held, the limit is {self.limit_bytes}",
             decision.return_s,
         )
 
+    def _mark_oversized(self, reservation: Reservation) -> None:
+        """Record that an answer was admitted beyond the room for answers."""
+        if reservation.kind is not HeldKind.LARGE_ANSWER or reservation.is_oversized:
+            return
+        if not self.has_room_left(reservation.kind):
+            reservation.is_oversized = self._has_oversized = True
+
+    def end_excess(self, reservation: Reservation) -> None:
+        """Let another answer exceed the room; called by the reservation."""
+        reservation.is_oversized = self._has_oversized = False
+        self._wake_waiting()
+
+    def has_room_left(self, kind: HeldKind) -> bool:
+        """Return whether no more bytes of a kind are held than there is room for."""
+        return room_bytes(kind, self.held_bytes, self._present_limit_bytes()) >= 0
+
     def admit_last_answers(self) -> None:
         """Admit more from now on, because the instance takes few further requests."""
         if not self._is_ending:
@@ -201,29 +244,65 @@
         """Return whether bytes of a kind fit now, without a reservation."""
         return self._decide(kind, size_bytes, 0.0).admission is Admission.ADMIT
 
-    def reserve_answer(
-        self, size_bytes: int, expected: Reservation | None = None
-    ) -> Reservation:
-        """Reserve memory for an answer of a known size, after a wait if necessary.
+    def begin_answer(self, expected: Reservation | None = None) -> Reservation:
+        """Return the memory of an answer whose body begins to arrive.
 
         Parameters
         ----------
-        size_bytes : int
-            The size of its body.
         expected : Reservation or None
             What was reserved for it before its request was sent.
 
         Returns
         -------
         Reservation
-            The memory. A small answer never waits.
+            Has the bytes of the expected one, which has none afterwards.
         """
-        if expected is not None:
-            expected.release()
-        kind = answer_kind(size_bytes)
-        if kind is HeldKind.SMALL_ANSWER:
-            return self.add(kind, size_bytes)
-        return self.admit(kind, size_bytes, math.inf)
+        if expected is None:
+            return Reservation(self, HeldKind.SMALL_ANSWER, 0)
+        reservation = Reservation(self, expected.kind, expected.size_bytes)
+        reservation.is_oversized = expected.is_oversized
+        expected.size_bytes = 0
+        expected.is_oversized = False
+        return reservation
+
+    def grow(
+        self,
+        reservation: Reservation,
+        total_bytes: int,
+        wait_limit_s: float = 0.0,
+        may_exceed: bool = False,
+    ) -> None:
+        """Reserve more memory for an answer, after a wait if necessary.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            The memory of the answer.
+        total_bytes : int
+            Its size afterwards. A small answer never waits.
+        wait_limit_s : float
+            How long it may wait, in seconds; infinite if it cannot be refused.
+        may_exceed : bool
+            Whether it may exceed the room if no other one does.
+
+        Raises
+        ------
+        NoRoom
+            If there is no room and none is expected in time.
+        """
+        decision = self._await_decision(
+            lambda left_s: self._decide_growth(
+                reservation, total_bytes, left_s, may_exceed
+            ),
+            wait_limit_s,
+        )
+        if decision.admission is Admission.REFUSE:
+            raise self._refusal(answer_kind(total_bytes), total_bytes, decision)
+        self.held_bytes[reservation.kind] -= reservation.size_bytes
+        reservation.size_bytes = total_bytes
+        reservation.kind = answer_kind(total_bytes)
+        self.held_bytes[reservation.kind] += total_bytes
+        self._mark_oversized(reservation)
 
     def add(self, kind: HeldKind, size_bytes: int) -> Reservation:
         """Count bytes that are in memory, without a decision.
@@ -243,23 +322,6 @@
         self.held_bytes[kind] += size_bytes
         return Reservation(self, kind, size_bytes)
 
-    def extend(self, reservation: Reservation, size_bytes: int) -> None:
-        """Count more memory for an answer of unknown size, without a wait.
-
-        Two such answers would otherwise wait for one another.
-
-        Parameters
-        ----------
-        reservation : Reservation
-            The reservation of the answer.
-        size_bytes : int
-            The additional size.
-        """
-        self.held_bytes[reservation.kind] -= reservation.size_bytes
-        reservation.size_bytes += size_bytes
-        reservation.kind = answer_kind(reservation.size_bytes)
-        self.held_bytes[reservation.kind] += reservation.size_bytes
-
     def release(self, kind: HeldKind, size_bytes: int) -> None:
         """Release bytes; called by their reservation.
 
@@ -288,15 +350,45 @@
             kind,
             size_bytes,
             self.held_bytes,
-            self.limit_bytes + (LAST_ANSWERS_BYTES if self._is_ending else 0),
+            self._present_limit_bytes(),
             self._rates[kind].per_s(monotonic_s()),
             wait_limit_s,
         )
+        self._note_decision(kind, size_bytes, decision)
+        return decision
+
+    def _decide_growth(
+        self,
+        reservation: Reservation,
+        total_bytes: int,
+        wait_limit_s: float,
+        may_exceed: bool,
+    ) -> AdmissionDecision:
+        others_bytes = dict(self.held_bytes)
+        others_bytes[reservation.kind] -= reservation.size_bytes
+        kind = answer_kind(total_bytes)
+        decision = decide_growth(
+            total_bytes,
+            others_bytes,
+            self._present_limit_bytes(),
+            self._rates[kind].per_s(monotonic_s()),
+            wait_limit_s,
+            may_exceed and (reservation.is_oversized or not self._has_oversized),
+        )
+        self._note_decision(kind, total_bytes, decision)
+        return decision
+
+    def _present_limit_bytes(self) -> int:
+        return self.limit_bytes + (LAST_ANSWERS_BYTES if self._is_ending else 0)
+
+    def _note_decision(
+        self, kind: HeldKind, size_bytes: int, decision: AdmissionDecision
+    ) -> None:
+        """Log that a kind has become full."""
         if decision.admission is not Admission.ADMIT and kind not in self._full_kinds:
             room = ROOM_RATIO * self.limit_bytes
             self._full_kinds[kind] = max(room, size_bytes)
             self._log("full", kind, decision.admission.value)
-        return decision
 
     def _wait_for_release(self, limit_s: float) -> None:
         released = eventlet.event.Event()
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -26,7 +26,11 @@
     ChoiceRequest,
     ServerChooser,
 )
-from berylhaven.gateway.servers._server_exchange import ServerAnswer, exchange
+from berylhaven.gateway.servers._server_exchange import (
+    AnswerCutOff,
+    ServerAnswer,
+    exchange,
+)
 from berylhaven.gateway.servers._server_record import ServerRecord
 from berylhaven.gateway.servers._server_signals import ServerSignals
 from berylhaven.http1 import AnswerMatch, ConnectionPool
@@ -406,6 +410,8 @@
         )
         if failure.end is AttemptEnd.UNPROVEN_ANSWER:
             self._metrics.record_foreign_answers(AnswerMatch.UNPROVEN, 1)
+        if isinstance(failure, AnswerCutOff):
+            self._record_cut_answer(server, failure)
         if failure.end not in ENDS_UNRELATED_TO_SERVER:
             server.record_attempt(True, now_s)
         if failure.end in SILENT_ENDS:
@@ -422,6 +428,19 @@
             reason=failure.message,
         )
 
+    def _record_cut_answer(self, server: ServerRecord, failure: AnswerCutOff) -> None:
+        entry = server.entry
+        self._metrics.record_cut_answer(entry.service, failure.end.value)
+        self._event_log.write_failure(
+            "attempt",
+            "answer cut off",
+            server=entry.server_id,
+            address=entry.address,
+            service=entry.service,
+            kind=failure.end.value,
+            received_bytes=failure.received_bytes,
+        )
+
 
 def may_have_run(failures: list[AttemptFailed]) -> bool:
     """Return whether a request may have run in one of its failed attempts.
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -1,6 +1,5 @@
 """Sends a request to a backend server and reads the complete answer."""
 
-import io
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,8 +8,13 @@
 from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.clock import monotonic_s
 from berylhaven.gateway._dialect import Dialect
-from berylhaven.gateway.callers._held_bytes import HeldBytes, Reservation
+from berylhaven.gateway.callers._held_bytes import HeldBytes, NoRoom, Reservation
 from berylhaven.gateway.callers._request import GatewayRequest
+from berylhaven.gateway.servers._answer_buffer import (
+    PIECE_BYTES,
+    AnswerBuffer,
+    AnswerTooLarge,
+)
 from berylhaven.http1 import (
     CALLER_ERROR_ENDS,
     CONNECTION_ERRORS,
@@ -19,6 +23,7 @@
     SKIPPED_ANSWERS_LIMIT,
     AnswerBodyError,
     AnswerBodyReader,
+    AnswerFramingError,
     AnswerHead,
     AnswerMatch,
     HeadFields,
@@ -27,7 +32,6 @@
     match_answer,
     parse_framing,
 )
-from berylhaven.overload import SMALL_BYTES, HeldKind
 
 # Within a region a TCP handshake takes milliseconds. A lost packet is retransmitted
 # only after a second, by which time another server is the better choice.
@@ -35,11 +39,14 @@
 # A body up to this size is sent without a second green thread, because it fits into
 # the socket's send buffer.
 SMALL_BODY_BYTES = 8_192
-PIECE_BYTES = 65_536
-# The maximum size of an answer body, which is held in memory.
-ANSWER_LIMIT_BYTES = 32_000_000
 BODYLESS_STATUSES = frozenset({204, 304})
 LAST_CHUNK = b"0\r\n\r\n"
+# How an attempt ends whose answer is cut off, by the error.
+CUT_ENDS = {
+    AnswerTooLarge: AttemptEnd.ANSWER_TOO_LARGE,
+    NoRoom: AttemptEnd.ANSWER_WITHOUT_ROOM,
+    AnswerFramingError: AttemptEnd.EXCESSIVE_FRAMING,
+}
 
 
 @dataclass(slots=True)
@@ -53,7 +60,7 @@
     # The header fields.
     fields: HeadFields
     # The complete body.
-    body: bytes | bytearray
+    body: bytearray
     # Whether the connection can be used for another request.
     is_reusable: bool
     # The memory of the body; None without a body.
@@ -62,6 +69,24 @@
     skipped_count: int = 0
 
 
+class AnswerCutOff(AttemptFailed):
+    """An answer was cut off because of what it takes, not because it is truncated.
+
+    Parameters
+    ----------
+    end : AttemptEnd
+        One of `CUT_ENDS`.
+    message : str
+        One sentence with the details.
+    received_bytes : int
+        How much of its body had been received.
+    """
+
+    def __init__(self, end: AttemptEnd, message: str, received_bytes: int) -> None:
+        super().__init__(end, message)
+        self.received_bytes = received_bytes
+
+
 def exchange(
     connection: UpstreamConnection,
     request: GatewayRequest,
@@ -136,7 +161,7 @@
         "_deadline_s",
         "_memory",
         "_check_sending",
-        "_reservation",
+        "_buffer",
         "_was_sent",
         "_sender",
         "_send_failure",
@@ -159,8 +184,8 @@
         self._server_id = server_id
         self._deadline_s = deadline_s
         self._memory = memory
-        # The memory of the answer that is being read.
-        self._reservation: Reservation | None = None
+        # The body of the answer that is being read; None without one.
+        self._buffer: AnswerBuffer | None = None
         self._was_sent = False
         # Sends a large body while the answer is read.
         self._sender: eventlet.greenthread.GreenThread | None = None
@@ -261,8 +286,8 @@
 
         The failure refers to it for as long as the request has further attempts.
         """
-        if self._reservation is not None:
-            self._reservation.release()
+        if self._buffer is not None:
+            self._buffer.release()
 
     def _is_body_sent(self) -> bool:
         return self._sender is None or (
@@ -319,7 +344,15 @@
     def _read_one(self) -> ServerAnswer:
         try:
             head = self._connection.read_head()
-            body, is_framed = self._read_body(head)
+            is_framed = self._read_body(head)
+        except tuple(CUT_ENDS) as error:
+            received_bytes = len(self._buffer.body) if self._buffer else 0
+            raise AnswerCutOff(
+                CUT_ENDS[type(error)],
+                f'the answer of server "{self._server_id}" was cut off after '
+                f"{received_bytes} bytes of its body: {error}",
+                received_bytes,
+            ) from error
         except AnswerBodyError as error:
             message = f'the answer of server "{self._server_id}" was truncated: {error}'
             raise AttemptFailed(AttemptEnd.CUT_BEFORE_BODY, message) from error
@@ -332,71 +365,41 @@
                 f'reading the answer of server "{self._server_id}" failed: {error}',
             ) from error
         keeps_open = is_framed and head.keeps_connection
+        body, reservation = bytearray(), None
+        if self._buffer is not None:
+            body, reservation = self._buffer.body, self._buffer.finish()
         return ServerAnswer(
-            head.status, head.reason, head.fields, body, keeps_open, self._reservation
+            head.status, head.reason, head.fields, body, keeps_open, reservation
         )
 
-    def _read_body(self, head: AnswerHead) -> tuple[bytes | bytearray, bool]:
-        """Return the body, and whether its framing determines its end."""
-        self._reservation = None
-        reader = self._connection.reader
+    def _read_body(self, head: AnswerHead) -> bool:
+        """Read the body, and return whether its framing determines its end."""
+        self._buffer = None
         if self._request.method == "HEAD" or head.status in BODYLESS_STATUSES:
-            return b"", True
+            return True
         framing = parse_framing(head.fields.pairs, head.version)
+        self._buffer = buffer = AnswerBuffer(
+            self._memory, framing.content_length, self._request.expected_answer
+        )
         if framing.content_length is None and not framing.is_chunked:
-            return self._read_to_end(reader), False
-        if not framing.is_chunked:
-            self._reservation = self._memory.reserve_answer(
-                framing.content_length, self._request.expected_answer
-            )
-        source = AnswerBodyReader(reader, framing)
-        length_bytes = framing.content_length or 0
-        if SMALL_BYTES < length_bytes <= ANSWER_LIMIT_BYTES:
-            # Joining pieces would take the memory twice.
-            body = bytearray(length_bytes)
-            source.read_into(memoryview(body))
-            return body, True
-        pieces = []
-        left_bytes = ANSWER_LIMIT_BYTES
+            self._read_to_end(buffer)
+            return False
+        source = AnswerBodyReader(self._connection.reader, framing)
         while not source.is_ended:
-            piece = source.read1(PIECE_BYTES)
-            left_bytes -= len(piece)
-            if left_bytes < 0:
-                raise AnswerBodyError(
-                    f"the body exceeds the limit of {ANSWER_LIMIT_BYTES} bytes"
-                )
-            if framing.is_chunked:
-                self._count_piece(piece)
-            pieces.append(piece)
-        return b"".join(pieces), True
-
-    def _count_piece(self, piece: bytes) -> None:
-        """Count a piece of an answer whose size is not known in advance."""
-        if self._reservation is None:
-            if self._request.expected_answer is not None:
-                self._request.expected_answer.release()
-            self._reservation = self._memory.add(HeldKind.SMALL_ANSWER, 0)
-        self._memory.extend(self._reservation, len(piece))
-
-    def _read_to_end(self, reader: io.BufferedReader) -> bytes:
+            buffer.append(source.read1(buffer.readable_bytes()))
+        return True
+
+    def _read_to_end(self, buffer: AnswerBuffer) -> None:
         """Read until the server closes the connection; a reset means truncation.
 
         A socket reports a reset once. If the thread that sends the body learns of it,
         the reader sees an ordinary end.
         """
-        pieces = []
-        left_bytes = ANSWER_LIMIT_BYTES
+        reader = self._connection.reader
         try:
-            while piece := reader.read1(PIECE_BYTES):
-                self._count_piece(piece)
-                pieces.append(piece)
-                left_bytes -= len(piece)
-                if left_bytes < 0:
-                    raise AnswerBodyError(
-                        f"the body exceeds the limit of {ANSWER_LIMIT_BYTES} bytes"
-                    )
+            while piece := reader.read1(buffer.readable_bytes()):
+                buffer.append(piece)
         except OSError as error:
             raise AnswerBodyError(f"the connection broke: {error}") from None
         if self._send_failure is not None:
             raise AnswerBodyError(self._send_failure.message)
-        return b"".join(pieces)
--- a/berylhaven/gateway/tests/test_answer_memory.py
+++ b/berylhaven/gateway/tests/test_answer_memory.py
@@ -1,6 +1,7 @@
 """Tests of the bound on the memory of large answers."""
 
 import gc
+import math
 import unittest
 import unittest.mock
 
@@ -28,13 +29,20 @@
     return HeldBytes(large_answers_bytes * 16 // 10)
 
 
+def reserve(memory, size_bytes):
+    """Reserve memory for an answer of an announced length, after a wait for room."""
+    reservation = memory.begin_answer()
+    memory.grow(reservation, size_bytes, math.inf)
+    return reservation
+
+
 class AnswerMemoryTest(unittest.TestCase):
     def setUp(self):
         self.memory = account(3 * LARGE_BYTES)
 
     def test_an_answer_waits_until_another_one_is_released(self):
-        held = [self.memory.reserve_answer(LARGE_BYTES) for _ in range(3)]
-        thread = eventlet.spawn(self.memory.reserve_answer, LARGE_BYTES)
+        held = [reserve(self.memory, LARGE_BYTES) for _ in range(3)]
+        thread = eventlet.spawn(reserve, self.memory, LARGE_BYTES)
         eventlet.sleep(0)
         self.assertFalse(thread.dead)
         held.pop()
@@ -42,24 +50,24 @@
             self.assertIsNotNone(thread.wait())
 
     def test_an_answer_beyond_the_limit_is_read_alone(self):
-        self.assertIsNotNone(self.memory.reserve_answer(10 * LARGE_BYTES))
+        self.assertIsNotNone(reserve(self.memory, 10 * LARGE_BYTES))
 
     def test_a_small_answer_never_waits(self):
-        held = self.memory.reserve_answer(10 * LARGE_BYTES)
+        held = reserve(self.memory, 10 * LARGE_BYTES)
         with eventlet.Timeout(1.0):
-            small = self.memory.reserve_answer(SMALL_BYTES)
+            small = reserve(self.memory, SMALL_BYTES)
         self.assertEqual(
             self.memory.reserved_bytes, 10 * LARGE_BYTES + small.size_bytes
         )
         del held
 
     def test_a_cancelled_wait_leaves_nothing_behind(self):
-        held = self.memory.reserve_answer(3 * LARGE_BYTES)
+        held = reserve(self.memory, 3 * LARGE_BYTES)
         with eventlet.Timeout(0.01, False):
-            self.memory.reserve_answer(LARGE_BYTES)
+            reserve(self.memory, LARGE_BYTES)
         del held
         self.assertEqual(self.memory.reserved_bytes, 0)
-        self.assertIsNotNone(self.memory.reserve_answer(LARGE_BYTES))
+        self.assertIsNotNone(reserve(self.memory, LARGE_BYTES))
 
     @given(st.lists(st.integers(0, 5 * LARGE_BYTES), max_size=30))
     def test_the_limit_holds_and_all_answers_get_their_turn(self, sizes):
@@ -67,7 +75,7 @@
         highest = []
 
         def read(size):
-            reservation = memory.reserve_answer(size)
+            reservation = reserve(memory, size)
             highest.append(memory.held_bytes[HeldKind.LARGE_ANSWER])
             eventlet.sleep(0)
             del reservation
@@ -96,17 +104,18 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {self.ANSWER_BYTES}\r\n\r\n"
         body = b"x" * self.ANSWER_BYTES
         self.path.answer_all(READS, answers_raw(head.encode() + body))
-        runner = self.path.instance._forwarder._runner
-        self.memory = account(self.LIMIT_BYTES)
+        forwarder = self.path.instance._forwarder
+        self.memory = forwarder._held = account(self.LIMIT_BYTES)
         self.highest_bytes = 0
-        reserve = self.memory.reserve_answer
+        grow = self.memory.grow
 
-        def record(size_bytes, expected=None):
-            reservation = reserve(size_bytes, expected)
+        def record(*args, **kwargs):
+            grow(*args, **kwargs)
             self.highest_bytes = max(self.highest_bytes, self.memory.reserved_bytes)
-            return reservation
 
-        runner._memory = unittest.mock.Mock(wraps=self.memory, reserve_answer=record)
+        forwarder._runner._memory = unittest.mock.Mock(
+            wraps=self.memory, grow=record, limit_bytes=self.memory.limit_bytes
+        )
 
     def test_all_answers_arrive_whole_within_the_limit(self):
         callers = [self.path.connect() for _ in range(self.CALLER_COUNT)]
--- a/berylhaven/http1/_upstream_answer.py
+++ b/berylhaven/http1/_upstream_answer.py
@@ -94,30 +94,6 @@
         self._remaining_bytes -= len(piece)
         return piece
 
-    def read_into(self, buffer: memoryview) -> None:
-        """Read the whole body, whose length is known, into memory of this size.
-
-        Parameters
-        ----------
-        buffer : memoryview
-            Has the length of the body.
-
-        Raises
-        ------
-        AnswerBodyError
-            If the body is truncated.
-        """
-        try:
-            while self._remaining_bytes:
-                count = self._reader.readinto1(buffer[-self._remaining_bytes :])
-                if not count:
-                    raise AnswerBodyError(
-                        f"{self._remaining_bytes} bytes of Content-Length are missing"
-                    )
-                self._remaining_bytes -= count
-        except OSError as error:
-            raise AnswerBodyError(f"the connection broke: {error}") from None
-
 
 @dataclass(slots=True)
 class UpstreamAnswer:
--- a/berylhaven/overload/__init__.py
+++ b/berylhaven/overload/__init__.py
@@ -2,7 +2,9 @@
 
 from berylhaven.overload._crowding import Crowding, best_concurrency, is_crowded
 from berylhaven.overload._held_bytes import (
+    CLAIM_LIMIT_S,
     INITIAL_DOWNLOAD_BYTES,
+    MIN_STEP_BYTES,
     SMALL_BYTES,
     Admission,
     AdmissionDecision,
@@ -12,6 +14,9 @@
     answer_kind,
     body_kind,
     decide_admission,
+    decide_growth,
+    growth_step_bytes,
+    may_claim,
     room_bytes,
 )
 from berylhaven.overload._limit_share import (
@@ -38,7 +43,9 @@
 )
 
 __all__ = [
+    "CLAIM_LIMIT_S",
     "INITIAL_DOWNLOAD_BYTES",
+    "MIN_STEP_BYTES",
     "SMALL_BYTES",
     "Admission",
     "AdmissionDecision",
@@ -59,8 +66,11 @@
     "best_concurrency",
     "body_kind",
     "decide_admission",
+    "decide_growth",
     "decide_start",
+    "growth_step_bytes",
     "is_crowded",
+    "may_claim",
     "parse_limit_per_s",
     "plan_warmup",
     "return_after_s",
--- a/berylhaven/overload/_held_bytes.py
+++ b/berylhaven/overload/_held_bytes.py
@@ -24,6 +24,12 @@
 # The share of the difference by which the expected size decreases with each smaller
 # answer.
 SIZE_DECAY_RATIO = 1 / 8
+# For how long the announced or expected rest of an answer keeps room that it does not
+# use, in seconds. At 100 Mbit/s the largest one that fits arrives within 0.4 s.
+CLAIM_LIMIT_S = 0.5
+# The range of the steps in which an answer grows that has no claim.
+MIN_STEP_BYTES = 4_096
+MAX_STEP_BYTES = 65_536
 
 
 class HeldKind(enum.Enum):
@@ -154,6 +160,73 @@
     return AdmissionDecision(Admission.REFUSE, return_s)
 
 
+def decide_growth(
+    total_bytes: int,
+    others_bytes: Mapping[HeldKind, int],
+    limit_bytes: int,
+    release_per_s: float,
+    wait_limit_s: float,
+    may_exceed: bool,
+) -> AdmissionDecision:
+    """Return whether an answer that is being read may take more memory.
+
+    Answers that each hold a part and wait for their rest would wait for one another, so
+    one of them at a time may exceed the room.
+
+    Parameters
+    ----------
+    total_bytes : int
+        What the answer is to hold.
+    others_bytes : mapping of HeldKind to int
+        The bytes that all others hold.
+    limit_bytes : int
+        The size of the account.
+    release_per_s : float
+        How many bytes of the kind are released in a second.
+    wait_limit_s : float
+        How long the answer may wait; infinite if it cannot be refused.
+    may_exceed : bool
+        Whether it is the one that may exceed the room.
+
+    Returns
+    -------
+    AdmissionDecision
+        Small answers are always admitted.
+    """
+    kind = answer_kind(total_bytes)
+    if kind is HeldKind.SMALL_ANSWER or may_exceed:
+        return AdmissionDecision(Admission.ADMIT)
+    return decide_admission(
+        kind, total_bytes, others_bytes, limit_bytes, release_per_s, wait_limit_s
+    )
+
+
+def may_claim(size_bytes: int, limit_bytes: int) -> bool:
+    """Return whether an answer gets room for its whole length at once.
+
+    Parameters
+    ----------
+    size_bytes : int
+        Its announced length.
+    limit_bytes : int
+        The size of the account.
+
+    Returns
+    -------
+    bool
+        False for a small answer, which needs no claim, and for one that does not fit
+        beside what is guaranteed to the other kinds.
+    """
+    empty = dict.fromkeys(HeldKind, 0)
+    available = room_bytes(HeldKind.LARGE_ANSWER, empty, limit_bytes)
+    return SMALL_BYTES < size_bytes <= available
+
+
+def growth_step_bytes(received_bytes: int) -> int:
+    """Return how much is reserved beyond what an answer has received."""
+    return max(MIN_STEP_BYTES, min(MAX_STEP_BYTES, received_bytes))
+
+
 class ReleaseRate:
     """How many bytes are released in a second, as a decaying average."""
 
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -15,13 +15,14 @@
 from berylhaven.gateway.callers._request import GatewayRequest
 from berylhaven.gateway.callers._request_progress import RequestProgress
 from berylhaven.gateway.servers._evacuations import Evacuations
-from berylhaven.gateway.servers._server_exchange import exchange
+from berylhaven.gateway.servers._server_exchange import AnswerCutOff, exchange
 from berylhaven.gateway.tests._gateway_path import FakeDialect
 from berylhaven.http1 import HeadFields
 from berylhaven.http1._body_framing import BodyFraming
 from berylhaven.http1._request_body import RequestBody
 from berylhaven.http1._upstream_connection import UpstreamConnection
 from berylhaven.http1.tests._raw_backend import RawBackend, answers_raw
+from berylhaven.overload import HeldKind
 from berylhaven.proxy._attempt_sender import _record_answer
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._stop_watch import StopWatch
@@ -164,7 +165,7 @@
         self.answer(HEAD + b"Berylhaven-Call-Id: d\r\nContent-Length: 0\r\n\r\n")
         self.assert_ends(AttemptEnd.FOREIGN_ANSWER)
 
-    def gateway_exchange(self, connection, check_sending=lambda: None):
+    def gateway_exchange(self, connection, check_sending=lambda: None, memory=None):
         body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
         now_s = monotonic_s()
         progress = RequestProgress("c", now_s)
@@ -177,7 +178,7 @@
             FakeDialect(),
             "a",
             now_s + 1.0,
-            HeldBytes(),
+            memory or HeldBytes(),
             check_sending,
         )
 
@@ -192,6 +193,33 @@
             self.gateway_exchange(connection)
         self.assertIs(caught.exception.end, AttemptEnd.UNPROVEN_ANSWER)
 
+    def assert_answer_is_cut(self, end, answer, memory):
+        connection = UpstreamConnection(self.backend.address, 1_000)
+        self.addCleanup(connection.close)
+        self.answer(HEAD + b"Wordy-Id: c\r\n" + answer, True)
+        held_bytes = memory.reserved_bytes
+        with self.assertRaises(AnswerCutOff) as caught:
+            self.gateway_exchange(connection, memory=memory)
+        self.assertIs(caught.exception.end, end)
+        self.assertEqual(memory.reserved_bytes, held_bytes)
+
+    def test_answer_too_large(self):
+        answer = b"Content-Length: 1000000000000\r\n\r\n"
+        self.assert_answer_is_cut(AttemptEnd.ANSWER_TOO_LARGE, answer, HeldBytes())
+
+    def test_answer_without_room(self):
+        memory = HeldBytes(1_000_000)
+        held = memory.admit(HeldKind.LARGE_ANSWER, 1_000_000)
+        body = b"10000\r\n" + b"x" * 0x10000 + b"\r\n1\r\nx\r\n0\r\n\r\n"
+        answer = b"Transfer-Encoding: chunked\r\n\r\n" + body
+        self.assert_answer_is_cut(AttemptEnd.ANSWER_WITHOUT_ROOM, answer, memory)
+        held.release()
+
+    def test_excessive_framing(self):
+        line = b"1;" + b"x" * 4_000 + b"\r\nx\r\n"
+        answer = b"Transfer-Encoding: chunked\r\n\r\n" + 70 * line
+        self.assert_answer_is_cut(AttemptEnd.EXCESSIVE_FRAMING, answer, HeldBytes())
+
     def test_server_evacuated(self):
         # Only gateways send requests to data centres that operators evacuate.
         evacuations = Evacuations()
