--- a/berylhaven/gateway/servers/_server_table.py
+++ b/berylhaven/gateway/servers/_server_table.py
@@ -1,6 +1,7 @@
 """The table of the backend servers of all services."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from berylhaven.gateway.servers._evacuations import Evacuations
 from berylhaven.gateway.servers._server_record import (
@@ -19,13 +20,21 @@
 class ServerTable:
     """Records of backend servers by id and by service."""
 
-    __slots__ = ("_records", "_by_service", "_removed", "evacuations", "admission")
+    __slots__ = (
+        "_records",
+        "_groups",
+        "_removed",
+        "evacuations",
+        "admission",
+    )
 
     def __init__(self) -> None:
         # This instance's part of the rates of cold servers; set once, before entries.
         self.admission: WarmupAdmission | None = None
         self._records: dict[str, ServerRecord] = {}
-        self._by_service: dict[str, tuple[ServerRecord, ...]] = {}
+        # Grouped when they are next looked up, since a snapshot changes thousands of
+        # records at once; None until then.
+        self._groups: _Groups | None = None
         # The last records of removed servers, the latest removal last.
         self._removed: OrderedDict[str, ServerRecord] = OrderedDict()
         # The data centres to whose servers nothing may be sent.
@@ -46,7 +55,7 @@
         """
         return tuple(
             server
-            for server in self._by_service.get(service, ())
+            for server in self._grouped().by_service.get(service, ())
             if not server.is_leaving
             and not self.evacuations.is_evacuated(server.entry.data_centre)
         )
@@ -64,14 +73,15 @@
         bool
             False if the service has no servers without evacuations either.
         """
-        accepting = [s for s in self._by_service.get(service, ()) if not s.is_leaving]
+        servers = self._grouped().by_service.get(service, ())
+        accepting = [s for s in servers if not s.is_leaving]
         return bool(accepting) and all(
             self.evacuations.is_evacuated(s.entry.data_centre) for s in accepting
         )
 
     def in_data_centre(self, data_centre: str) -> list[ServerRecord]:
         """Return the records of a data centre's servers, including leaving ones."""
-        return [r for r in self._records.values() if r.entry.data_centre == data_centre]
+        return list(self._grouped().by_data_centre.get(data_centre, ()))
 
     def record(self, server_id: str) -> ServerRecord | None:
         """Return the record of a server, or None."""
@@ -142,7 +152,7 @@
                 known.end_hold(now_s)
         else:
             known = self._insert(entry, now_s, is_restored, is_start)
-        self._regroup()
+        self._groups = None
         return known
 
     def _insert(
@@ -179,11 +189,24 @@
             self._removed.move_to_end(server_id)
             if len(self._removed) > REMOVED_SERVERS_LIMIT:
                 self._removed.popitem(last=False)
-            self._regroup()
+            self._groups = None
         return record
 
-    def _regroup(self) -> None:
-        groups: dict[str, list[ServerRecord]] = {}
-        for record in self._records.values():
-            groups.setdefault(record.entry.service, []).append(record)
-        self._by_service = {name: tuple(group) for name, group in groups.items()}
+    def _grouped(self) -> "_Groups":
+        if self._groups is None:
+            self._groups = _Groups(self._records.values())
+        return self._groups
+
+
+class _Groups:
+    """The records of all servers by the groups in which they are looked up."""
+
+    __slots__ = ("by_service", "by_data_centre")
+
+    def __init__(self, records: Iterable[ServerRecord]) -> None:
+        self.by_service: dict[str, list[ServerRecord]] = {}
+        self.by_data_centre: dict[str, list[ServerRecord]] = {}
+        for record in records:
+            entry = record.entry
+            self.by_service.setdefault(entry.service, []).append(record)
+            self.by_data_centre.setdefault(entry.data_centre, []).append(record)
