Compare listed evacuations by sets

A list of 3,000 evacuated data centres held the hub for 1.1 s: each known one was searched in the whole list, and each return built a set of all others. Existing tests cover the behaviour; it is unchanged.

--- a/berylhaven/gateway/servers/_evacuations.py
+++ b/berylhaven/gateway/servers/_evacuations.py
@@ -71,7 +71,8 @@
         bool
             Whether that is news of an evacuated data centre.
         """
-        if data_centre not in self._data_centres - self._awaiting_return:
+        is_evacuated = data_centre in self._data_centres
+        if not is_evacuated or data_centre in self._awaiting_return:
             return False
         self._awaiting_return.add(data_centre)
         return True
--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -432,10 +432,11 @@
         elif isinstance(change, DataCentreReturned):
             self._apply_returned(change.data_centre, revision)
         elif isinstance(change, EvacuationsListed):
+            listed = set(change.data_centres)
             for data_centre in change.data_centres:
                 self._apply_evacuated(data_centre, revision)
             for data_centre in self._table.evacuations.data_centres:
-                if data_centre not in change.data_centres:
+                if data_centre not in listed:
                     self._apply_returned(data_centre, revision)
         elif isinstance(change, InvalidEvacuation):
             self._event_log.write_failure(
