Find variable text of log lines in linear time

The command that summarizes logs took 39 s for one reason of 64,000 characters: each word of a run without digits was searched to the end of the run. A run is now tried from its start only. The test is red on the former code: 39.1 s, bound 2 s.

--- a/berylhaven/event_log/_summary.py
+++ b/berylhaven/event_log/_summary.py
@@ -13,7 +13,12 @@
 DURATION = re.compile(r"\bduration_s=(?P<duration_s>[0-9.e-]+)")
 # Ids, addresses and numbers differ between requests; they are removed from the reason,
 # so that requests with the same cause are counted together.
-VARIABLE_TEXT = re.compile(r"\\?\"[^\"\\]*\\?\"|\b[\w.-]*[0-9][\w.:-]*")
+# Each run of characters is tried from its start only, so that the time is proportional
+# to the length.
+VARIABLE_TEXT = re.compile(
+    r"\\?\"[^\"\\]*\\?\""
+    r"|(?<![\w.-])(?P<marks>[.-]*+)(?:[^\W0-9]|[.-])*+[0-9][\w.:-]*"
+)
 ANSWERED = "answered by a server"
 
 
@@ -79,4 +84,4 @@
     if match is None:
         return "no reason given"
     reason = match["quoted"] or match["plain"] or ""
-    return " ".join(VARIABLE_TEXT.sub("...", reason).split())
+    return " ".join(VARIABLE_TEXT.sub(r"\g<marks>...", reason).split())
--- a/berylhaven/event_log/tests/test_summary.py
+++ b/berylhaven/event_log/tests/test_summary.py
@@ -1,6 +1,7 @@
 """Tests of counting request outcomes."""
 
 import re
+import time
 import unittest
 
 from hypothesis import given
@@ -46,6 +47,14 @@
         (counts,) = summarize(lines).values()
         self.assertEqual(counts.by_second, {5: 2, 7: 1})
 
+    def test_a_long_reason_takes_time_in_proportion_to_its_length(self):
+        # Each word of a run without digits was searched to the end of the run: 39 s for
+        # 64,000 characters.
+        line = f"request: at=1 event=refused status=503 reason={'a-' * 32_000}"
+        began_s = time.monotonic()
+        summarize([line])
+        self.assertLess(time.monotonic() - began_s, 2.0)
+
     def test_other_lines_are_ignored(self):
         self.assertEqual(summarize([format_line("store", "lost", {}).decode()]), {})
 
