Limit what a probe reads of answers to others

Cause: a probe skips answers that name a request, and read their bodies to the end, which need not exist. The timeout of the probe ended it without a failure.

Change: a probe reads 64 kB of such answers. Beyond it, or with excessive framing, its connection is closed, the server counts as failed, and berylhaven_cut_answers_total counts it with the reason probe. The limit is more than that of an own answer (4 kB), so that servers that repeat ordinary answers do not count as failed.

--- a/berylhaven/gateway/servers/_server_probe.py
+++ b/berylhaven/gateway/servers/_server_probe.py
@@ -17,6 +17,7 @@
     CONNECTION_ERRORS,
     SKIPPED_ANSWERS_LIMIT,
     AnswerBodyError,
+    AnswerFramingError,
     AnswerHead,
     AnswerMatch,
     ConnectionPool,
@@ -34,8 +35,13 @@
 # The time after which an unanswered probe is cancelled and its connection dropped.
 PROBE_CONNECTION_TIMEOUT_S = 0.25
 ANSWER_LIMIT_BYTES = 4_096
+# How much of the answers to others a probe reads before its own. A second copy of an
+# ordinary answer passes, and its server is not taken for a failed one.
+SKIPPED_LIMIT_BYTES = 65_536
 # How long a server is skipped if all of this instance's connections to it are busy.
 NO_CONNECTION_BACKOFF_S = 0.02
+# The reason of cut answers to probes in the metrics.
+CUT_PROBE_ANSWER = "probe"
 # Passes of the event loop within which an answer that has arrived is read completely.
 PENDING_READ_PASSES = 3
 
@@ -179,6 +185,8 @@
             # This instance reached its limit and has no connection for requests either.
             server.record_refusal(now_s, NO_CONNECTION_BACKOFF_S)
             return
+        if end is AttemptEnd.ANSWER_TOO_LARGE or isinstance(error, AnswerFramingError):
+            self._metrics.record_cut_answer(server.entry.service, CUT_PROBE_ANSWER)
         if end is AttemptEnd.NOT_CONNECTED or isinstance(error, CONNECTION_ERRORS):
             self._reach.record_silence(server.entry.service, server.entry.server_id)
         server.record_attempt(True, now_s)
@@ -215,8 +223,10 @@
 
         Probes have no id, so an answer that names a request is not theirs: it is a
         second copy, and the answer to the probe is still due. Any answer without an id
-        is taken for it, since requests on the connection check the ids themselves.
+        is taken for it, since requests on the connection check the ids themselves. Of
+        its body one piece is read, of the answers to others a limited size.
         """
+        left_bytes = SKIPPED_LIMIT_BYTES
         for _ in range(SKIPPED_ANSWERS_LIMIT):
             head = connection.read_head()
             match = match_answer(
@@ -235,8 +245,15 @@
             self._metrics.record_foreign_answers(match, 1)
             if answer is None or not head.keeps_connection:
                 break
-            while not answer.is_complete:
-                answer.body_reader.read1(ANSWER_LIMIT_BYTES)
+            left_bytes -= len(answer.first_piece)
+            while not answer.is_complete and left_bytes >= 0:
+                left_bytes -= len(answer.body_reader.read1(ANSWER_LIMIT_BYTES))
+            if left_bytes < 0:
+                raise AttemptFailed(
+                    AttemptEnd.ANSWER_TOO_LARGE,
+                    f'server "{server_id}" sent more than {SKIPPED_LIMIT_BYTES} bytes '
+                    "to others before its answer to a probe",
+                )
         raise AttemptFailed(
             AttemptEnd.FOREIGN_ANSWER,
             f'server "{server_id}" answered a probe with the answer to a request',
