Join the pieces of a request body in one buffer

Cause: a body in chunks of two bytes was kept as a list of bytes objects until its read ended, which cost 40 times its bytes.

Change: read and extend_first_part join the pieces in a bytearray.

--- a/berylhaven/http1/_request_body.py
+++ b/berylhaven/http1/_request_body.py
@@ -57,7 +57,7 @@
         self._chunks = ChunkedReader(reader) if framing.is_chunked else None
         self._sender_timeout_s = sender_timeout_s
         self._send_continue = send_continue
-        self._first_part: bytes | None = None
+        self._first_part: bytes | bytearray | None = None
         # The size of the part that was read into memory, also once it was released.
         self.buffered_bytes = 0
         # The size limit of the body in bytes; None until the service is known.
@@ -84,7 +84,7 @@
         return self.position == self.content_length
 
     @property
-    def first_part(self) -> bytes:
+    def first_part(self) -> bytes | bytearray:
         """The part that was read into memory, as long as it is kept."""
         return self._first_part or b""
 
@@ -108,7 +108,7 @@
         """Whether the caller sends its body only after the first `read`."""
         return self._send_continue is not None
 
-    def read(self, size_bytes: int) -> bytes:
+    def read(self, size_bytes: int) -> bytes | bytearray:
         """Return the given number of bytes of the body, fewer only at its end.
 
         Parameters
@@ -118,7 +118,7 @@
 
         Returns
         -------
-        bytes
+        bytes or bytearray
             Empty at the end.
 
         Raises
@@ -135,7 +135,7 @@
         if self._send_continue is not None and self.has_body:
             self._send_continue()
             self._send_continue = None
-        pieces = []
+        body = None
         read_bytes = 0
         started_at_s = None
         while read_bytes < size_bytes and not self.is_ended:
@@ -147,8 +147,14 @@
                 )
             piece = self._read_piece(min(PIECE_BYTES, size_bytes - read_bytes))
             read_bytes += len(piece)
-            pieces.append(piece)
-        return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            # A list of chunks of a few bytes costs many times their bytes.
+            if body is None:
+                body = piece
+            elif isinstance(body, bytearray):
+                body += piece
+            else:
+                body = bytearray(body) + piece
+        return body or b""
 
     def _read_piece(self, size_bytes: int) -> bytes:
         try:
@@ -192,10 +198,14 @@
         size_bytes : int
             The maximum size of the addition, in bytes.
         """
-        self._first_part = (self._first_part or b"") + self.read(size_bytes)
-        self.buffered_bytes = len(self._first_part)
-
-    def pieces(self, size_bytes: int) -> Iterator[bytes]:
+        first_part = bytearray(self._first_part or b"")
+        self._first_part = first_part
+        end_bytes = len(first_part) + size_bytes
+        while len(first_part) < end_bytes and not self.is_ended:
+            first_part += self.read(min(PIECE_BYTES, end_bytes - len(first_part)))
+        self.buffered_bytes = len(first_part)
+
+    def pieces(self, size_bytes: int) -> Iterator[bytes | bytearray]:
         """Yield the body from its start; only once, unless it is replayable.
 
         Parameters
@@ -205,7 +215,7 @@
 
         Yields
         ------
-        bytes
+        bytes or bytearray
             A piece of the body.
         """
         if self._first_part:
