Count the framing of answers in the client as in bodies

The rule is now that of ChunkedReader: each piece costs 16 bytes, and the cost may exceed the content by 256 kB, which is 18,700 chunks of two bytes.

--- a/berylhaven/http1/_bounded_client.py
+++ b/berylhaven/http1/_bounded_client.py
@@ -7,10 +7,9 @@
 import eventlet
 import urllib3
 
+from berylhaven.http1._chunked_reader import CHUNK_COST_BYTES, FRAMING_ALLOWANCE_BYTES
+
 PIECE_BYTES = 65_536
-# Each piece of a body counts at least this much towards the size limit: a chunk of two
-# bytes takes as long to parse as a large one.
-PIECE_COST_BYTES = 64
 CONTENT_ENCODING = "content-encoding"
 DEFLATE = "deflate"
 IDENTITY = "identity"
@@ -148,15 +147,17 @@
                 f"{self._limit_bytes} bytes"
             )
         decoder = _decoder(answer.headers.get(CONTENT_ENCODING), self._limit_bytes)
-        cost_bytes = 0
+        received_bytes = 0
+        framing_left_bytes = FRAMING_ALLOWANCE_BYTES
         try:
             while piece := answer.read1(PIECE_BYTES, decode_content=False):
-                cost_bytes += max(len(piece), PIECE_COST_BYTES)
-                if cost_bytes > self._limit_bytes:
-                    raise AnswerTooLarge(
-                        f"body exceeds {self._limit_bytes} bytes, of which each piece "
-                        f"counts at least {PIECE_COST_BYTES}"
-                    )
+                received_bytes += len(piece)
+                if received_bytes > self._limit_bytes:
+                    raise AnswerTooLarge(f"body exceeds {self._limit_bytes} bytes")
+                # A chunk is read as one piece or more.
+                framing_left_bytes += len(piece) - CHUNK_COST_BYTES
+                if framing_left_bytes < 0:
+                    raise AnswerRefused("body has far more framing than content")
                 decoder.add(piece)
         except (ValueError, OverflowError, zlib.error) as error:
             raise AnswerRefused(f"malformed body: {error}") from None
--- a/berylhaven/http1/tests/test_bounded_client.py
+++ b/berylhaven/http1/tests/test_bounded_client.py
@@ -31,7 +31,6 @@
         cases = {
             "chunks": (CHUNKED, b"10000\r\n" + bytes(65_536) + b"\r\n"),
             "no length": (HEAD + b"\r\n", bytes(65_536)),
-            "chunks of two bytes": (CHUNKED, b"2\r\nab\r\n" * 4_096),
             "negative chunk": (CHUNKED + b"-1\r\n", bytes(65_536)),
         }
         for name, (head, endless) in cases.items():
@@ -48,6 +47,15 @@
                     self.get(sender)
                 self.assertEqual(sender.connection_count, 2)
 
+    def test_framing_that_costs_more_than_it_carries_is_refused(self):
+        sender = self.sender([CHUNKED], b"2\r\nab\r\n" * 4_096)
+        with self.assertRaises(AnswerRefused) as raised:
+            self.get(sender)
+        self.assertNotIsInstance(raised.exception, AnswerTooLarge)
+        # A fifth of the limit in small chunks is sound.
+        body = b"8\r\n01234567\r\n" * 25_000 + b"0\r\n\r\n"
+        self.assertEqual(len(self.get(self.sender([CHUNKED + body])).data), 200_000)
+
     def test_a_length_over_the_limit_is_refused_before_the_body(self):
         sender = self.sender([HEAD + b"Content-Length: 1000000000000\r\n\r\n"])
         with self.assertRaises(AnswerTooLarge):
