Decode JSON texts of others in turns of bounded length

Callers of all services were not served while an instance decoded a page of the store or a message of a peer with many small values: 1 s to 2.5 s for a page of 1 MB, 0.1 s to 0.3 s for a gossip message of 1 kB that inflates to 1 MB.

Cause: the library decodes a text in one turn, and a page that it refuses was cut into its items in one turn, with a search at each character (0.16 s for 1 MB of digits). Brackets and commas are now counted first.

--- a/berylhaven/gateway/members/_member_codec.py
+++ b/berylhaven/gateway/members/_member_codec.py
@@ -7,6 +7,8 @@
 
 import orjson
 
+from berylhaven.bounded_json import load_json
+from berylhaven.clock import end_long_turn
 from berylhaven.gateway.members._member import Member, decode_row
 
 # The fastest level; it suffices, since the rows of a data centre differ in few bytes.
@@ -91,6 +93,7 @@
     members = [_decode_member(*sender)]
     skipped = []
     for row, age in others:
+        end_long_turn()
         try:
             members.append(_decode_member(row, age))
         except ValueError as error:
@@ -154,4 +157,4 @@
             f"gossip message of {len(body)} compressed bytes is truncated or has over "
             f"{TEXT_LIMIT_BYTES} bytes after decompression"
         )
-    return orjson.loads(text), inflater.unused_data
+    return load_json(text), inflater.unused_data
