--- a/berylhaven/http1/_chunked_reader.py
+++ b/berylhaven/http1/_chunked_reader.py
@@ -3,6 +3,8 @@
 import io
 import re
 
+from berylhaven.clock import end_long_turn
+
 # A chunk size in hexadecimal digits, then optional extensions, which are ignored.
 SIZE_LINE_PATTERN = re.compile(
     rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n"
@@ -86,6 +88,8 @@
         return piece
 
     def _read_chunk_size(self) -> bool:
+        # A buffer holds thousands of chunks of a few bytes.
+        end_long_turn()
         if not self._is_first_chunk and self._reader.read(2) != LINE_END:
             raise ChunkedBodyError("a chunk is not followed by CRLF")
         self._is_first_chunk = False
