Hold 64 kB of an upload that is not kept for another attempt

Cause: of a body over 1 MB the first 1 MB was read and reserved for as long as its request lasted, although it is sent on and cannot be sent again, so that the fifth upload at a time was refused.

Change: such a body is read up to 64 kB before its request starts.

Evidence: LargeUploadTest; without the change it gets 503 for some of eight.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -259,7 +259,9 @@
         size_bytes = body.content_length
         if size_bytes is None:
             size_bytes = SMALL_BYTES
-        size_bytes = min(size_bytes, PREREAD_BODY_LIMIT_BYTES)
+        if size_bytes > PREREAD_BODY_LIMIT_BYTES:
+            # It cannot be kept for another attempt, so more would only take memory.
+            size_bytes = SMALL_BYTES
         request.reservation = held.admit(
             body_kind(size_bytes), size_bytes, BODY_WAIT_LIMIT_S
         )
--- a/berylhaven/gateway/tests/test_held_bytes.py
+++ b/berylhaven/gateway/tests/test_held_bytes.py
@@ -105,6 +105,30 @@
         reservation.release()
 
 
+class LargeUploadTest(unittest.TestCase):
+    """Uploads that are sent on as they come."""
+
+    CALLER_COUNT = 8
+    BODY_BYTES = 1_500_000
+
+    def setUp(self):
+        self.path = GatewayPath()
+        self.addCleanup(self.path.stop)
+
+    def test_uploads_that_are_not_kept_are_all_taken(self):
+        """Each took 1 MB for its first part, so that the fifth was refused."""
+        body = b"x" * self.BODY_BYTES
+        callers = [self.path.connect() for _ in range(self.CALLER_COUNT)]
+        threads = []
+        for number, caller in enumerate(callers):
+            self.addCleanup(caller.close)
+            arguments = ("/upload/1", f"u{number}", "POST", body)
+            threads.append(eventlet.spawn(caller.exchange, *arguments))
+        self.assertEqual({thread.wait().status for thread in threads}, {200})
+        received = {len(request.body) for request in self.path.requests(ORDERS)}
+        self.assertEqual(received, {self.BODY_BYTES})
+
+
 class ReleaseTest(unittest.TestCase):
     """What is held is released when the caller or the server ends."""
 
