End long turns while the client reads many small pieces

One read of the socket gives up to 1,170 chunks of two bytes. On loopback, an answer of such chunks made 15 turns of more than 5 ms, the longest 9.3 ms, where turns are to end after 2 ms; now none.

--- a/berylhaven/http1/_bounded_client.py
+++ b/berylhaven/http1/_bounded_client.py
@@ -7,6 +7,7 @@
 import eventlet
 import urllib3
 
+from berylhaven.clock import end_long_turn
 from berylhaven.http1._chunked_reader import CHUNK_COST_BYTES, FRAMING_ALLOWANCE_BYTES
 
 PIECE_BYTES = 65_536
@@ -159,6 +160,8 @@
                 if framing_left_bytes < 0:
                     raise AnswerRefused("body has far more framing than content")
                 decoder.add(piece)
+                # Many pieces may come from one read of the socket.
+                end_long_turn()
         except (ValueError, OverflowError, zlib.error) as error:
             raise AnswerRefused(f"malformed body: {error}") from None
         return decoder.finish()
