Encode, compress and decode updates of peers in steps

Callers waited while an instance decoded or answered a large update: 113 ms for a configuration of 5,000 routes, 1 s for 1 MB of malformed changes, 31 ms to encode 10,000 servers. A peer that is far behind gets a change of each server from each kept update.

The tests count turns, and compare a large update with what was sent.

--- a/berylhaven/gateway/_peers_application.py
+++ b/berylhaven/gateway/_peers_application.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
+from berylhaven.clock import end_long_turn
 from berylhaven.gateway._gateway_instance import GatewayInstance
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.members._evidence_spread import EVIDENCE_PATH, EVIDENCE_QUERY
@@ -21,6 +22,8 @@
 MILLISECONDS_PER_SECOND = 1_000
 # The longest time for which a request for an update is held.
 WAIT_LIMIT_S = 5.0
+# So many bytes of an update are compressed in about 5 ms.
+COMPRESSED_AT_ONCE_BYTES = 262_144
 # A number of a query; an answer can hold all of these.
 NUMBER = re.compile(r"[0-9]{1,19}")
 
@@ -74,7 +77,7 @@
         return answer_bytes(
             start_response,
             "200 OK",
-            zlib.compress(body, COMPRESSION_LEVEL),
+            _compressed(body),
             content_encoding=UPDATE_ENCODING,
         )
 
@@ -90,6 +93,18 @@
         )
 
 
+def _compressed(body: bytes) -> bytes:
+    """Compress an update in steps, between which others may run."""
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    texts = []
+    for start in range(0, len(body), COMPRESSED_AT_ONCE_BYTES):
+        end_long_turn()
+        texts.append(
+            compressor.compress(body[start : start + COMPRESSED_AT_ONCE_BYTES])
+        )
+    return b"".join(texts) + compressor.flush()
+
+
 def _answer_message(
     environ: dict, start_response: Callable, answer: Callable[[bytes], bytes]
 ) -> list[bytes]:
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -1,11 +1,19 @@
 """JSON encoding of fleet updates, for instances that read them from peers."""
 
 import dataclasses
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import orjson
 
+from berylhaven.bounded_json import (
+    PARTS_LIMIT,
+    count_parts,
+    load_by_members,
+    load_json,
+)
+from berylhaven.clock import end_long_turn
 from berylhaven.gateway._store_revision import StoreRevision
 from berylhaven.gateway.servers._server_record import ServerEntry
 from berylhaven.gateway.store._fleet_source import (
@@ -43,6 +51,10 @@
     "unusable": InvalidEvacuation,
     "listed": EvacuationsListed,
 }
+# A peer that is far behind gets a change of each server from each of the kept updates.
+CHANGES_LIMIT = 200_000
+# So many changes or routes are encoded in about 3 ms.
+VALUES_PER_STEP = 500
 # The fields of a service that instances of the earlier release reject; they are encoded
 # beside the services.
 WARMUP_FIELDS = ("warmup_s", "warmup_limit_per_s")
@@ -70,9 +82,9 @@
     document = {
         "revision": update.revision.number,
         "era": update.revision.era,
-        "changes": [
+        "changes": _encode_values(
             [CHANGE_NAMES[type(change)], _encodable(change)] for change in others
-        ],
+        ),
         "evacuations": [[EVACUATION_NAMES[type(c)], c] for c in evacuations],
         "is_after_outage": update.is_after_outage,
         "store_answer_age_s": round(update.store_answer_age_s, 3),
@@ -80,13 +92,23 @@
     return orjson.dumps(document)
 
 
+def _encode_values(values: Iterable[Any]) -> orjson.Fragment:
+    """Encode a list in steps, between which others may run."""
+    texts = []
+    values = iter(values)
+    while some := list(itertools.islice(values, VALUES_PER_STEP)):
+        end_long_turn()
+        texts.append(orjson.dumps(some)[1:-1])
+    return orjson.Fragment(b"[" + b",".join(texts) + b"]")
+
+
 def _encodable(change: Change) -> Any:
     if not isinstance(change, RoutingConfiguration):
         return change
     document = {
         field.name: getattr(change, field.name) for field in dataclasses.fields(change)
     }
-    specs = {name: dataclasses.asdict(spec) for name, spec in change.services.items()}
+    specs = {name: _spec_fields(spec) for name, spec in change.services.items()}
     # Instances of the earlier release ignore unknown fields of the configuration, but
     # reject those of a service.
     warmups = {
@@ -97,9 +119,15 @@
         name: fields for name, fields in warmups.items() if any(fields.values())
     }
     document["services"] = specs
+    document["routes"] = _encode_values(change.routes)
     return document
 
 
+def _spec_fields(spec: ServiceSpec) -> dict[str, Any]:
+    end_long_turn()
+    return dataclasses.asdict(spec)
+
+
 def decode_update(body: bytes, sender: str = "") -> FleetUpdate:
     """Decode an update of a peer.
 
@@ -119,9 +147,13 @@
     Raises
     ------
     ValueError
-        If it is malformed beside its changes.
+        If it is malformed beside its changes, or one of them is too large.
     """
-    document = orjson.loads(body)
+    if count_parts(body) > PARTS_LIMIT:
+        lists = ("changes", "evacuations")
+        document = load_by_members(body, lists, load_json, CHANGES_LIMIT)
+    else:
+        document = orjson.loads(body)
     try:
         changes = _Changes()
         changes.decode(document["changes"], CHANGE_TYPES, _change)
@@ -180,6 +212,7 @@
         if not isinstance(rows, list):
             raise TypeError(f"changes are of type {type(rows).__name__}")
         for row in rows:
+            end_long_turn()
             try:
                 name, fields = row
                 if isinstance(name, str) and name not in types:
@@ -229,16 +262,22 @@
 
 
 def _service(fields: dict[str, Any], warmup: dict[str, Any]) -> ServiceSpec:
+    end_long_turn()
     known = {name: warmup[name] for name in WARMUP_FIELDS if name in warmup}
     return _checked(ServiceSpec, {**fields, **known})
 
 
 def _route(fields: dict[str, Any]) -> Route:
-    parts = tuple(_checked(WeightedService, part) for part in fields["parts"])
+    parts = tuple(map(_part, fields["parts"]))
     kind = RequestKind(fields["kind"])
     return _checked(Route, {**fields, "kind": kind, "parts": parts})
 
 
+def _part(fields: dict[str, Any]) -> WeightedService:
+    end_long_turn()
+    return _checked(WeightedService, fields)
+
+
 def _checked(value_type: type, fields: dict[str, Any]) -> Any:
     """Return a value of a type; raise TypeError if a field is of another type."""
     value = value_type(**fields)
--- a/berylhaven/gateway/tests/test_peer_input.py
+++ b/berylhaven/gateway/tests/test_peer_input.py
@@ -3,12 +3,18 @@
 import io
 import unittest
 import zlib
+from unittest import mock
 
 import orjson
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylhaven.gateway import FleetUpdate, PeersApplication, ServerEntry
+from berylhaven.gateway import (
+    FleetUpdate,
+    PeersApplication,
+    ServerEntry,
+    _peers_application,
+)
 from berylhaven.gateway.members._evidence_codec import (
     decode_observations,
     encode_observations,
@@ -174,6 +180,14 @@
         )
         self.assertIn(status, ("200", "400", "404", "413"))
 
+    def test_others_may_run_while_a_large_update_is_compressed(self):
+        for size_bytes, turn_count in ((0, 0), (1, 1), (3_000_000, 10)):
+            body = bytes(size_bytes)
+            with mock.patch.object(_peers_application, "end_long_turn") as turns:
+                compressed = _peers_application._compressed(body)
+            self.assertEqual(zlib.decompress(compressed), body)
+            self.assertGreaterEqual(turns.call_count, turn_count)
+
     def test_a_query_for_updates_with_a_malformed_number_is_refused(self):
         # A long wait failed in a division, and a long revision could not be encoded.
         for query in (
--- a/berylhaven/gateway/tests/test_update_codec.py
+++ b/berylhaven/gateway/tests/test_update_codec.py
@@ -1,12 +1,17 @@
 """Tests that updates with limits for cold servers pass between releases."""
 
+import dataclasses
 import unittest
+from unittest import mock
 
 import orjson
 
-from berylhaven.gateway import FleetUpdate
+from berylhaven.bounded_json import PARTS_LIMIT, count_parts
+from berylhaven.gateway import FleetUpdate, ServerEntry
+from berylhaven.gateway.store import _update_codec
 from berylhaven.gateway.store._update_codec import decode_update, encode_update
 from berylhaven.gateway.tests._gateway_path import READS, at, configuration
+from berylhaven.routes import ServiceSpec
 
 
 class UpdateCodecTest(unittest.TestCase):
@@ -41,3 +46,39 @@
         warmup["warmup_s"] = "long"
         update = decode_update(orjson.dumps(document))
         self.assertEqual((update.changes, update.is_complete), ((), False))
+
+
+class LargeUpdateTest(unittest.TestCase):
+    def test_a_large_update_is_decoded_change_by_change(self):
+        # Far behind, a peer gets thousands of changes, which took seconds in one turn.
+        entries = [ServerEntry(f"s{n}", "a", "a:1", "b", 4, False) for n in range(100)]
+        sent = FleetUpdate((configuration(), *entries * 250), at(1))
+        with mock.patch.object(_update_codec, "end_long_turn") as end_long_turn:
+            body = encode_update(sent)
+        self.assertGreaterEqual(end_long_turn.call_count, 50)
+        self.assertGreater(count_parts(body), PARTS_LIMIT)
+        with mock.patch.object(_update_codec, "end_long_turn") as end_long_turn:
+            update = decode_update(body)
+        self.assertEqual(update.changes, sent.changes)
+        self.assertGreater(end_long_turn.call_count, 25_000)
+        with self.assertRaises(ValueError):
+            decode_update(body[:-1])
+
+    def test_a_change_of_many_parts_is_refused(self):
+        document = orjson.loads(encode_update(FleetUpdate((), at(1))))
+        document["changes"] = [["server", [0] * (PARTS_LIMIT + 1)]]
+        with self.assertRaises(ValueError):
+            decode_update(orjson.dumps(document))
+
+    def test_others_may_run_while_a_configuration_is_encoded_and_decoded(self):
+        sent = configuration()
+        route = sent.routes[0]
+        specs = {f"s{n}": ServiceSpec(f"s{n}", "/health", 1) for n in range(1_000)}
+        sent = dataclasses.replace(sent, routes=(route,) * 1_000, services=specs)
+        with mock.patch.object(_update_codec, "end_long_turn") as end_long_turn:
+            body = encode_update(FleetUpdate((sent,), at(1)))
+            # After each service, and twice in the routes.
+            self.assertGreaterEqual(end_long_turn.call_count, 1_002)
+            end_long_turn.reset_mock()
+            self.assertEqual(decode_update(body).changes, (sent,))
+        self.assertGreaterEqual(end_long_turn.call_count, 2_000)
