Merge crash evidence with one digest a message, in steps

A message with evidence of 19 kB held the hub of an instance for 19 s, and all its callers with it: for each of 4,000 observations, the digest of all of them was computed again.

The test is red on the former code, which computes 125,250 checksums for 500 observations.

--- a/berylhaven/gateway/members/_evidence_codec.py
+++ b/berylhaven/gateway/members/_evidence_codec.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from berylhaven.clock import end_long_turn
 from berylhaven.gateway.members._member_codec import COMPRESSION_LEVEL, decompress
 from berylhaven.quarantine import FINGERPRINT_LENGTH, Answered, Observation, Strike
 
@@ -79,6 +80,7 @@
         raise ValueError(f"crash evidence is not a list of at most {ROWS_LIMIT} rows")
     observations, skipped = [], []
     for row in rows:
+        end_long_turn()
         try:
             observations.append(_decode_row(row, now_s))
         except ValueError as error:
--- a/berylhaven/gateway/members/_evidence_spread.py
+++ b/berylhaven/gateway/members/_evidence_spread.py
@@ -6,7 +6,7 @@
 import eventlet
 import eventlet.event
 
-from berylhaven.clock import monotonic_s, sleep_s
+from berylhaven.clock import end_long_turn, monotonic_s, sleep_s
 from berylhaven.event_log import EventLog
 from berylhaven.gateway.members._evidence_codec import (
     decode_observations,
@@ -90,6 +90,9 @@
             When it was observed, on the hub's clock.
         """
         self._members.own.evidence_digest = self._evidence.digest
+        self._add_pending(news, occurred_at_s)
+
+    def _add_pending(self, news: Iterable[Observation], occurred_at_s: float) -> None:
         for observation in news:
             if len(self._pending) < PENDING_LIMIT:
                 self._pending[observation] = occurred_at_s
@@ -200,8 +203,11 @@
                 "quarantine", "evidence skipped", reason=reason
             )
         for observation, occurred_at_s in observations:
+            # Merging is commutative, so that others may run in between.
+            end_long_turn()
             # An instance that expired it later must not bring it back.
             if now_s - occurred_at_s < RETENTION_S:
                 news = self._evidence.merge(observation, occurred_at_s)
-                self.push(news, occurred_at_s)
+                self._add_pending(news, occurred_at_s)
+        # Computed once, since each time takes as long as merging all observations.
         self._members.own.evidence_digest = self._evidence.digest
--- a/berylhaven/gateway/tests/test_evidence_spread.py
+++ b/berylhaven/gateway/tests/test_evidence_spread.py
@@ -4,6 +4,8 @@
 import unittest.mock
 
 from berylhaven.clock import ManualClock, monotonic_s
+from berylhaven.gateway.members import _evidence_spread
+from berylhaven.gateway.members._evidence_codec import encode_observations
 from berylhaven.gateway.members._evidence_spread import PUSH_INTERVAL_S, EvidenceSpread
 from berylhaven.gateway.members._member_codec import decode_members, encode_members
 from berylhaven.gateway.tests._gossip_fleet import GossipFleet
@@ -118,6 +120,23 @@
         body = encode_members([own], monotonic_s())
         self.assertIsNone(decode_members(body).members[0].evidence_digest)
 
+    def test_a_long_message_is_merged_with_one_digest_and_turns_for_others(self):
+        # The digest of all observations was computed for each of them, so that the time
+        # rose with the square of their number.
+        _, receiver = GossipFleet(self.clock, 2).spreads.values()
+        strikes = [
+            (Strike(f"{number // 10:032}", f"run-{number}", "id", 1), 0.0)
+            for number in range(500)
+        ]
+        body = encode_observations(strikes, monotonic_s())
+        with (
+            unittest.mock.patch("zlib.crc32", return_value=0) as checksum,
+            unittest.mock.patch.object(_evidence_spread, "end_long_turn") as turns,
+        ):
+            receiver.merge(body)
+        self.assertEqual(checksum.call_count, 500)
+        self.assertEqual(turns.call_count, 500)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylhaven/quarantine/_crash_evidence.py
+++ b/berylhaven/quarantine/_crash_evidence.py
@@ -83,6 +83,8 @@
     strikes: dict[Strike, float] = field(default_factory=dict)
     # When the request was last known to be answered; None if never.
     answered_at_s: float | None = None
+    # The digest of the observations; None until it is computed again.
+    digest: int | None = None
 
     def runs(self) -> set[str]:
         """Return the runs of servers that ended under the request."""
@@ -95,11 +97,24 @@
             return False
         return occurred_at_s <= answered_at_s + ANSWER_VALIDITY_S
 
+    def observations(self, fingerprint: str) -> Iterable[tuple[Observation, float]]:
+        """Yield the observations and when they were made, on the hub's clock."""
+        yield from self.strikes.items()
+        if self.answered_at_s is not None:
+            yield Answered(fingerprint), self.answered_at_s
+
+    def update_digest(self, fingerprint: str) -> None:
+        """Compute the digest, which all records together need after each change."""
+        self.digest = 0
+        for observation, _ in self.observations(fingerprint):
+            self.digest ^= zlib.crc32(repr(observation).encode())
+
     def drop_void(self) -> None:
         """Drop the strikes that have another cause, and the oldest beyond the limit."""
         kept = [(s, at_s) for s, at_s in self.strikes.items() if not self.is_void(at_s)]
         kept.sort(key=lambda entry: (entry[1], entry[0].server_run), reverse=True)
         self.strikes = dict(kept[:STRIKES_LIMIT])
+        self.digest = None
 
 
 class CrashEvidence:
@@ -296,15 +311,15 @@
     def observations(self) -> Iterable[tuple[Observation, float]]:
         """Yield all observations and when they were made, on the hub's clock."""
         for fingerprint, record in self._records.items():
-            yield from record.strikes.items()
-            if record.answered_at_s is not None:
-                yield Answered(fingerprint), record.answered_at_s
+            yield from record.observations(fingerprint)
 
     @property
     def digest(self) -> int:
         """A number that is the same on instances that know the same observations."""
         if self._digest is None:
             self._digest = 0
-            for observation, _ in self.observations():
-                self._digest ^= zlib.crc32(repr(observation).encode())
+            for fingerprint, record in self._records.items():
+                if record.digest is None:
+                    record.update_digest(fingerprint)
+                self._digest ^= record.digest
         return self._digest
