Bound the sentences about skipped changes of an update

1 MB of malformed changes of 14 bytes left 71,000 sentences in memory, of which 20 are logged. 1,000 are kept. The test fails without the limit, with 2,000 sentences.

--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -53,6 +53,8 @@
 }
 # A peer that is far behind gets a change of each server from each of the kept updates.
 CHANGES_LIMIT = 200_000
+# The most sentences about skipped changes; each is longer than a malformed change.
+SKIPPED_LIMIT = 1_000
 # So many changes or routes are encoded in about 3 ms.
 VALUES_PER_STEP = 500
 # The fields of a service that instances of the earlier release reject; they are encoded
@@ -217,13 +219,17 @@
                 name, fields = row
                 if isinstance(name, str) and name not in types:
                     # A later release has it; here the store holds nothing of it either.
-                    self.skipped.append(f"unknown kind {name!r:.100}")
+                    self._skip(f"unknown kind {name!r:.100}")
                     continue
                 self.decoded.append(decode(name, fields))
             except (AttributeError, KeyError, TypeError, ValueError) as error:
-                self.skipped.append(f"malformed change {row!r:.200}: {error}")
+                self._skip(f"malformed change {row!r:.200}: {error}")
                 self.is_complete = False
 
+    def _skip(self, reason: str) -> None:
+        if len(self.skipped) < SKIPPED_LIMIT:
+            self.skipped.append(reason)
+
 
 def _change(name: str, fields: dict[str, Any]) -> Change:
     change_type = CHANGE_TYPES[name]
--- a/berylhaven/gateway/tests/test_update_codec.py
+++ b/berylhaven/gateway/tests/test_update_codec.py
@@ -64,6 +64,14 @@
         with self.assertRaises(ValueError):
             decode_update(body[:-1])
 
+    def test_the_sentences_about_skipped_changes_are_bounded(self):
+        # Each malformed change of 14 bytes left a sentence of a hundred.
+        document = orjson.loads(encode_update(FleetUpdate((), at(1))))
+        document["changes"] = [["server", {}]] * 2 * _update_codec.SKIPPED_LIMIT
+        update = decode_update(orjson.dumps(document))
+        self.assertEqual(len(update.skipped), _update_codec.SKIPPED_LIMIT)
+        self.assertFalse(update.is_complete)
+
     def test_a_change_of_many_parts_is_refused(self):
         document = orjson.loads(encode_update(FleetUpdate((), at(1))))
         document["changes"] = [["server", [0] * (PARTS_LIMIT + 1)]]
