Add a stand-in that sends without end, and a soak run around it

The stand-in is a process of its own with plain sockets and threads. It serves as a backend server, answers probes, stands before the store or calls any port of a gateway. Nothing in its process imports eventlet, which replaces the sockets of http.server, so server_value moves to a module without it.

--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -12,9 +12,13 @@
 
 from bench.gateway_soak import (  # noqa: E402
     FAULTS,
+    SenderReport,
     SoakReport,
     StopOptions,
     StopReport,
+    describe_answers,
+    draw_options,
+    run_endless_senders,
     run_planned_stops,
     run_soak,
 )
@@ -60,22 +64,41 @@
     sys.stdout.flush()
 
 
+def print_sender_report(seed: int, report: SenderReport) -> None:
+    """Print what was found in a run with endless senders."""
+    verdict = "BROKEN" if report.broken else "good"
+    options = report.options
+    print(f"seed {seed}: {verdict}, {options}")
+    print(f"  sound service: {describe_answers(report.sound)}")
+    print(f"  service beside: {describe_answers(report.beside)}")
+    print(f"  peak {report.peak_bytes / 1e6:.0f} MB")
+    if options.stops:
+        print(f"  SIGTERM noticed after {report.noticed_after_s} s")
+    else:
+        print(f"  afterwards: {describe_answers(report.afterwards)}")
+    for line in report.broken:
+        print(f"  broken: {line}")
+    sys.stdout.flush()
+
+
 def main(
-    duration_s: float = DEFAULT_DURATION_S,
+    duration_s: float = 0.0,
     seed: int = -1,
     count: int = 1,
     gateway_count: int = 3,
     kinds: str = "",
     planned_stops: int = 0,
+    endless_senders: int = 0,
     old_commit: str = "",
-    **stop_options: int,
+    **options: int | str,
 ) -> None:
-    """Run soaks, or runs with planned stops, from the command line.
+    """Run soaks, planned stops or endless senders from the command line.
 
     Parameters
     ----------
     duration_s : float
-        The time during which faults are injected in each soak, in seconds.
+        The time during which faults are injected in each soak, or endless senders
+        send, in seconds; 0 for the default.
     seed : int
         The first seed; a random one if negative.
     count : int
@@ -86,22 +109,34 @@
         The names of the faults to inject, separated by commas; all if empty.
     planned_stops : int
         The number of runs with planned stops instead of soaks.
+    endless_senders : int
+        The number of runs with endless senders instead of soaks.
     old_commit : str
         The commit of an earlier build that runs beside the current one.
-    **stop_options : int
-        Further fields of `StopOptions`, such as caller_count or busy_count.
+    **options : int or str
+        Further fields of `StopOptions`, such as caller_count or busy_count, or of
+        `SenderOptions`, such as role, in place of drawn ones.
     """
     first = seed if seed >= 0 else random.randrange(RANDOM_SEED_LIMIT)
     broken_seeds = []
+    if endless_senders:
+        if duration_s:
+            options["duration_s"] = duration_s
+        for number in range(first, first + endless_senders):
+            sender_report = run_endless_senders(draw_options(number, **options))
+            print_sender_report(number, sender_report)
+            if sender_report.broken:
+                broken_seeds.append(number)
+        end(endless_senders, broken_seeds)
     if planned_stops:
         for number in range(first, first + planned_stops):
-            options = StopOptions(
+            stop_options = StopOptions(
                 seed=number,
                 gateway_count=gateway_count,
                 old_commit=str(old_commit),
-                **stop_options,
+                **options,
             )
-            stop_report = run_planned_stops(options)
+            stop_report = run_planned_stops(stop_options)
             print_stop_report(number, stop_report)
             if stop_report.losses or stop_report.broken:
                 broken_seeds.append(number)
--- /dev/null
+++ b/bench/gateway_soak/_endless_senders.py
@@ -0,0 +1,273 @@
+"""A run in which a peer of a gateway sends without end beside sound callers."""
+
+import random
+import re
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import eventlet
+import urllib3
+
+from bench.gateway_soak._sound_callers import (
+    SoundAnswer,
+    SoundCallers,
+    describe_answers,
+)
+from standins._endless_bytes import CALLER, KINDS, PROBE, SERVER, STORE
+from standins.endless_sender import READY_LINE, SWITCH_OFF_PATH, SWITCH_ON_PATH
+from standins.gateway_fleet import HTTP_STATUS_OK, READS, GatewayFleet, wait_until
+
+# The stated target: what holds while a peer sends without end.
+EXCESS_LIMIT_S = 0.5
+PEAK_LIMIT_BYTES = 100_000_000
+NOTICE_LIMIT_S = 0.5
+RECOVERY_LIMIT_S = 1.0
+
+WORK_S = 0.05
+SERVERS_PER_SERVICE = 4
+# Uploads of 60 MB have the time to be slower.
+TIMEOUT_S = 10.0
+SENDER_LIMIT = 4
+WARM_UP_S = 0.5
+CALM_S = 0.5
+NOTICE_TIMEOUT_S = 3.0
+BYTES_PER_KIB = 1_024
+# Lines have the time of the wall clock, to the millisecond.
+DRAIN_LINE = re.compile(r"^instance: at=([0-9.]+) event=drain ", re.MULTILINE)
+# The index of each port of a gateway and a path that it serves.
+PORTS = {
+    "callers": (0, "/upload/x"),
+    "readiness": (1, "/ready"),
+    "peers": (2, "/v1/members"),
+    "locate": (3, "/resolve"),
+    "metrics": (4, "/metrics"),
+}
+
+
+@dataclass(slots=True, frozen=True)
+class SenderOptions:
+    """What happens in a run with endless senders."""
+
+    # The role and the kind of the senders, as `standins.endless_sender` names them.
+    role: str
+    kind: str
+    # The port of the gateway to which callers send.
+    port: str = "callers"
+    # The number of senders, each a process of its own.
+    sender_count: int = 1
+    # For how long they send, in seconds.
+    duration_s: float = 3.0
+    # Whether the gateway is stopped while they send. Otherwise they end, and it must
+    # serve as before.
+    stops: bool = False
+    # The number of callers of the service with the endless server, and of the sound
+    # one.
+    beside_count: int = 30
+    sound_count: int = 10
+
+
+def draw_options(seed: int, **fixed: object) -> SenderOptions:
+    """Draw what happens in a run.
+
+    Parameters
+    ----------
+    seed : int
+        The seed of the draw.
+    **fixed : object
+        Fields of `SenderOptions` that are not drawn.
+
+    Returns
+    -------
+    SenderOptions
+        The options.
+    """
+    source = random.Random(seed)
+    role = source.choice((SERVER, PROBE, STORE, CALLER))
+    role = str(fixed.get("role", role))
+    kinds = [kind.name for kind in KINDS.values() if role in kind.roles]
+    options = SenderOptions(
+        role,
+        source.choice(kinds),
+        source.choice(list(PORTS)),
+        1 if role == STORE else source.randint(1, SENDER_LIMIT),
+        stops=source.random() < 0.5,
+    )
+    return replace(options, **fixed)
+
+
+@dataclass(slots=True)
+class SenderReport:
+    """What was found in a run with endless senders."""
+
+    options: SenderOptions
+    # The ends of the requests while the senders sent: of the sound service, and of the
+    # one with the endless server.
+    sound: list[SoundAnswer] = field(default_factory=list)
+    beside: list[SoundAnswer] = field(default_factory=list)
+    # The statuses of uploads that the senders sent; 0 without an answer.
+    upload_statuses: list[int] = field(default_factory=list)
+    # The highest resident memory of the gateway's process.
+    peak_bytes: int = 0
+    # The time from SIGTERM until its log line; None if it was not noticed in time.
+    noticed_after_s: float | None = None
+    # The ends of the requests of both services after the senders had gone.
+    afterwards: list[SoundAnswer] = field(default_factory=list)
+
+    @property
+    def broken(self) -> list[str]:
+        """What missed the stated target, in one line each."""
+        found = []
+        if not self.sound or not all(map(_is_served, self.sound)):
+            found.append(f"the sound service: {describe_answers(self.sound)}")
+        if self.peak_bytes >= PEAK_LIMIT_BYTES:
+            found.append(f"the process took {self.peak_bytes / 1e6:.0f} MB")
+        if self.options.stops:
+            after_s = self.noticed_after_s
+            if after_s is None or after_s > NOTICE_LIMIT_S:
+                found.append(f"SIGTERM noticed after {after_s} s")
+        elif not self.afterwards or not all(map(_is_served, self.afterwards)):
+            found.append(f"afterwards: {describe_answers(self.afterwards)}")
+        if any(status != HTTP_STATUS_OK for status in self.upload_statuses):
+            found.append(f"uploads: {self.upload_statuses}")
+        return found
+
+
+def _is_served(answer: SoundAnswer) -> bool:
+    is_ok = answer.status == HTTP_STATUS_OK
+    return is_ok and answer.duration_s <= WORK_S + EXCESS_LIMIT_S
+
+
+def run_endless_senders(options: SenderOptions) -> SenderReport:
+    """Let senders send without end beside sound callers of one gateway.
+
+    Parameters
+    ----------
+    options : SenderOptions
+        What happens in the run.
+
+    Returns
+    -------
+    SenderReport
+        What was found.
+    """
+    fleet = GatewayFleet(
+        gateway_count=1,
+        work_s=WORK_S,
+        servers_per_service=SERVERS_PER_SERVICE,
+        slow_share=0.0,
+        timeout_s=TIMEOUT_S,
+        endless_store_kind=options.kind if options.role == STORE else "",
+    )
+    with fleet:
+        run = _SenderRun(fleet, options)
+        try:
+            run.play()
+        finally:
+            run.end_senders()
+    return run.report
+
+
+class _SenderRun:
+    """One run: the senders, the callers and what was found."""
+
+    __slots__ = ("_fleet", "_options", "_gateway", "_senders", "report")
+
+    def __init__(self, fleet: GatewayFleet, options: SenderOptions) -> None:
+        self._fleet = fleet
+        self._options = options
+        self._gateway = fleet.gateways[0]
+        self._senders: list[subprocess.Popen] = []
+        self.report = SenderReport(options)
+
+    def play(self) -> None:
+        """Send and call, then stop the gateway or let the senders end."""
+        options, report = self._options, self.report
+        address = self._gateway.address()
+        beside = SoundCallers(address, "GET", "/read/x", options.beside_count)
+        sound = SoundCallers(address, "POST", "/order/x", options.sound_count)
+        callers = (sound, beside)
+        eventlet.sleep(WARM_UP_S)
+        self._start_senders()
+        began_s = time.monotonic()
+        eventlet.sleep(options.duration_s)
+        ended_s = time.monotonic()
+        if options.stops:
+            for each in callers:
+                each.stop_sending()
+            self._record_peak()
+            report.noticed_after_s = self._stop_gateway()
+            self._record_peak()
+        else:
+            self.end_senders()
+            self._record_peak()
+            calm_s = time.monotonic() + RECOVERY_LIMIT_S
+            eventlet.sleep(RECOVERY_LIMIT_S + CALM_S)
+        for each in callers:
+            each.stop_sending()
+        for each in callers:
+            each.wait()
+        report.sound = sound.between(began_s, ended_s)
+        report.beside = beside.between(began_s, ended_s)
+        if not options.stops:
+            report.afterwards = sound.between(calm_s) + beside.between(calm_s)
+
+    def end_senders(self) -> None:
+        """End the senders and read what their processes printed."""
+        self._switch_stores(SWITCH_OFF_PATH)
+        senders, self._senders = self._senders, []
+        for sender in senders:
+            sender.kill()
+        for sender in senders:
+            output, _ = sender.communicate()
+            self.report.upload_statuses += map(int, output.split())
+
+    def _start_senders(self) -> None:
+        options = self._options
+        if options.role == STORE:
+            self._switch_stores(SWITCH_ON_PATH)
+            return
+        if options.role == CALLER:
+            index, path = PORTS[options.port]
+            arguments = (CALLER, self._gateway.address(index), options.kind, path)
+        else:
+            arguments = (SERVER, options.role, options.kind, self._fleet.store, READS)
+        command = [sys.executable, "-m", "standins.endless_sender", *arguments]
+        for _ in range(options.sender_count):
+            self._senders.append(
+                subprocess.Popen(
+                    command, stdout=subprocess.PIPE, text=True, process_group=0
+                )
+            )
+        for sender in self._senders:
+            line = sender.stdout.readline().strip()
+            if line != READY_LINE:
+                raise RuntimeError(f"a sender printed {line!r} instead of being ready")
+
+    def _switch_stores(self, path: str) -> None:
+        for store in self._fleet.endless_stores:
+            urllib3.request("GET", f"http://{store}{path}")
+
+    def _record_peak(self) -> None:
+        """Record the highest resident memory of the gateway's process."""
+        status = Path(f"/proc/{self._gateway.process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        # A process that has exited has none.
+        if found:
+            self.report.peak_bytes = int(found[1]) * BYTES_PER_KIB
+
+    def _stop_gateway(self) -> float | None:
+        """Return the time from SIGTERM until the log line of the drain."""
+        signal_s = time.time()
+        self._gateway.process.send_signal(signal.SIGTERM)
+        try:
+            wait_until(self._drain_line, NOTICE_TIMEOUT_S)
+        except TimeoutError:
+            return None
+        return float(self._drain_line()[1]) - signal_s
+
+    def _drain_line(self) -> re.Match | None:
+        return DRAIN_LINE.search(self._fleet.log_text(self._gateway))
--- a/standins/fleet_configuration.py
+++ b/standins/fleet_configuration.py
@@ -1,4 +1,4 @@
-"""The routing configuration of a gateway fleet of stand-ins."""
+"""What is written to the store of a gateway fleet: configurations and servers."""
 
 import orjson
 
@@ -42,3 +42,17 @@
         "Matcher": {"PathPrefix": prefix},
         "Action": {"Service": service, "TimeoutS": timeout_s, "MaxAttempts": 2},
     }
+
+
+def server_value(
+    service: str,
+    address: str,
+    data_centre: str,
+    slot_count: int = 4,
+    state: str = "ready",
+) -> bytes:
+    """Return the value of a server's item in the store."""
+    info = {"Service": service, "Version": "v1", "Zone": data_centre}
+    info["Slots"] = slot_count
+    status = {"State": state, "Sequence": 1, "WarmupLeftS": 0}
+    return orjson.dumps({"Address": address, "Info": info, "Status": status})
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -28,11 +28,11 @@
     READS,
     ROUTES_HOST,
     configuration_value,
+    server_value,
 )
-from standins.metadata_store import server_value
 from standins.product_tree import export_tree
 
-PORTS_PER_GATEWAY = 4
+PORTS_PER_GATEWAY = 5
 PORTS_PER_PROXY = 2
 LOCATE_TIMEOUT_S = 1.0
 GRACE_S = 4.0
@@ -43,7 +43,8 @@
 class GatewayProcess:
     """One gateway process and its ports."""
 
-    # The ports for callers, readiness, peers and locate requests, in this order.
+    # The ports for callers, readiness, peers, locate requests and metrics, in this
+    # order.
     ports: list[int]
     # The path of its settings file.
     settings_path: Path
@@ -79,6 +80,9 @@
     timeout_s: float = 2.0
     # The bytes that each gateway may hold; None for its default.
     held_limit_bytes: int | None = None
+    # The kind of bytes without end that the store of each gateway sends once it is
+    # switched on; empty for the ordinary store.
+    endless_store_kind: str = ""
     # The gateways.
     gateways: list[GatewayProcess] = field(default_factory=list)
     # HOST:PORT of each server, by service.
@@ -87,6 +91,8 @@
     store: str = ""
     # HOST:PORT of the control port of each proxy.
     proxies: list[str] = field(default_factory=list)
+    # HOST:PORT of the store as the gateways reach it, if it may send without end.
+    endless_stores: list[str] = field(default_factory=list)
     _standins: list[subprocess.Popen] = field(default_factory=list)
     _directory: Path | None = None
 
@@ -107,6 +113,8 @@
     def _start(self) -> None:
         server_count = 2 * self.servers_per_service
         port_count = 1 + server_count + PORTS_PER_GATEWAY * self.gateway_count
+        if self.endless_store_kind:
+            port_count += self.gateway_count
         if self.has_proxies:
             port_count += PORTS_PER_PROXY * (server_count + self.gateway_count)
         ports = free_ports(port_count)
@@ -129,7 +137,10 @@
             path = self._directory / f"gateway-{index}.ini"
             self.gateways.append(GatewayProcess(gateway_ports, path))
         for index, gateway in enumerate(self.gateways):
-            store = self._proxied(self.store, ports)
+            if self.endless_store_kind:
+                store = self._endless_store(ports)
+            else:
+                store = self._proxied(self.store, ports)
             gateway.settings_path.write_text(self._settings_text(index, gateway, store))
             self.start_gateway(gateway)
         for gateway in self.gateways:
@@ -150,6 +161,20 @@
         self.proxies.append(control)
         return address
 
+    def _endless_store(self, ports: list[int]) -> str:
+        """Start a store that can send without end; return its address."""
+        address = f"{HOST}:{ports.pop()}"
+        self._start_standin(
+            "endless_sender",
+            "store",
+            address,
+            self.endless_store_kind,
+            self.store,
+        )
+        wait_until(lambda: self._status(f"http://{address}/kv-range") == HTTP_STATUS_OK)
+        self.endless_stores.append(address)
+        return address
+
     def _start_server(self, service: str, address: str, registered: str) -> None:
         self._start_standin(
             "route_server",
@@ -176,6 +201,7 @@
             "readiness_address",
             "peers_address",
             "locate_address",
+            "metrics_address",
         )
         lines = ["[instance]", f"name = gateway-{index}", "data_centre = here"]
         lines += [f"{name} = {gateway.address(i)}" for i, name in enumerate(names)]
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -6,7 +6,6 @@
 
 import eventlet
 import fire
-import orjson
 
 from standins._program import (
     FAULTS_PATH,
@@ -178,20 +177,6 @@
             remaining_s -= WATCH_POLL_S
 
 
-def server_value(
-    service: str,
-    address: str,
-    data_centre: str,
-    slot_count: int = 4,
-    state: str = "ready",
-) -> bytes:
-    """Return the value of a server's item in the store."""
-    info = {"Service": service, "Version": "v1", "Zone": data_centre}
-    info["Slots"] = slot_count
-    status = {"State": state, "Sequence": 1, "WarmupLeftS": 0}
-    return orjson.dumps({"Address": address, "Info": info, "Status": status})
-
-
 def run(host: str, port: int) -> None:
     """Serve the store."""
     serve_forever(host, port, MetadataStoreStandIn())
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -19,7 +19,7 @@
     json_answer,
     serve_forever,
 )
-from standins.metadata_store import server_value
+from standins.fleet_configuration import server_value
 
 HEALTH_PATH = "/health"
 RUNS_PATH = "/runs"
