--- a/bench/gateway_soak/__main__.py
+++ b/bench/gateway_soak/__main__.py
@@ -106,7 +106,8 @@
     gateway_count : int
         The number of gateways.
     kinds : str
-        The names of the faults to inject, separated by commas; all if empty.
+        The names of the faults to inject, or of the bytes that endless senders send,
+        separated by commas; all, or drawn ones, if empty.
     planned_stops : int
         The number of runs with planned stops instead of soaks.
     endless_senders : int
@@ -122,6 +123,8 @@
     if endless_senders:
         if duration_s:
             options["duration_s"] = duration_s
+        chosen = {"kinds": kinds, "ports": options.pop("ports", "")}
+        options |= {name: names(value) for name, value in chosen.items() if value}
         for number in range(first, first + endless_senders):
             sender_report = run_endless_senders(draw_options(number, **options))
             print_sender_report(number, sender_report)
@@ -141,7 +144,7 @@
             if stop_report.losses or stop_report.broken:
                 broken_seeds.append(number)
         end(planned_stops, broken_seeds)
-    chosen = tuple(name.strip() for name in kinds.split(",") if name.strip())
+    chosen = names(kinds)
     unknown = set(chosen) - set(FAULTS)
     if unknown:
         sys.exit(f"no such fault: {', '.join(sorted(unknown))}")
@@ -154,6 +157,12 @@
     end(count, broken_seeds)
 
 
+def names(value: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return names that were given with commas; `fire` may have split them."""
+    parts = value.split(",") if isinstance(value, str) else value
+    return tuple(name.strip() for name in parts if name.strip())
+
+
 def end(count: int, broken_seeds: list[int]) -> None:
     """Print which seeds broke a guarantee and exit; the status is 1 if any did."""
     print(f"{count - len(broken_seeds)} good, broken seeds: {broken_seeds or 'none'}")
--- a/bench/gateway_soak/_endless_senders.py
+++ b/bench/gateway_soak/_endless_senders.py
@@ -19,7 +19,7 @@
 )
 from standins._endless_bytes import CALLER, KINDS, PROBE, SERVER, STORE
 from standins.endless_sender import READY_LINE, SWITCH_OFF_PATH, SWITCH_ON_PATH
-from standins.gateway_fleet import HTTP_STATUS_OK, READS, GatewayFleet, wait_until
+from standins.gateway_fleet import HTTP_STATUS_OK, READS, GatewayFleet
 
 # The stated target: what holds while a peer sends without end.
 EXCESS_LIMIT_S = 0.5
@@ -32,12 +32,12 @@
 # Uploads of 60 MB have the time to be slower.
 TIMEOUT_S = 10.0
 SENDER_LIMIT = 4
+STOP_RATIO = 0.5
 WARM_UP_S = 0.5
 CALM_S = 0.5
 NOTICE_TIMEOUT_S = 3.0
+POLL_S = 0.02
 BYTES_PER_KIB = 1_024
-# Lines have the time of the wall clock, to the millisecond.
-DRAIN_LINE = re.compile(r"^instance: at=([0-9.]+) event=drain ", re.MULTILINE)
 # The index of each port of a gateway and a path that it serves.
 PORTS = {
     "callers": (0, "/upload/x"),
@@ -52,11 +52,12 @@
 class SenderOptions:
     """What happens in a run with endless senders."""
 
-    # The role and the kind of the senders, as `standins.endless_sender` names them.
+    # The role of the senders, and the kinds of bytes that they send in turn, as
+    # `standins.endless_sender` names them.
     role: str
-    kind: str
-    # The port of the gateway to which callers send.
-    port: str = "callers"
+    kinds: tuple[str, ...]
+    # The names of the gateway's ports to which callers send in turn.
+    ports: tuple[str, ...] = ("callers",)
     # The number of senders, each a process of its own.
     sender_count: int = 1
     # For how long they send, in seconds.
@@ -86,15 +87,15 @@
         The options.
     """
     source = random.Random(seed)
-    role = source.choice((SERVER, PROBE, STORE, CALLER))
-    role = str(fixed.get("role", role))
+    drawn_role = source.choice((SERVER, PROBE, STORE, CALLER, CALLER))
+    role = str(fixed.get("role", drawn_role))
     kinds = [kind.name for kind in KINDS.values() if role in kind.roles]
     options = SenderOptions(
         role,
-        source.choice(kinds),
-        source.choice(list(PORTS)),
+        (source.choice(kinds),),
+        (source.choice(list(PORTS)),),
         1 if role == STORE else source.randint(1, SENDER_LIMIT),
-        stops=source.random() < 0.5,
+        stops=source.random() < STOP_RATIO,
     )
     return replace(options, **fixed)
 
@@ -160,7 +161,7 @@
         servers_per_service=SERVERS_PER_SERVICE,
         slow_share=0.0,
         timeout_s=TIMEOUT_S,
-        endless_store_kind=options.kind if options.role == STORE else "",
+        endless_store_kind=options.kinds[0] if options.role == STORE else "",
     )
     with fleet:
         run = _SenderRun(fleet, options)
@@ -200,7 +201,6 @@
                 each.stop_sending()
             self._record_peak()
             report.noticed_after_s = self._stop_gateway()
-            self._record_peak()
         else:
             self.end_senders()
             self._record_peak()
@@ -226,20 +226,17 @@
             self.report.upload_statuses += map(int, output.split())
 
     def _start_senders(self) -> None:
-        options = self._options
-        if options.role == STORE:
+        if self._options.role == STORE:
             self._switch_stores(SWITCH_ON_PATH)
             return
-        if options.role == CALLER:
-            index, path = PORTS[options.port]
-            arguments = (CALLER, self._gateway.address(index), options.kind, path)
-        else:
-            arguments = (SERVER, options.role, options.kind, self._fleet.store, READS)
-        command = [sys.executable, "-m", "standins.endless_sender", *arguments]
-        for _ in range(options.sender_count):
+        for index in range(self._options.sender_count):
+            command = [sys.executable, "-m", "standins.endless_sender"]
             self._senders.append(
                 subprocess.Popen(
-                    command, stdout=subprocess.PIPE, text=True, process_group=0
+                    [*command, *self._arguments(index)],
+                    stdout=subprocess.PIPE,
+                    text=True,
+                    process_group=0,
                 )
             )
         for sender in self._senders:
@@ -247,27 +244,39 @@
             if line != READY_LINE:
                 raise RuntimeError(f"a sender printed {line!r} instead of being ready")
 
+    def _arguments(self, index: int) -> list[str]:
+        """Return the arguments of one of the senders."""
+        options = self._options
+        kind = options.kinds[index % len(options.kinds)]
+        if options.role != CALLER:
+            return [SERVER, options.role, kind, self._fleet.store, READS]
+        port_index, path = PORTS[options.ports[index % len(options.ports)]]
+        return [CALLER, self._gateway.address(port_index), kind, path]
+
     def _switch_stores(self, path: str) -> None:
         for store in self._fleet.endless_stores:
             urllib3.request("GET", f"http://{store}{path}")
 
     def _record_peak(self) -> None:
         """Record the highest resident memory of the gateway's process."""
-        status = Path(f"/proc/{self._gateway.process.pid}/status").read_text()
-        found = re.search(r"VmHWM:\s+(\d+) kB", status)
-        # A process that has exited has none.
-        if found:
-            self.report.peak_bytes = int(found[1]) * BYTES_PER_KIB
+        path = Path(f"/proc/{self._gateway.process.pid}/status")
+        found = re.search(r"VmHWM:\s+(\d+) kB", path.read_text())
+        self.report.peak_bytes = int(found[1]) * BYTES_PER_KIB
 
     def _stop_gateway(self) -> float | None:
-        """Return the time from SIGTERM until the log line of the drain."""
-        signal_s = time.time()
+        """Return the time from SIGTERM until the gateway tells that it is leaving."""
+        signal_s = time.monotonic()
         self._gateway.process.send_signal(signal.SIGTERM)
+        while time.monotonic() - signal_s < NOTICE_TIMEOUT_S:
+            if self._is_leaving():
+                return time.monotonic() - signal_s
+            eventlet.sleep(POLL_S)
+        return None
+
+    def _is_leaving(self) -> bool:
+        url = f"http://{self._gateway.address(1)}/ready"
         try:
-            wait_until(self._drain_line, NOTICE_TIMEOUT_S)
-        except TimeoutError:
-            return None
-        return float(self._drain_line()[1]) - signal_s
-
-    def _drain_line(self) -> re.Match | None:
-        return DRAIN_LINE.search(self._fleet.log_text(self._gateway))
+            answer = urllib3.request("GET", url, retries=False, timeout=NOTICE_LIMIT_S)
+        except urllib3.exceptions.HTTPError:
+            return self._gateway.process.poll() is not None
+        return answer.status != HTTP_STATUS_OK
--- a/standins/endless_sender.py
+++ b/standins/endless_sender.py
@@ -30,9 +30,10 @@
 POLL_S = 0.1
 HEALTH_PATH = "/health"
 SWITCH_ON_PATH, SWITCH_OFF_PATH = "/switch-on", "/switch-off"
-LOAD = "0,0,4,100"
-# Printed once the sender is there: its server is registered, its store forwards, or it
-# has connected.
+# With many free slots the server gets many requests at once.
+SLOT_COUNT = 64
+LOAD = f"0,0,{SLOT_COUNT},100"
+# Printed once a server is registered, or when a caller begins.
 READY_LINE = "ready"
 STORE_TIMEOUT_S = 30.0
 # A refused connection costs the instance nothing.
@@ -161,7 +162,8 @@
     _serve(listener)
     address = f"{host}:{listener.server_port}"
     url = f"http://{store}/items/servers/{server_id}"
-    urllib3.request("PUT", url, body=server_value(service, address, "here"))
+    value = server_value(service, address, "here", SLOT_COUNT)
+    urllib3.request("PUT", url, body=value)
     print(READY_LINE, flush=True)
     _wait_for_end(duration_s)
 
@@ -202,7 +204,6 @@
     listener = _Server(_address(address), answer)
     listener.is_sending = False
     _serve(listener)
-    print(READY_LINE, flush=True)
     _wait_for_end(duration_s)
 
 
