Refuse too many header fields before they are parsed

Cause: the number of fields was checked after the library's parser had run, which takes 60 ms for 64 kB of empty fields. A caller may send such heads one after another, and holds the event loop with them. Change: the lines are counted as they are read, and before the parser.

--- a/berylhaven/http1/_head_fields.py
+++ b/berylhaven/http1/_head_fields.py
@@ -94,13 +94,14 @@
     raw = _read_buffered(reader) or _read_lines(reader, limit_bytes)
     if len(raw) > limit_bytes:
         raise HeadTooLarge(f"the header fields exceed {limit_bytes} bytes")
+    # Before the parser, which takes 60 ms for 64 kB of empty fields.
+    _check_count(raw.count(END_OF_HEAD) - 1)
     if FIELDS_PATTERN.fullmatch(raw) is None:
         raise BadRequestHead("malformed header line")
     message = PARSER.parsestr(raw.decode("latin-1"))
-    pairs = [(name, value.strip(" \t")) for name, value in message.raw_items()]
-    if len(pairs) > FIELDS_LIMIT:
-        raise BadRequestHead(f"more than {FIELDS_LIMIT} header fields")
-    return HeadFields(pairs)
+    return HeadFields(
+        [(name, value.strip(" \t")) for name, value in message.raw_items()]
+    )
 
 
 def _read_buffered(reader: io.BufferedReader) -> bytes:
@@ -122,5 +123,11 @@
             raise HeadTooLarge(f"the header fields exceed {limit_bytes} bytes")
         if line != END_OF_HEAD and FIELD_LINE_PATTERN.fullmatch(line) is None:
             raise BadRequestHead(f"malformed header line {line[:60]!r}")
+        _check_count(len(lines))
         lines.append(line)
     return b"".join(lines)
+
+
+def _check_count(field_count: int) -> None:
+    if field_count > FIELDS_LIMIT:
+        raise BadRequestHead(f"more than {FIELDS_LIMIT} header fields")
