Bound the answers that an entry instance reads as a client

Cause: the clients of the configuration service, the instance list, other instances and the operators' port read a body of any size, with a timeout for each read only; probes had a deadline but no size limit. Change: they use BoundedClient. Limits: 2 MB for the catalogue, so that one that is a little over its limit of 1 MB is still rejected with its size, 4 MB for the instance list, 1 MB for messages between instances, 64 kB for probes, 16 MB for the status document. Timeouts of reads stay; 3 s more are allowed for the transfer.

--- a/berylhaven/backend/_probe.py
+++ b/berylhaven/backend/_probe.py
@@ -1,15 +1,14 @@
 """Probes that query the load of a backend server, apart from calls."""
 
-import eventlet
-import urllib3
-
 from berylhaven.backend._headers import DEADLINE_HEADER, LOAD_HEADER
 from berylhaven.backend._load_header import parse_load_header
 from berylhaven.clock import monotonic_s
+from berylhaven.http1 import REQUEST_ERRORS, BoundedClient
 from berylhaven.load import LoadReport
 
 LOAD_PATH = "/load"
-POOL_COUNT = 64
+# The report is in a header; the body is not used.
+ANSWER_LIMIT_BYTES = 65_536
 
 
 class ProbeFailed(Exception):
@@ -28,12 +27,10 @@
     is not worth its cost.
     """
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_client",)
 
     def __init__(self) -> None:
-        self._pools = urllib3.PoolManager(
-            num_pools=POOL_COUNT, maxsize=1, retries=False
-        )
+        self._client = BoundedClient(ANSWER_LIMIT_BYTES)
 
     def probe(self, address: str, timeout_s: float) -> LoadReport:
         """Query the load of one backend server.
@@ -53,19 +50,17 @@
         Raises
         ------
         ProbeTimeout
-            If there is no answer within the wait limit.
+            If there is no whole answer within the wait limit.
         ProbeFailed
             If the request fails, or the answer holds no valid load report.
         """
         headers = {DEADLINE_HEADER: str(int(timeout_s * 1000))}
         url = f"http://{address}{LOAD_PATH}"
         try:
-            with eventlet.Timeout(
-                timeout_s,
-                ProbeTimeout(f"{address}: no answer within {timeout_s:.3f} s"),
-            ):
-                answer = self._pools.request("GET", url, headers=headers)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer = self._client.request("GET", url, timeout_s, headers=headers)
+        except TimeoutError as error:
+            raise ProbeTimeout(f"{address}: {error}") from None
+        except REQUEST_ERRORS as error:
             raise ProbeFailed(f"load request to {address} failed: {error}") from error
         report = parse_load_header(answer.headers.get(LOAD_HEADER), monotonic_s())
         if answer.status != 200 or report is None:
--- a/berylhaven/cli/_operators_client.py
+++ b/berylhaven/cli/_operators_client.py
@@ -3,13 +3,20 @@
 import os
 
 import orjson
-import urllib3
 
+from berylhaven.http1 import (
+    REQUEST_ERRORS,
+    AnswerTooLarge,
+    BoundedAnswer,
+    BoundedClient,
+)
 from berylhaven.ini import value_kind
 from berylhaven.results import BadUsage, EntryUnreachable, UnexpectedAnswer
 
 STATUS_PATH = "/v1/status"
 TIMEOUT_S = 5.0
+# A row of the document has about 300 bytes: 16 MB are 50,000 instances.
+ANSWER_LIMIT_BYTES = 16_000_000
 
 
 def fetch_status(entry: str) -> dict:
@@ -38,16 +45,18 @@
         value_kind("address")(entry)
     except ValueError as error:
         raise BadUsage(f"--entry {entry}: {error}") from None
-    http = urllib3.PoolManager(retries=False)
+    client = BoundedClient(ANSWER_LIMIT_BYTES)
     try:
-        answer = http.request("GET", f"http://{entry}{STATUS_PATH}", timeout=TIMEOUT_S)
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+        answer = client.request("GET", f"http://{entry}{STATUS_PATH}", TIMEOUT_S)
+    except AnswerTooLarge as error:
+        raise UnexpectedAnswer(f"{entry}: {error}") from None
+    except REQUEST_ERRORS as error:
         reason = _root_cause(error)
         raise EntryUnreachable(f"{entry} does not answer: {reason}") from None
     return _parse_status(entry, answer)
 
 
-def _parse_status(entry: str, answer: urllib3.BaseHTTPResponse) -> dict:
+def _parse_status(entry: str, answer: BoundedAnswer) -> dict:
     try:
         document = orjson.loads(answer.data)
         document["instance"]["peers_address"]
@@ -62,6 +71,6 @@
         error = error.__cause__
     if isinstance(error, OSError) and error.errno:
         return os.strerror(error.errno).lower()
-    if isinstance(error, urllib3.exceptions.TimeoutError):
-        return f"no answer within {TIMEOUT_S:g} s"
+    if isinstance(error, TimeoutError):
+        return str(error)
     return type(error).__name__
--- a/berylhaven/discovery/_configuration_service.py
+++ b/berylhaven/discovery/_configuration_service.py
@@ -3,11 +3,14 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from berylhaven.catalogue import CATALOGUE_LIMIT_BYTES
 from berylhaven.discovery._errors import PlatformUnavailable
 from berylhaven.discovery._http import PlatformHttp
 from berylhaven.settings import PlatformSettings
 
 VERSION_HEADER = "Value-Version"
+# A catalogue that is a little too large is read, and rejected with its size.
+ANSWER_LIMIT_BYTES = 2 * CATALOGUE_LIMIT_BYTES
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,7 +35,9 @@
     __slots__ = ("_http", "_path")
 
     def __init__(self, settings: PlatformSettings) -> None:
-        self._http = PlatformHttp(settings.configuration_service, settings)
+        self._http = PlatformHttp(
+            settings.configuration_service, settings, ANSWER_LIMIT_BYTES
+        )
         self._path = f"/v1/values/{quote(settings.catalogue_key, safe='')}"
 
     def read(self) -> ConfigurationValue:
--- a/berylhaven/discovery/_http.py
+++ b/berylhaven/discovery/_http.py
@@ -3,10 +3,14 @@
 import urllib3
 
 from berylhaven.discovery._errors import PlatformUnavailable
+from berylhaven.http1 import REQUEST_ERRORS, BoundedAnswer, BoundedClient
 from berylhaven.settings import PlatformSettings
 
 # A watch and a read may be in progress at the same time.
 CONNECTIONS_PER_SERVICE = 2
+# How long an answer may take in addition once its first byte is due: 1 MB over a link
+# of 0.6 MB/s takes 1.7 s.
+TRANSFER_TIMEOUT_S = 3.0
 
 
 class PlatformHttp:
@@ -18,23 +22,25 @@
         HOST:PORT of the service.
     settings : PlatformSettings
         Settings with the request timeout.
+    answer_limit_bytes : int
+        The size limit of an answer's body, in bytes.
     """
 
-    __slots__ = ("_pool", "_settings")
+    __slots__ = ("_address", "_client", "_settings")
 
-    def __init__(self, address: str, settings: PlatformSettings) -> None:
-        host, _, port = address.rpartition(":")
+    def __init__(
+        self, address: str, settings: PlatformSettings, answer_limit_bytes: int
+    ) -> None:
+        self._address = address
         self._settings = settings
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=CONNECTIONS_PER_SERVICE, retries=False
-        )
+        self._client = BoundedClient(answer_limit_bytes, CONNECTIONS_PER_SERVICE)
 
     def get(
         self,
         path: str,
         extra_wait_s: float = 0.0,
         headers: dict[str, str] | None = None,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> BoundedAnswer:
         """Send a GET request and read the complete answer.
 
         Parameters
@@ -48,18 +54,24 @@
 
         Returns
         -------
-        urllib3.BaseHTTPResponse
+        BoundedAnswer
             The answer with status 200 or 304 and its complete body.
 
         Raises
         ------
         PlatformUnavailable
-            If there is no such answer within the timeout.
+            If there is no such answer within the timeout, or it exceeds its limit.
         """
         timeout_s = self._settings.timeout_s + extra_wait_s
         try:
-            answer = self._pool.request("GET", path, timeout=timeout_s, headers=headers)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer = self._client.request(
+                "GET",
+                f"http://{self._address}{path}",
+                timeout_s + TRANSFER_TIMEOUT_S,
+                headers=headers,
+                socket_timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
+            )
+        except REQUEST_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error}") from error
         if answer.status not in (200, 304):
             raise PlatformUnavailable(f"{path}: unexpected status {answer.status}")
--- a/berylhaven/discovery/_instance_list.py
+++ b/berylhaven/discovery/_instance_list.py
@@ -7,6 +7,9 @@
 from berylhaven.discovery._instances import BackendServer, EntryInstance, InstanceList
 from berylhaven.settings import InstanceSettings, PlatformSettings
 
+# A row has about 150 bytes: 4 MB are more than 20,000 instances.
+ANSWER_LIMIT_BYTES = 4_000_000
+
 
 class InstanceListService:
     """Reads the instance list of one firm.
@@ -22,7 +25,7 @@
     __slots__ = ("_http", "_path", "_entity_tag", "_last")
 
     def __init__(self, settings: PlatformSettings, instance: InstanceSettings) -> None:
-        self._http = PlatformHttp(settings.instance_list, settings)
+        self._http = PlatformHttp(settings.instance_list, settings, ANSWER_LIMIT_BYTES)
         self._path = f"/v1/instances?firm={instance.firm}"
         self._entity_tag: str | None = None
         self._last = InstanceList()
--- a/berylhaven/exchange/_peer_client.py
+++ b/berylhaven/exchange/_peer_client.py
@@ -3,12 +3,17 @@
 import urllib3
 from urllib3.util import SKIP_HEADER
 
+from berylhaven.exchange._application import MESSAGE_LIMIT_BYTES
 from berylhaven.exchange._http_size import answer_size_bytes, request_size_bytes
 from berylhaven.exchange._traffic import PeerTraffic
+from berylhaven.http1 import REQUEST_ERRORS, BoundedAnswer, BoundedClient
 
 CONNECTIONS_PER_PEER = 2
 # With more peers than this, some requests open a new connection.
 POOL_COUNT = 256
+# How long an answer may take in addition once its first byte is due: a catalogue of
+# 1 MB over a link of 0.6 MB/s takes 1.7 s.
+TRANSFER_TIMEOUT_S = 3.0
 # Peers don't use these headers, which would be a large part of a small message.
 SKIPPED_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 
@@ -28,11 +33,12 @@
         The time limit for connecting and for each read, in seconds.
     """
 
-    __slots__ = ("_pools", "_timeout_s", "_traffic")
+    __slots__ = ("_client", "_timeout_s", "_traffic")
 
     def __init__(self, traffic: PeerTraffic, timeout_s: float = 1.0) -> None:
-        self._pools = urllib3.PoolManager(
-            num_pools=POOL_COUNT, maxsize=CONNECTIONS_PER_PEER, retries=False
+        # A catalogue has at most as many bytes as a message.
+        self._client = BoundedClient(
+            MESSAGE_LIMIT_BYTES, CONNECTIONS_PER_PEER, POOL_COUNT
         )
         self._timeout_s = timeout_s
         self._traffic = traffic
@@ -67,7 +73,7 @@
 
     def response(
         self, method: str, peers_address: str, path: str, body: bytes | None = None
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> BoundedAnswer:
         """Send a request and return the answer, its body read.
 
         Parameters
@@ -83,25 +89,28 @@
 
         Returns
         -------
-        urllib3.BaseHTTPResponse
+        BoundedAnswer
             The answer with its headers.
 
         Raises
         ------
         PeerUnreachable
-            If there is no 200 answer in time.
+            If there is no 200 answer in time, or it exceeds the size limit.
         """
         url = f"http://{peers_address}{path}"
         self._count_request(method, peers_address, path, body)
         try:
-            answer = self._pools.request(
+            answer = self._client.request(
                 method,
                 url,
+                self._timeout_s + TRANSFER_TIMEOUT_S,
                 body=body,
                 headers=SKIPPED_HEADERS,
-                timeout=self._timeout_s,
+                socket_timeout=urllib3.Timeout(
+                    connect=self._timeout_s, read=self._timeout_s
+                ),
             )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except REQUEST_ERRORS as error:
             raise PeerUnreachable(f"{peers_address}{path}: {error}") from error
         status = f"{answer.status} {answer.reason}"
         size_bytes = answer_size_bytes(status, answer.headers.items(), len(answer.data))
