Bound the answers that the callers' library reads

Cause: the library read a body of any size, and its timeouts were those of single reads, so that trickling bytes, trailers or interim answers kept a caller far beyond its deadline; an announced length of 1 TB was allocated. A body over answer_limit_bytes (32 MB) is not received; the call counts as run, without a body. Locate answers have 1 MB.

--- a/berylhaven/client/_attempt.py
+++ b/berylhaven/client/_attempt.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from berylhaven.client._bounded_http import AnswerTooLarge, read_body
 from berylhaven.results import Outcome
 
 CALL_ID_HEADER = "Berylhaven-Call-Id"
@@ -47,7 +48,8 @@
     status: int | None = None
     # The answer's headers; None without an answer.
     headers: Mapping[str, str] | None = None
-    # The complete body; None unless a backend server answered.
+    # The complete body; None unless a backend server answered, with one that is within
+    # the size limit.
     body: bytes | None = None
 
     @property
@@ -72,13 +74,14 @@
     spec: CallSpec,
     call_id: str,
     remaining_s: float,
+    answer_limit_bytes: int,
 ) -> Attempt:
     """Send the request of one attempt.
 
     Parameters
     ----------
     http : urllib3.PoolManager
-        The HTTP client; must not retry by itself.
+        The HTTP client of `create_http`.
     address : str
         HOST:PORT of the entry instance.
     spec : CallSpec
@@ -87,6 +90,8 @@
         The call id.
     remaining_s : float
         Seconds until the caller's deadline.
+    answer_limit_bytes : int
+        The size limit of the answer's body, in bytes.
 
     Returns
     -------
@@ -108,8 +113,9 @@
             headers=headers,
             timeout=timeout,
             redirect=False,
-            retries=False,
+            preload_content=False,
         )
+        body = _bounded_body(answer, answer_limit_bytes)
     except (
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ConnectTimeoutError,
@@ -117,10 +123,19 @@
         return NOT_SENT
     except (urllib3.exceptions.HTTPError, OSError):
         return NO_ANSWER
-    return _parse_answer(answer, call_id)
+    return _parse_answer(answer, body, call_id)
 
 
-def _parse_answer(answer: urllib3.BaseHTTPResponse, call_id: str) -> Attempt:
+def _bounded_body(answer: urllib3.BaseHTTPResponse, limit_bytes: int) -> bytes | None:
+    try:
+        return read_body(answer, limit_bytes)
+    except AnswerTooLarge:
+        return None
+
+
+def _parse_answer(
+    answer: urllib3.BaseHTTPResponse, body: bytes | None, call_id: str
+) -> Attempt:
     headers = answer.headers
     if headers.get(CALL_ID_HEADER) != call_id:
         # Not an entry instance, or the answer to another request.
@@ -130,5 +145,6 @@
         result = int(headers.get(RESULT_HEADER, ""))
     except ValueError:
         return NO_ANSWER
-    body = answer.data if result == RESULT_CODE_ANSWERED else None
+    if result != RESULT_CODE_ANSWERED:
+        body = None
     return Attempt(outcome, True, result, answer.status, headers, body)
--- a/berylhaven/client/_client.py
+++ b/berylhaven/client/_client.py
@@ -10,9 +10,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import urllib3
-
 from berylhaven.client._attempt import Attempt, CallSpec, send_attempt
+from berylhaven.client._bounded_http import create_http
 from berylhaven.client._call_result import CallResult
 from berylhaven.client._located_entries import (
     EntryAddress,
@@ -49,6 +48,9 @@
     data_centre: str | None = None
     # The time limit for a call with all its attempts, in seconds.
     timeout_s: float = 2.0
+    # The largest body of an answer, in bytes. A larger one is not received: the call
+    # ran, and its result has no body.
+    answer_limit_bytes: int = 32_000_000
 
 
 class Client:
@@ -77,9 +79,7 @@
         self._clock = clock
         self._sleep = sleep
         self._random = source or random.Random()
-        self._http = urllib3.PoolManager(
-            num_pools=64, maxsize=CONNECTIONS_PER_ENTRY, retries=False
-        )
+        self._http = create_http(CONNECTIONS_PER_ENTRY)
         self._located_by_service: dict[str, LocatedEntries] = {}
 
     def call(
@@ -231,6 +231,7 @@
                 self._spec,
                 self._call_id,
                 remaining_s,
+                self._client._settings.answer_limit_bytes,
             )
             self._attempt_count += 1
             self._record_attempt(last)
--- a/berylhaven/client/_located_entries.py
+++ b/berylhaven/client/_located_entries.py
@@ -5,7 +5,20 @@
 import orjson
 import urllib3
 
+from berylhaven.client._bounded_http import AnswerTooLarge, read_body
+
 LOCATE_TIMEOUT_S = 1.0
+# The addresses of a hundred instances take 20 kB.
+LOCATE_LIMIT_BYTES = 1_000_000
+# Raised for a request that fails, and for an answer that is invalid.
+LOCATE_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    AnswerTooLarge,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
 
 
 class NoEntryInstance(Exception):
@@ -46,7 +59,7 @@
     Parameters
     ----------
     http : urllib3.PoolManager
-        The HTTP client.
+        The HTTP client of `create_http`.
     address : str
         HOST:PORT of the entry instance.
     service : str
@@ -71,11 +84,13 @@
         fields["data_centre"] = data_centre
     url = f"http://{address}/v1/entries"
     try:
-        answer = http.request("GET", url, fields=fields, timeout=LOCATE_TIMEOUT_S)
-        document = orjson.loads(answer.data)
+        answer = http.request(
+            "GET", url, fields=fields, timeout=LOCATE_TIMEOUT_S, preload_content=False
+        )
+        document = orjson.loads(read_body(answer, LOCATE_LIMIT_BYTES))
         entries = tuple(EntryAddress(**row) for row in document["entry_instances"])
         valid_until_s = now_s + float(document["time_to_live_s"])
-    except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+    except LOCATE_ERRORS as error:
         raise NoEntryInstance(f"locate request to {address} failed: {error}") from error
     if not entries:
         raise NoEntryInstance(
