Limit the rows in a message of another instance

Cause: a message of up to 1 MB is parsed and merged in one turn of the event loop: 0.6 s for heartbeats. Rows about leaving backend servers cost 0.3 ms each beyond the 4,096 that are kept, 6.4 s for the 20,000 of the new test. Change: more than 1,024 rows of a kind, 128 leaving servers, or 64 load reports of a service are malformed; instances send up to 256, 73 and 8. Evidence: six subtests of test_message_limits.py fail on the old code, which accepts and merges all rows.

--- a/berylhaven/controllers/_leaving_topic.py
+++ b/berylhaven/controllers/_leaving_topic.py
@@ -17,6 +17,9 @@
 # Old marks are sent in turn, this many per message, so that joining instances and
 # healed partitions receive them.
 OLD_ROWS_PER_MESSAGE = 1
+# The most rows that are accepted. A message has up to 1,100 bytes, and a row 15; each
+# new row beyond the directory's limit takes 0.3 ms to find the oldest.
+RECEIVED_ROWS_LIMIT = 128
 # The size of the payload's own brackets and commas.
 ARRAY_OVERHEAD_BYTES = 8
 
@@ -70,6 +73,10 @@
             raise ValueError(
                 f"leaving: payload of type {type(payload).__name__} is not an array"
             )
+        if len(payload) > RECEIVED_ROWS_LIMIT:
+            raise ValueError(
+                f"leaving: {len(payload)} rows, over the limit of {RECEIVED_ROWS_LIMIT}"
+            )
         for row in payload:
             address, incarnation = _parse_row(row)
             if self._directory.mark_leaving(address, incarnation, now_s):
--- a/berylhaven/exchange/_message.py
+++ b/berylhaven/exchange/_message.py
@@ -7,6 +7,10 @@
 
 from berylhaven.exchange._rows import HeartbeatRow, MemberRow, SuspicionRow
 
+# The most rows of a kind in a message. Answers have up to 256; 1 MB of rows would hold
+# the event loop for 0.6 s.
+ROWS_LIMIT = 1_024
+
 
 @dataclass(slots=True)
 class MemberUpdate:
@@ -115,4 +119,6 @@
     value = document.get(key, [])
     if not isinstance(value, list):
         raise ValueError(f"members: {key} is not an array")
+    if len(value) > ROWS_LIMIT:
+        raise ValueError(f"members: {key} has {len(value)} rows, over {ROWS_LIMIT}")
     return value
--- a/berylhaven/load/_load_topic.py
+++ b/berylhaven/load/_load_topic.py
@@ -17,6 +17,8 @@
 REPORT_AGE_LIMIT_S = 1.0
 SLOW_AGE_LIMIT_S = 2.0
 ROWS_PER_MESSAGE = 8
+# The most rows that are accepted for a service, and the most services.
+RECEIVED_ROWS_LIMIT = 64
 # A server's report is sent at most once in this interval, so that only the last of
 # the reports received in between is sent.
 SEND_INTERVAL_S = 2.0
@@ -89,12 +91,19 @@
             raise ValueError(
                 f"load: payload is of type {type(payload).__name__}, not an object"
             )
+        if len(payload) > RECEIVED_ROWS_LIMIT:
+            raise ValueError(f"load: {len(payload)} services, over the limit")
         for service, rows in payload.items():
             if not isinstance(rows, list):
                 raise ValueError(
                     f"load: rows of service {service[:100]!r} are of type "
                     f"{type(rows).__name__}, not a list"
                 )
+            if len(rows) > RECEIVED_ROWS_LIMIT:
+                raise ValueError(
+                    f"load: {len(rows)} rows of service {service[:100]!r}, over the "
+                    f"limit of {RECEIVED_ROWS_LIMIT}"
+                )
             for row in rows:
                 self._record_row(service, row, now_s)
 
