Remember backend servers whose answers break off

Cause: an answer that broke off after its head counted as a success of its server, left no line and no count. Change: it adds to the failures of the load record, as a failed probe does, so that the server is chosen less; berylhaven_broken_answers_total counts by service and kind, and one line a second names server, bytes and kind.

--- a/berylhaven/http1/_upstream_answer.py
+++ b/berylhaven/http1/_upstream_answer.py
@@ -15,6 +15,9 @@
 class AnswerBodyError(Exception):
     """The body of an answer is truncated or malformed."""
 
+    # The kind of the fault in metrics and log lines.
+    kind = "cut"
+
 
 class NoAnswerLength(Exception):
     """An answer's body would be delimited only by the close of the connection.
@@ -108,6 +111,16 @@
             raise AnswerBodyError(f"the connection broke: {error}") from None
 
 
+@dataclass(slots=True, frozen=True)
+class BodyFault:
+    """How the body of an answer broke off."""
+
+    # What was wrong.
+    error: AnswerBodyError
+    # The bytes of the body that were read before.
+    read_bytes: int
+
+
 @dataclass(slots=True)
 class UpstreamAnswer:
     """An answer whose head and first body piece were read."""
@@ -126,6 +139,8 @@
     first_piece: bytes
     # Whether the backend server keeps its connection open after this answer.
     keeps_connection: bool
+    # How the rest of the body broke off; None if it did not.
+    fault: BodyFault | None = None
 
     @property
     def is_complete(self) -> bool:
--- a/berylhaven/load/_server_load.py
+++ b/berylhaven/load/_server_load.py
@@ -159,8 +159,6 @@
         """
         self.own_in_flight -= 1
         self.consecutive_failures += 1
-        self.failure_ratio += FAILURE_WEIGHT * (1 - self.failure_ratio)
-        self.failed_at_s = now_s
         if report is not None:
             self.record_report(report)
         if self.consecutive_failures >= EJECTION_FAILURES:
@@ -168,7 +166,11 @@
             ejection_s = min(MAX_EJECTION_S, EJECTION_FIRST_S * 2**doublings)
             self.ejected_until_s = now_s + ejection_s
             self.service.eject(self)
-        self.has_penalty = True
+        self._add_failure(now_s)
+
+    def answer_broken(self, now_s: float) -> None:
+        """Record that the body of an answered call was cut or malformed."""
+        self._add_failure(now_s)
 
     def call_shed(self, now_s: float, report: LoadReport | None = None) -> None:
         """Record a call that the server shed because it is full.
@@ -241,9 +243,7 @@
 
     def probe_failed(self, now_s: float) -> None:
         """Record a probe without an answer, with the weight of a failed call."""
-        self.failed_at_s = now_s
-        self.failure_ratio += FAILURE_WEIGHT * (1 - self.failure_ratio)
-        self.has_penalty = True
+        self._add_failure(now_s)
 
     def record_slow_ratio(self, slow_ratio: float, at_s: float) -> None:
         """Record a slow ratio that a peer computed, if it is newer."""
@@ -265,6 +265,11 @@
         """Return whether the server is to be skipped while ejection is allowed."""
         return self.ejected_until_s > now_s
 
+    def _add_failure(self, now_s: float) -> None:
+        self.failed_at_s = now_s
+        self.failure_ratio += FAILURE_WEIGHT * (1 - self.failure_ratio)
+        self.has_penalty = True
+
     def _service_times_to_answer(self) -> float:
         load = self.others_in_flight + self.own_in_flight
         return 1 + max(0.0, load + 1 - self.slot_count) / self.slot_count
--- a/berylhaven/load/tests/test_server_load.py
+++ b/berylhaven/load/tests/test_server_load.py
@@ -32,6 +32,20 @@
     return table
 
 
+class BrokenAnswersTest(unittest.TestCase):
+    """A server whose answers break off after their heads is chosen less."""
+
+    def test_an_answer_that_broke_off_raises_the_estimate(self):
+        table = warmed(2)
+        sound, broken = table.candidates(SERVICE)
+        for turn in range(5):
+            answer(broken, 0.005, 1.0 + turn * 0.01, 2)
+            broken.answer_broken(1.0 + turn * 0.01)
+            answer(sound, 0.005, 1.0 + turn * 0.01, 2)
+        estimates_s = [expected_finish_s(s, 1.05, "a") for s in (sound, broken)]
+        self.assertGreater(estimates_s[1], 2 * estimates_s[0])
+
+
 class ReportAgeTest(unittest.TestCase):
     """The weight of a load report decays with its age."""
 
--- a/berylhaven/operations/_metrics.py
+++ b/berylhaven/operations/_metrics.py
@@ -42,7 +42,7 @@
         The registry to which the metrics are added.
     """
 
-    __slots__ = ("_ended_calls", "_durations")
+    __slots__ = ("_ended_calls", "_durations", "_broken_answers")
 
     def __init__(self, metrics: MetricsRegistry) -> None:
         self._ended_calls = Counter(
@@ -56,6 +56,11 @@
             buckets=list(CALL_BUCKETS_S),
             registry=metrics.registry,
         )
+        self._broken_answers = Counter(
+            "berylhaven_broken_answers_total",
+            "Answers whose bodies broke off, by service and kind of fault.",
+            registry=metrics.registry,
+        )
 
     def record_call(
         self, service_name: str, code: ResultCode, started_at_s: float
@@ -74,3 +79,15 @@
         self._ended_calls.inc({"service": service_name, "result": code.name})
         duration_s = monotonic_s() - started_at_s
         self._durations.observe({"service": service_name}, duration_s)
+
+    def record_broken_answer(self, service_name: str, kind: str) -> None:
+        """Count an answer whose body broke off after its head was sent to the caller.
+
+        Parameters
+        ----------
+        service_name : str
+            The service of the call.
+        kind : str
+            The kind of the fault.
+        """
+        self._broken_answers.inc({"service": service_name, "kind": kind})
--- a/berylhaven/proxy/_answer_body.py
+++ b/berylhaven/proxy/_answer_body.py
@@ -5,7 +5,11 @@
 import eventlet
 
 from berylhaven.clock import monotonic_s
-from berylhaven.http1._upstream_answer import AnswerBodyError, UpstreamAnswer
+from berylhaven.http1._upstream_answer import (
+    AnswerBodyError,
+    BodyFault,
+    UpstreamAnswer,
+)
 from berylhaven.results import DeadlineExceeded, Outcome, UpstreamBroken
 
 
@@ -33,6 +37,7 @@
         "_chunk_bytes",
         "_deadline_s",
         "_on_end",
+        "_passed_bytes",
         "_timer",
         "_first_piece",
         "is_cut",
@@ -49,6 +54,7 @@
         self._chunk_bytes = chunk_bytes
         self._deadline_s = deadline_s
         self._on_end: Callable[[bool], None] | None = on_end
+        self._passed_bytes = len(upstream.first_piece)
         self._timer: eventlet.Timeout | None = None
         self._first_piece: bytes | None = upstream.first_piece
         # Whether the caller received a truncated body.
@@ -77,9 +83,11 @@
         try:
             piece = self._upstream.body_reader.read1(self._chunk_bytes)
         except AnswerBodyError as cut:
+            self._upstream.fault = BodyFault(cut, self._passed_bytes)
             raise UpstreamBroken(f"the answer was truncated: {cut}") from cut
         if not piece:
             raise StopIteration
+        self._passed_bytes += len(piece)
         return piece
 
     def _start_timer(self) -> None:
--- a/berylhaven/proxy/_attempt_sender.py
+++ b/berylhaven/proxy/_attempt_sender.py
@@ -7,13 +7,18 @@
 from berylhaven.calls import AttemptEnd, AttemptFailed
 from berylhaven.catalogue import FleetEntry
 from berylhaven.clock import monotonic_s
+from berylhaven.http1._upstream_answer import BodyFault
 from berylhaven.load import ServerLoad, finish_estimate
+from berylhaven.operations import CallMetrics, ComponentLog
 from berylhaven.proxy._call_request import CallRequest
 from berylhaven.proxy._stop_watch import StopWatch
 from berylhaven.proxy._unresponsive_timeout import unresponsive_timeout_s
 from berylhaven.proxy._upstream_caller import UpstreamCaller, UpstreamExchange
 from berylhaven.settings import Settings
 
+LOG = ComponentLog("placement")
+# Lines about broken answers are at least this far apart; the metric counts all.
+FAULT_LINE_INTERVAL_S = 1.0
 # Ends of attempts that say nothing about the health of the backend server.
 ENDS_UNRELATED_TO_SERVER = frozenset(
     {
@@ -40,11 +45,23 @@
         The settings of the process.
     stop_watch : StopWatch
         Ends the attempts when the instance stops.
+    metrics : CallMetrics
+        Counts the answers whose bodies broke off.
     """
 
-    __slots__ = ("_data_centre", "_connection_limits", "_upstreams")
-
-    def __init__(self, settings: Settings, stop_watch: StopWatch) -> None:
+    __slots__ = (
+        "_data_centre",
+        "_connection_limits",
+        "_upstreams",
+        "_metrics",
+        "_fault_line_at_s",
+    )
+
+    def __init__(
+        self, settings: Settings, stop_watch: StopWatch, metrics: CallMetrics
+    ) -> None:
+        self._metrics = metrics
+        self._fault_line_at_s = float("-inf")
         self._data_centre = settings.instance.data_centre
         self._connection_limits: dict[str, int] = {}
         self._upstreams = UpstreamCaller(
@@ -121,10 +138,32 @@
             server.call_timed_out(now_s - sent_at_s, now_s)
             raise
         _record_answer(server, exchange, sent_at_s)
+        service_name = request.service.name
+        exchange.on_fault = lambda fault: self._record_fault(
+            server, service_name, fault
+        )
         if request.pending is not None:
             request.pending.has_answer = True
         return exchange
 
+    def _record_fault(
+        self, server: ServerLoad, service_name: str, fault: BodyFault
+    ) -> None:
+        now_s = monotonic_s()
+        server.answer_broken(now_s)
+        self._metrics.record_broken_answer(service_name, fault.error.kind)
+        if now_s - self._fault_line_at_s < FAULT_LINE_INTERVAL_S:
+            return
+        self._fault_line_at_s = now_s
+        LOG.warning(
+            "The answer of backend server %s of %s broke off after %d bytes (%s): %s.",
+            server.address,
+            service_name,
+            fault.read_bytes,
+            fault.error.kind,
+            fault.error,
+        )
+
 
 def _record_answer(
     server: ServerLoad, exchange: UpstreamExchange, sent_at_s: float
--- a/berylhaven/proxy/_call_handler.py
+++ b/berylhaven/proxy/_call_handler.py
@@ -92,7 +92,7 @@
             blackboard, nonce, settings.proxy, self._stop_watch
         )
         random_source = random.Random()
-        self._attempt_sender = AttemptSender(settings, self._stop_watch)
+        self._attempt_sender = AttemptSender(settings, self._stop_watch, metrics)
         self._sender = RetryingSender(
             ServerChooser(
                 settings.instance.data_centre, load_table, decision_log, random_source
--- a/berylhaven/proxy/_upstream_caller.py
+++ b/berylhaven/proxy/_upstream_caller.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from berylhaven.http1._connection_pool import ConnectionCounts, ConnectionPool
-from berylhaven.http1._upstream_answer import UpstreamAnswer
+from berylhaven.http1._upstream_answer import BodyFault, UpstreamAnswer
 from berylhaven.http1._upstream_connection import UpstreamConnection
 from berylhaven.proxy._attempt import AttemptLimits, send_attempt
 from berylhaven.proxy._call_request import CallRequest
@@ -25,7 +25,7 @@
         The answer, whose body is partly read.
     """
 
-    __slots__ = ("_pool", "_connection", "answer")
+    __slots__ = ("_pool", "_connection", "answer", "on_fault")
 
     def __init__(
         self,
@@ -37,6 +37,8 @@
         self._connection: UpstreamConnection | None = connection
         # The answer, whose body is partly read.
         self.answer = answer
+        # Called at the release if the body broke off.
+        self.on_fault: Callable[[BodyFault], None] = lambda fault: None
 
     def release(self, is_reusable: bool) -> None:
         """Return the connection to the pool; further calls do nothing.
@@ -49,6 +51,8 @@
         if self._connection is not None:
             connection, self._connection = self._connection, None
             self._pool.release(connection, is_reusable)
+            if self.answer.fault is not None:
+                self.on_fault(self.answer.fault)
 
 
 class UpstreamCaller:
--- a/berylhaven/proxy/tests/test_answer_edges.py
+++ b/berylhaven/proxy/tests/test_answer_edges.py
@@ -1,11 +1,13 @@
 """Tests that answers reach the right caller, complete or visibly truncated."""
 
 import unittest
+from unittest import mock
 
 import eventlet
 import orjson
 
 from berylhaven.http1.tests._raw_backend import answer_ok, answers_raw
+from berylhaven.load._server_load import ServerLoad
 from berylhaven.proxy.tests._proxy_path import (
     BOOKINGS,
     POSITIONS,
@@ -62,6 +64,18 @@
                     self.assertTrue(caller.is_closed())
                 self.assertEqual(self.path.in_flight_count(), 0)
 
+    def test_a_server_whose_answer_breaks_off_is_remembered_for_it(self):
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n-1\r\n"
+        self.positions.answers["/x"] = answers_raw(data, keeps_open=False)
+        [record] = self.path.instances[0]._context.load_table.candidates("positions")
+        with mock.patch.object(ServerLoad, "answer_broken", autospec=True) as broken:
+            self.exchange()
+            self.path.wait_until(lambda: broken.called)
+        self.assertIs(broken.call_args[0][0], record)
+        metrics = self.path.get(0, "/metrics", port=2).data.decode()
+        line = 'berylhaven_broken_answers_total{kind="cut",service="positions"}'
+        self.assertIn(line, metrics)
+
     def test_a_cut_that_http_1_0_cannot_show_resets_the_connection(self):
         data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n"
         self.positions.answers["/x"] = answers_raw(data, keeps_open=False)
