Limit the problems and sections that a check of INI text keeps

Cause: the check of a catalogue kept an exception for each problem: 1 MB of lines, keys or sections took 130 to 273 MB (57 to 61 MB before), and the smallest instances have 152 MB. Sections cost 1.8 kB each in the library. Change: problems beyond 1,000 are dropped, and sections beyond 10,000 are problems.

--- a/berylhaven/catalogue/_validation.py
+++ b/berylhaven/catalogue/_validation.py
@@ -5,6 +5,7 @@
 from berylhaven.ini import (
     IniDocument,
     IniSection,
+    ProblemList,
     parse_document,
     parse_fields,
     value_kind,
@@ -70,7 +71,8 @@
     Returns
     -------
     tuple of Catalogue or None and list of CheckProblem
-        The catalogue, or None if it is invalid, and every problem found.
+        The catalogue, or None if it is invalid, and every problem found, up to
+        PROBLEMS_LIMIT.
     """
     if len(raw) > CATALOGUE_LIMIT_BYTES:
         message = (
@@ -86,9 +88,10 @@
     fleet = _parse_fleet(document, problems)
     firms = _parse_firms(document, problems)
     services = _parse_services(document, firms, problems)
-    _check_divided_limits(document, fleet, services, problems)
-    _check_sections(document, problems)
-    _check_shares(document, firms, problems)
+    if not problems.is_full:
+        _check_divided_limits(document, fleet, services, problems)
+        _check_sections(document, problems)
+        _check_shares(document, firms, problems)
     if problems:
         return None, sorted(problems, key=lambda problem: problem.line or 0)
     return Catalogue(fleet, firms, services, text), []
@@ -103,9 +106,7 @@
     ]
 
 
-def _parse_fleet(
-    document: IniDocument, problems: list[CheckProblem]
-) -> FleetEntry | None:
+def _parse_fleet(document: IniDocument, problems: ProblemList) -> FleetEntry | None:
     for section in document.sections:
         if section.name == "fleet":
             values, section_problems = parse_fields(section, FLEET_FIELDS)
@@ -117,11 +118,11 @@
     return None
 
 
-def _parse_firms(
-    document: IniDocument, problems: list[CheckProblem]
-) -> dict[str, FirmEntry]:
+def _parse_firms(document: IniDocument, problems: ProblemList) -> dict[str, FirmEntry]:
     firms = {}
     for name, section in _sections_of_kind(document, "firm"):
+        if problems.is_full:
+            break
         values, section_problems = parse_fields(section, FIRM_FIELDS)
         problems.extend(section_problems)
         firms[name] = FirmEntry(name=name, **values)
@@ -129,10 +130,12 @@
 
 
 def _parse_services(
-    document: IniDocument, firms: dict[str, FirmEntry], problems: list[CheckProblem]
+    document: IniDocument, firms: dict[str, FirmEntry], problems: ProblemList
 ) -> dict[str, ServiceEntry]:
     services = {}
     for name, section in _sections_of_kind(document, "service"):
+        if problems.is_full:
+            break
         values, section_problems = parse_fields(section, SERVICE_FIELDS)
         problems.extend(section_problems)
         values["call_class"] = values.pop("class")
@@ -146,7 +149,7 @@
     entry: ServiceEntry,
     section: IniSection,
     firms: dict[str, FirmEntry],
-    problems: list[CheckProblem],
+    problems: ProblemList,
 ) -> None:
     if entry.owner is not None and entry.owner not in firms:
         line = section.entries["owner"].line
@@ -159,7 +162,7 @@
         problems.append(BadValue(message, line, section.name, "routing_policy"))
 
 
-def _check_sections(document: IniDocument, problems: list[CheckProblem]) -> None:
+def _check_sections(document: IniDocument, problems: ProblemList) -> None:
     for section in document.sections:
         kind, _, name = section.name.partition(" ")
         if section.name == "fleet":
@@ -176,7 +179,7 @@
 
 
 def _check_shares(
-    document: IniDocument, firms: dict[str, FirmEntry], problems: list[CheckProblem]
+    document: IniDocument, firms: dict[str, FirmEntry], problems: ProblemList
 ) -> None:
     total = sum(firm.guaranteed_share_ratio or 0 for firm in firms.values())
     if total <= 1 + SHARE_TOLERANCE:
@@ -195,7 +198,7 @@
     document: IniDocument,
     fleet: FleetEntry | None,
     services: dict[str, ServiceEntry],
-    problems: list[CheckProblem],
+    problems: ProblemList,
 ) -> None:
     """Report limits that are too small to give each entry instance at least 1."""
     if fleet is None or fleet.max_entry_instances is None:
--- a/berylhaven/catalogue/tests/test_bad_input.py
+++ b/berylhaven/catalogue/tests/test_bad_input.py
@@ -8,6 +8,7 @@
 
 from berylhaven.catalogue import CATALOGUE_LIMIT_BYTES, validate_catalogue
 from berylhaven.catalogue.tests.test_validation import VALID_CATALOGUE
+from berylhaven.ini import PROBLEMS_LIMIT, parse_document
 
 LINE_COUNT = VALID_CATALOGUE.count("\n")
 
@@ -99,6 +100,23 @@
         found = [(problem.code.number, problem.line) for problem in problems_of(text)]
         self.assertEqual(found, [(100, 1), (100, 18), (104, 19), (100, 20), (101, 20)])
 
+    def test_problems_and_sections_beyond_a_limit_are_dropped(self):
+        # 1 MB of them took 130 to 273 MB, more than a small instance has.
+        texts = {
+            "sections twice": "[a]\n" * 20_000,
+            "sections": "".join(f"[service s{n}]\n" for n in range(20_000)),
+            "keys": "[fleet]\n" + "".join(f"a{n}=1\n" for n in range(20_000)),
+            "keys twice": "[fleet]\n" + "a=1\n" * 20_000,
+            "lines": "x\n" * 20_000,
+            "lines of a section": "[service a]\n" + "=\n" * 20_000,
+        }
+        for name, text in texts.items():
+            with self.subTest(name):
+                self.assertEqual(len(problems_of(text)), PROBLEMS_LIMIT)
+        document, problems = parse_document(texts["sections"])
+        self.assertEqual(len(document.sections), 10_000)
+        self.assertIn("more than 10000 sections", str(problems[0]))
+
     def test_problems_of_indented_keys_have_line_numbers(self):
         text = VALID_CATALOGUE.replace("owner", "  owner").replace("class", "  class")
         text = text.replace("  class = interactive", "  class = x\n  class = bulk")
--- a/berylhaven/ini/_document.py
+++ b/berylhaven/ini/_document.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from berylhaven.ini._located_parser import LocatedParser
+from berylhaven.ini._problem_list import ProblemList
 from berylhaven.results import (
-    CheckProblem,
     DuplicateKey,
     DuplicateSection,
     NotReadable,
@@ -43,7 +43,7 @@
     sections: list[IniSection] = field(default_factory=list)
 
 
-def parse_document(text: str) -> tuple[IniDocument, list[CheckProblem]]:
+def parse_document(text: str) -> tuple[IniDocument, ProblemList]:
     """Parse INI text.
 
     Parameters
@@ -53,7 +53,7 @@
 
     Returns
     -------
-    tuple of IniDocument and list of CheckProblem
+    tuple of IniDocument and ProblemList
         The parsed sections, and the problems with the document's syntax.
     """
     parser = LocatedParser()
@@ -61,17 +61,16 @@
     if NUL in text:
         line = text[: text.index(NUL)].count("\n") + 1
         unreadable_lines.append((line, "the line contains a NUL byte"))
-    problems: list[CheckProblem] = [
+    problems = ProblemList()
+    problems.extend(
         NotReadable(message, line=line) for line, message in unreadable_lines
-    ]
+    )
     document = _create_sections(parser, problems)
     _add_entries(parser, document, problems)
     return document, problems
 
 
-def _create_sections(
-    parser: LocatedParser, problems: list[CheckProblem]
-) -> IniDocument:
+def _create_sections(parser: LocatedParser, problems: ProblemList) -> IniDocument:
     document = IniDocument()
     first_lines: dict[str, int] = {}
     for name, line in parser.headers:
@@ -85,7 +84,7 @@
 
 
 def _add_entries(
-    parser: LocatedParser, document: IniDocument, problems: list[CheckProblem]
+    parser: LocatedParser, document: IniDocument, problems: ProblemList
 ) -> None:
     sections = {section.name: section for section in document.sections}
     for name, key, line in parser.keys:
--- a/berylhaven/ini/_field.py
+++ b/berylhaven/ini/_field.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from berylhaven.ini._document import IniEntry, IniSection
+from berylhaven.ini._problem_list import ProblemList
 from berylhaven.ini._value_kinds import value_kind
 from berylhaven.results import (
     BadValue,
-    CheckProblem,
     MissingKey,
     OutOfRange,
     UnknownKey,
@@ -55,7 +55,7 @@
 
 def parse_fields(
     section: IniSection, fields: Sequence[Field]
-) -> tuple[dict[str, Any], list[CheckProblem]]:
+) -> tuple[dict[str, Any], ProblemList]:
     """Parse and validate the values of a section.
 
     Parameters
@@ -67,15 +67,15 @@
 
     Returns
     -------
-    tuple of dict and list of CheckProblem
+    tuple of dict and ProblemList
         The values by key, with the default (None for a required key) where a value is
         absent or invalid, and every problem found.
     """
-    problems: list[CheckProblem] = []
+    problems = ProblemList()
     values: dict[str, Any] = {}
     known_keys = {field.key for field in fields}
     for key, entry in section.entries.items():
-        if key not in known_keys:
+        if key not in known_keys and not problems.is_full:
             message = _unknown_key_message(key, known_keys, len(problems))
             problems.append(UnknownKey(message, entry.line, section.name, key))
     for field in fields:
@@ -95,7 +95,7 @@
     entry: IniEntry,
     section: IniSection,
     values: dict[str, Any],
-    problems: list[CheckProblem],
+    problems: ProblemList,
 ) -> None:
     place = (entry.line, section.name, field.key)
     try:
--- a/berylhaven/ini/_located_parser.py
+++ b/berylhaven/ini/_located_parser.py
@@ -4,6 +4,8 @@
 import re
 from collections.abc import Iterator
 
+from berylhaven.ini._problem_list import PROBLEMS_LIMIT
+
 # What may follow a section header on its line.
 AFTER_HEADER_PATTERN = re.compile(r"\s*([#;].*)?")
 COMMENT_PREFIXES = "#;"
@@ -11,6 +13,9 @@
 # The library's pattern takes time that grows with the square of the white space in a
 # key: 1.3 s for 10 kB.
 KEY_LIMIT_CHARACTERS = 200
+# The library takes 1.8 kB for each section; 1 MB holds 6,600 services with all that
+# they require.
+SECTIONS_LIMIT = 10_000
 
 
 class _HeaderPattern:
@@ -40,10 +45,10 @@
 class _LineChecker:
     """Finds lines that the library's parser cannot parse."""
 
-    __slots__ = ("_has_section", "_has_key", "_indent")
+    __slots__ = ("_section_count", "_has_key", "_indent")
 
     def __init__(self) -> None:
-        self._has_section = False
+        self._section_count = 0
         # Whether the section has a key, whose value the next line may continue.
         self._has_key = False
         # The indentation of the last header or key, in characters.
@@ -58,8 +63,11 @@
         if self._has_key and indent > self._indent:
             return None
         if configparser.RawConfigParser.SECTCRE.match(stripped):
-            self._has_section, self._has_key = True, False
-        elif not self._has_section:
+            if self._section_count == SECTIONS_LIMIT:
+                return f"more than {SECTIONS_LIMIT} sections"
+            self._section_count += 1
+            self._has_key = False
+        elif not self._section_count:
             return "the line precedes the first [section]"
         else:
             key = _key(stripped)
@@ -110,7 +118,8 @@
         Returns
         -------
         list of tuple of int and str
-            Line number and reason of each line that cannot be parsed.
+            Line number and reason of each line that cannot be parsed, up to
+            PROBLEMS_LIMIT.
         """
         self._is_reading = True
         self.read_file(self._lines(text))
@@ -121,7 +130,10 @@
         """Record a section header, and check what follows it on its line."""
         self.headers.append((name, self._line))
         if not AFTER_HEADER_PATTERN.fullmatch(rest):
-            message = "only a comment may follow [section]"
+            self._record_unreadable("only a comment may follow [section]")
+
+    def _record_unreadable(self, message: str) -> None:
+        if len(self._unreadable) < PROBLEMS_LIMIT:
             self._unreadable.append((self._line, message))
 
     def optionxform(self, key: str) -> str:
@@ -137,5 +149,5 @@
         for self._line, line in enumerate(text.split("\n"), start=1):
             message = checker.find_problem(line)
             if message is not None:
-                self._unreadable.append((self._line, message))
+                self._record_unreadable(message)
             yield "\n" if message else line + "\n"
--- a/berylhaven/ini/_sections.py
+++ b/berylhaven/ini/_sections.py
@@ -7,8 +7,8 @@
 
 from berylhaven.ini._document import IniSection, parse_document
 from berylhaven.ini._field import Field, parse_fields
+from berylhaven.ini._problem_list import ProblemList
 from berylhaven.results import (
-    CheckProblem,
     MissingSection,
     NotReadable,
     UnknownSection,
@@ -25,7 +25,7 @@
     # has none), and a required section that is missing has no values.
     values: dict[str, dict[str, Any]]
     # The problems found.
-    problems: list[CheckProblem]
+    problems: ProblemList
 
 
 def read_text_file(path: str) -> str:
