--- a/berylhaven/http1/_upstream_answer.py
+++ b/berylhaven/http1/_upstream_answer.py
@@ -26,6 +26,8 @@
 class AnswerFramingError(AnswerBodyError):
     """The body of an answer has far more framing than content."""
 
+    kind = "framing"
+
 
 class NoAnswerLength(Exception):
     """An answer's body would be delimited only by the close of the connection.
