--- a/berylhaven/http1/_head_fields.py
+++ b/berylhaven/http1/_head_fields.py
@@ -99,9 +99,8 @@
     if FIELDS_PATTERN.fullmatch(raw) is None:
         raise BadRequestHead("malformed header line")
     message = PARSER.parsestr(raw.decode("latin-1"))
-    return HeadFields(
-        [(name, value.strip(" \t")) for name, value in message.raw_items()]
-    )
+    pairs = [(name, value.strip(" \t")) for name, value in message.raw_items()]
+    return HeadFields(pairs)
 
 
 def _read_buffered(reader: io.BufferedReader) -> bytes:
