Take the limits of the peers' port and its client from what they carry

The constant of the peers' port that the client imported is gone; the client takes the limit of a catalogue, the largest answer. A request has 64 kB instead of 1 MB: messages have a few kilobytes, and 1 MB of JSON is decoded in one turn of the event loop.

--- a/berylhaven/exchange/_application.py
+++ b/berylhaven/exchange/_application.py
@@ -26,8 +26,9 @@
 
     __slots__ = ("_endpoints", "_traffic")
 
-    # The size limit of a request body.
-    BODY_LIMIT_BYTES = 1_000_000
+    # The size limit of a request body. Messages have a few kilobytes, and 1 MB of JSON
+    # is decoded in one turn of 50 ms.
+    BODY_LIMIT_BYTES = 65_536
 
     def __init__(
         self, endpoints: Mapping[str, PeerEndpoint], traffic: PeerTraffic
--- a/berylhaven/exchange/_peer_client.py
+++ b/berylhaven/exchange/_peer_client.py
@@ -3,7 +3,7 @@
 import urllib3
 from urllib3.util import SKIP_HEADER
 
-from berylhaven.exchange._application import MESSAGE_LIMIT_BYTES
+from berylhaven.catalogue import CATALOGUE_LIMIT_BYTES
 from berylhaven.exchange._http_size import answer_size_bytes, request_size_bytes
 from berylhaven.exchange._traffic import PeerTraffic
 from berylhaven.http1 import REQUEST_ERRORS, BoundedAnswer, BoundedClient
@@ -36,9 +36,9 @@
     __slots__ = ("_client", "_timeout_s", "_traffic")
 
     def __init__(self, traffic: PeerTraffic, timeout_s: float = 1.0) -> None:
-        # A catalogue has at most as many bytes as a message.
+        # Messages are smaller than the largest catalogue.
         self._client = BoundedClient(
-            MESSAGE_LIMIT_BYTES, CONNECTIONS_PER_PEER, POOL_COUNT
+            CATALOGUE_LIMIT_BYTES, CONNECTIONS_PER_PEER, POOL_COUNT
         )
         self._timeout_s = timeout_s
         self._traffic = traffic
