Check a catalogue in bounded turns, and limit the patterns of a service

Cause: a catalogue of 1 MB is checked in one turn of the event loop, 1 to 2 s long; a service could have any number of patterns of idempotent calls, each of which is compared with each call. Change: the steps of the check end long turns; a service has at most 1,000 patterns. The two new tests fail without the change.

--- a/berylhaven/catalogue/_fields.py
+++ b/berylhaven/catalogue/_fields.py
@@ -8,6 +8,8 @@
 DAY_MS = 86_400_000
 TERABYTE_BYTES = 10**12
 
+# Each call is compared with the patterns of its service, about 1 ms for 1,000.
+PATTERNS_LIMIT = 1_000
 METHOD_PATTERN = re.compile(r"\*|[A-Z]{1,16}")
 
 
@@ -24,8 +26,11 @@
 @register_value_kind("method_paths")
 def parse_method_paths(text: str) -> tuple[MethodPath, ...]:
     """Parse patterns like ``GET /*, PUT /profiles/*``; an empty text has none."""
+    parts = text.split(",")
+    if len(parts) > PATTERNS_LIMIT:
+        raise ValueError(f"more than {PATTERNS_LIMIT} patterns")
     patterns = []
-    for part in text.split(","):
+    for part in parts:
         words = part.split()
         if not words:
             continue
--- a/berylhaven/catalogue/tests/test_bad_input.py
+++ b/berylhaven/catalogue/tests/test_bad_input.py
@@ -1,8 +1,10 @@
 """Tests of validating catalogues with typical mistakes of operators."""
 
+import itertools
 import time
 import unittest
 
+import eventlet
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -95,6 +97,31 @@
         )
         self.assert_reported(oversized[:-1] + "\n", 109, None, None, None, "1000000")
 
+    def test_many_patterns_are_a_problem(self):
+        # 1 MB of them took 0.4 s, and each call is compared with all.
+        patterns = "GET /*," * 1_000
+        self.assert_reported(
+            VALID_CATALOGUE.replace("idempotent = ", "idempotent = " + patterns),
+            *(107, 16, "service positions", "idempotent", "more than 1000 patterns"),
+        )
+
+    def test_a_check_ends_its_turn(self):
+        # 1 MB takes 1 to 2 s, in which nothing else of the process was served.
+        rests = []
+
+        def rest_often():
+            while True:
+                rests.append(time.monotonic())
+                eventlet.sleep(0)
+
+        other = eventlet.spawn(rest_often)
+        eventlet.sleep(0)
+        problems_of(VALID_CATALOGUE + "# comment\n" * 50_000)
+        other.kill()
+        longest_s = max(b - a for a, b in itertools.pairwise(rests))
+        self.assertLess(longest_s, 0.5)
+        self.assertGreater(len(rests), 10)
+
     def test_unreadable_lines_do_not_hide_other_problems(self):
         text = "early = 1\n" + VALID_CATALOGUE + "no value\ncolour = red\n[x] y\n"
         found = [(problem.code.number, problem.line) for problem in problems_of(text)]
--- a/berylhaven/ini/_document.py
+++ b/berylhaven/ini/_document.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from berylhaven.clock import end_long_turn
 from berylhaven.ini._located_parser import LocatedParser
 from berylhaven.ini._problem_list import ProblemList
 from berylhaven.results import (
@@ -74,6 +75,7 @@
     document = IniDocument()
     first_lines: dict[str, int] = {}
     for name, line in parser.headers:
+        end_long_turn()
         if name in first_lines:
             message = f"the section is already defined on line {first_lines[name]}"
             problems.append(DuplicateSection(message, line, name))
@@ -88,6 +90,7 @@
 ) -> None:
     sections = {section.name: section for section in document.sections}
     for name, key, line in parser.keys:
+        end_long_turn()
         entries = sections[name].entries
         if key in entries:
             message = f"the key is already defined on line {entries[key].line}"
--- a/berylhaven/ini/_field.py
+++ b/berylhaven/ini/_field.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from berylhaven.clock import end_long_turn
 from berylhaven.ini._document import IniEntry, IniSection
 from berylhaven.ini._problem_list import ProblemList
 from berylhaven.ini._value_kinds import value_kind
@@ -75,10 +76,12 @@
     values: dict[str, Any] = {}
     known_keys = {field.key for field in fields}
     for key, entry in section.entries.items():
+        end_long_turn()
         if key not in known_keys and not problems.is_full:
             message = _unknown_key_message(key, known_keys, len(problems))
             problems.append(UnknownKey(message, entry.line, section.name, key))
     for field in fields:
+        end_long_turn()
         values[field.key] = None if field.default is REQUIRED else field.default
         entry = section.entries.get(field.key)
         if entry is not None:
--- a/berylhaven/ini/_located_parser.py
+++ b/berylhaven/ini/_located_parser.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Iterator
 
+from berylhaven.clock import end_long_turn
 from berylhaven.ini._problem_list import PROBLEMS_LIMIT
 
 # What may follow a section header on its line.
@@ -147,6 +148,7 @@
         # before the first section, and takes quadratic time for many others.
         checker = _LineChecker()
         for self._line, line in enumerate(text.split("\n"), start=1):
+            end_long_turn()
             message = checker.find_problem(line)
             if message is not None:
                 self._record_unreadable(message)
