--- a/berylhaven/catalogue/tests/test_bad_input.py
+++ b/berylhaven/catalogue/tests/test_bad_input.py
@@ -1,12 +1,16 @@
 """Tests of validating catalogues with typical mistakes of operators."""
 
+import itertools
+import time
 import unittest
 
+import eventlet
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from berylhaven.catalogue import CATALOGUE_LIMIT_BYTES, validate_catalogue
 from berylhaven.catalogue.tests.test_validation import VALID_CATALOGUE
+from berylhaven.ini import PROBLEMS_LIMIT, parse_document
 
 LINE_COUNT = VALID_CATALOGUE.count("\n")
 
@@ -93,17 +97,67 @@
         )
         self.assert_reported(oversized[:-1] + "\n", 109, None, None, None, "1000000")
 
+    def test_many_patterns_are_a_problem(self):
+        # 1 MB of them took 0.4 s, and each call is compared with all.
+        patterns = "GET /*," * 1_000
+        self.assert_reported(
+            VALID_CATALOGUE.replace("idempotent = ", "idempotent = " + patterns),
+            *(107, 16, "service positions", "idempotent", "more than 1000 patterns"),
+        )
+
+    def test_a_check_ends_its_turn(self):
+        # 1 MB takes 1 to 2 s, in which nothing else of the process was served.
+        rests = []
+
+        def rest_often():
+            while True:
+                rests.append(time.monotonic())
+                eventlet.sleep(0)
+
+        other = eventlet.spawn(rest_often)
+        eventlet.sleep(0)
+        problems_of(VALID_CATALOGUE + "# comment\n" * 50_000)
+        other.kill()
+        longest_s = max(b - a for a, b in itertools.pairwise(rests))
+        self.assertLess(longest_s, 0.5)
+        self.assertGreater(len(rests), 10)
+
     def test_unreadable_lines_do_not_hide_other_problems(self):
         text = "early = 1\n" + VALID_CATALOGUE + "no value\ncolour = red\n[x] y\n"
         found = [(problem.code.number, problem.line) for problem in problems_of(text)]
         self.assertEqual(found, [(100, 1), (100, 18), (104, 19), (100, 20), (101, 20)])
 
+    def test_problems_and_sections_beyond_a_limit_are_dropped(self):
+        # 1 MB of them took 130 to 273 MB, more than a small instance has.
+        texts = {
+            "sections twice": "[a]\n" * 20_000,
+            "sections": "".join(f"[service s{n}]\n" for n in range(20_000)),
+            "keys": "[fleet]\n" + "".join(f"a{n}=1\n" for n in range(20_000)),
+            "keys twice": "[fleet]\n" + "a=1\n" * 20_000,
+            "lines": "x\n" * 20_000,
+            "lines of a section": "[service a]\n" + "=\n" * 20_000,
+        }
+        for name, text in texts.items():
+            with self.subTest(name):
+                self.assertEqual(len(problems_of(text)), PROBLEMS_LIMIT)
+        document, problems = parse_document(texts["sections"])
+        self.assertEqual(len(document.sections), 10_000)
+        self.assertIn("more than 10000 sections", str(problems[0]))
+
     def test_problems_of_indented_keys_have_line_numbers(self):
         text = VALID_CATALOGUE.replace("owner", "  owner").replace("class", "  class")
         text = text.replace("  class = interactive", "  class = x\n  class = bulk")
         found = [(problem.code.number, problem.line) for problem in problems_of(text)]
         self.assertIn((106, 13), found)
 
+    def test_white_space_in_a_line_takes_no_quadratic_time(self):
+        # The check holds the event loop: 100 kB of it held the loop for minutes.
+        for line in ("a" + " " * 10_000 + "x", "a" + " " * 10_000 + "x = 1"):
+            started_s = time.process_time()
+            problems = problems_of(VALID_CATALOGUE + line + "\n")
+            self.assertLess(time.process_time() - started_s, 0.5)
+            self.assertEqual([(p.code.number, p.line) for p in problems], [(100, 17)])
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(
         st.lists(
