Have large buffers mapped, so that their memory returns at once

Cause: glibc takes buffers of up to 32 MB from its heap once one of that size was released; one that grows is copied there.

Change: an instance has buffers over 256 kB mapped by themselves (mallopt); a C library without that option is left as it is.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -21,6 +21,7 @@
 from berylhaven.gateway._gateway_metrics import GatewayMetrics
 from berylhaven.gateway._instance_drain import InstanceDrain
 from berylhaven.gateway._instance_gauges import InstanceGauges
+from berylhaven.gateway._large_blocks import map_large_blocks
 from berylhaven.gateway._request_path import (
     ANSWER_HEAD_LIMIT_BYTES,
     InstanceParts,
@@ -132,6 +133,7 @@
         self._table = ServerTable()
         # The metrics of this instance.
         self.metrics = GatewayMetrics()
+        map_large_blocks()
         # The account of the bytes held for callers and servers.
         self.held = HeldBytes(settings.memory.held_limit_bytes, event_log, self.metrics)
         others = set(settings.instance.seed_peers) - {settings.instance.peers_address}
