Release an answer once it was written, whatever refers to it

Cause: an answer's memory was released when nothing referred to it. Frames that refer to one another kept answers of 31 MB until the next collection, for seconds; all other large answers waited or were refused.

Change: the writer empties the body and releases its reservation; so does the end of a connection. The download test keeps its answers and needs no collection.

--- a/berylhaven/gateway/callers/_answer_queue.py
+++ b/berylhaven/gateway/callers/_answer_queue.py
@@ -178,6 +178,8 @@
         for pending in self._pending:
             if pending.thread is not None:
                 pending.thread.kill()
+            if pending.answered.ready():
+                pending.answered.wait().release()
         self._pending.clear()
 
     def _write_answers(self) -> None:
@@ -207,6 +209,7 @@
             self._close_reason = reason
             self._context.record_close(reason)
         self._send_answer(*answer_bytes(pending, answer, is_last))
+        answer.release()
         self._pending.popleft()
         self.idle_since_s = monotonic_s()
         self._release_slot()
--- a/berylhaven/gateway/callers/_request.py
+++ b/berylhaven/gateway/callers/_request.py
@@ -91,6 +91,21 @@
     # generated the answer.
     reservation: Reservation | None = None
 
+    def release(self) -> None:
+        """Release the memory of the body; nothing reads the answer any more.
+
+        Frames and green threads that refer to one another keep an answer until the
+        next collection, so the body itself is emptied.
+        """
+        if isinstance(self.body, bytearray):
+            try:
+                self.body.clear()
+            except BufferError:
+                # A view of it is kept in such a frame, and so is the memory.
+                return
+        if self.reservation is not None:
+            self.reservation.release()
+
 
 REASON_PHRASES = {
     400: "Bad Request",
--- a/berylhaven/gateway/tests/test_answer_memory.py
+++ b/berylhaven/gateway/tests/test_answer_memory.py
@@ -1,6 +1,5 @@
 """Tests of the bound on the memory of large answers."""
 
-import gc
 import math
 import unittest
 import unittest.mock
@@ -10,6 +9,7 @@
 from hypothesis import strategies as st
 
 from berylhaven.gateway.callers._held_bytes import HeldBytes
+from berylhaven.gateway.requests._forwarder import Forwarder
 from berylhaven.gateway.tests._gateway_path import (
     READS,
     GatewayPath,
@@ -118,6 +118,17 @@
         )
 
     def test_all_answers_arrive_whole_within_the_limit(self):
+        # Frames that refer to one another keep answers as this list does.
+        kept = []
+        send = Forwarder._send
+
+        def send_and_keep(*arguments):
+            kept.append(send(*arguments))
+            return kept[-1]
+
+        patch = unittest.mock.patch.object(Forwarder, "_send", send_and_keep)
+        patch.start()
+        self.addCleanup(patch.stop)
         callers = [self.path.connect() for _ in range(self.CALLER_COUNT)]
         threads = [eventlet.spawn(c.exchange, "/report/1") for c in callers]
         for thread in threads:
@@ -125,9 +136,8 @@
             self.assertEqual((answer.status, len(answer.body)), (200, 2_000_000))
         self.assertLessEqual(self.highest_bytes, self.LIMIT_BYTES)
         self.assertGreater(self.highest_bytes, self.ANSWER_BYTES)
-        del answer, thread, threads
-        gc.collect()
         eventlet.sleep(0)
         self.assertEqual(self.memory.reserved_bytes, 0)
+        self.assertEqual([len(answer.body) for answer in kept], [0] * len(kept))
         for caller in callers:
             caller.close()
