--- a/berylhaven/gateway/requests/_forwarder.py
+++ b/berylhaven/gateway/requests/_forwarder.py
@@ -271,11 +271,11 @@
         )
 
         expected_size = self._expected_size(route, service)
-        kind = answer_kind(expected_size.size_bytes)
+        size_bytes = expected_size.size_bytes(monotonic_s())
         try:
             # A request whose answer finds no room would hold a slot of its server.
             request.expected_answer = self._held.admit(
-                kind, expected_size.size_bytes, wait_s
+                answer_kind(size_bytes), size_bytes, wait_s
             )
         except NoRoom as refusal:
             return self._refuse(
@@ -308,7 +308,7 @@
             request.expected_answer.release()
         if result is not None:
             answer = result.answer
-            expected_size.record(len(answer.body))
+            expected_size.record(len(answer.body), monotonic_s())
             headers = end_to_end_headers(
                 answer.fields.pairs,
                 CONTENT_LENGTH | self._dialect.dropped_answer_headers,
--- a/berylhaven/gateway/tests/test_held_bytes.py
+++ b/berylhaven/gateway/tests/test_held_bytes.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylhaven.gateway.callers._held_bytes import HeldBytes, NoRoom
+from berylhaven.clock import monotonic_s
+from berylhaven.gateway.callers._held_bytes import (
+    HELD_LIMIT_BYTES,
+    HeldBytes,
+    NoRoom,
+)
 from berylhaven.gateway.tests._gateway_path import (
     ORDERS,
     READS,
@@ -23,6 +28,7 @@
     HeldKind,
     ReleaseRate,
     UploadLimit,
+    answer_kind,
     decide_admission,
     room_bytes,
 )
@@ -97,7 +103,7 @@
         with self.path.connect() as caller:
             self.assertEqual(caller.exchange("/read/1", "a").status, 200)
             for expected in forwarder._expected_sizes.values():
-                expected.record(EXPORT_BYTES)
+                expected.record(EXPORT_BYTES, monotonic_s())
             answer = caller.exchange("/read/2", "b")
             self.assertEqual(answer.status, 503)
             self.assertIn("retry-after", answer.headers)
@@ -269,9 +275,20 @@
 
     def test_the_expected_size_follows_the_largest_answers(self):
         expected = ExpectedSize()
-        expected.record(EXPORT_BYTES)
-        expected.record(1_000)
-        self.assertGreater(expected.size_bytes, 0.8 * EXPORT_BYTES)
+        expected.record(EXPORT_BYTES, 0.0)
+        expected.record(1_000, 0.0)
+        self.assertGreater(expected.size_bytes(0.0), 0.8 * EXPORT_BYTES)
         for _ in range(200):
-            expected.record(1_000)
-        self.assertLess(expected.size_bytes, 2_000)
+            expected.record(1_000, 0.0)
+        self.assertLess(expected.size_bytes(0.0), 2_000)
+
+    def test_requests_are_sent_again_a_second_after_one_server_sent_large_answers(self):
+        # Requests were refused for lack of room, so that no answer corrected the size.
+        expected = ExpectedSize()
+        expected.record(24_000_000, 0.0)
+        room = room_bytes(
+            HeldKind.LARGE_ANSWER, dict.fromkeys(HeldKind, 0), HELD_LIMIT_BYTES
+        )
+        self.assertLess(5 * expected.size_bytes(1.0), room)
+        # Still one that waits for room, since a small answer never does.
+        self.assertIs(answer_kind(expected.size_bytes(60.0)), HeldKind.LARGE_ANSWER)
--- a/berylhaven/overload/_held_bytes.py
+++ b/berylhaven/overload/_held_bytes.py
@@ -24,6 +24,11 @@
 # The share of the difference by which the expected size decreases with each smaller
 # answer.
 SIZE_DECAY_RATIO = 1 / 8
+# The time in which the expected size halves without a large answer. While requests are
+# refused for lack of room there are no answers that would correct it.
+SIZE_HALF_LIFE_S = 0.2
+# It does not fall below this by time alone: a small answer would not wait for room.
+MIN_DECAYED_BYTES = 2 * SMALL_BYTES
 # For how long the announced or expected rest of an answer keeps room that it does not
 # use, in seconds. At 100 Mbit/s the largest one that fits arrives within 0.4 s.
 CLAIM_LIMIT_S = 0.5
@@ -263,15 +268,44 @@
         The expected size before the first answer.
     """
 
-    __slots__ = ("size_bytes",)
+    __slots__ = ("_size_bytes", "_recorded_at_s")
 
     def __init__(self, initial_bytes: int = 0) -> None:
-        # The expected size.
-        self.size_bytes = initial_bytes
-
-    def record(self, size_bytes: int) -> None:
-        """Add an answer."""
-        if size_bytes >= self.size_bytes:
-            self.size_bytes = size_bytes
-        else:
-            self.size_bytes -= int((self.size_bytes - size_bytes) * SIZE_DECAY_RATIO)
+        self._size_bytes = initial_bytes
+        self._recorded_at_s = math.inf
+
+    def size_bytes(self, now_s: float) -> int:
+        """Return the expected size.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the hub's clock.
+
+        Returns
+        -------
+        int
+            The size in bytes.
+        """
+        if self._size_bytes <= MIN_DECAYED_BYTES:
+            return self._size_bytes
+        age_s = max(0.0, now_s - self._recorded_at_s)
+        decayed_bytes = self._size_bytes * 0.5 ** (age_s / SIZE_HALF_LIFE_S)
+        return max(MIN_DECAYED_BYTES, int(decayed_bytes))
+
+    def record(self, size_bytes: int, now_s: float) -> None:
+        """Add an answer.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The size of its body.
+        now_s : float
+            The time on the hub's clock.
+        """
+        expected_bytes = self.size_bytes(now_s)
+        if size_bytes < expected_bytes:
+            excess_bytes = expected_bytes - size_bytes
+            size_bytes = expected_bytes - int(excess_bytes * SIZE_DECAY_RATIO)
+        self._size_bytes = size_bytes
+        self._recorded_at_s = now_s
