--- a/standins/_endless_bytes.py
+++ b/standins/_endless_bytes.py
@@ -212,7 +212,7 @@
 def send_pipelined_requests(begin: bytes) -> Pieces:
     """Yield requests whose answers are never read."""
     _, _, fields = begin.partition(b"\r\n")
-    request = b"GET /order/x HTTP/1.1\r\n" + fields
+    request = b"GET /read/x HTTP/1.1\r\n" + fields
     while True:
         ids = (secrets.token_hex(8).encode() for _ in range(PIPELINED_COUNT))
         yield b"".join(
