--- a/standins/endless_sender.py
+++ b/standins/endless_sender.py
@@ -256,19 +256,20 @@
             # The message may have been refused before its end.
             is_open = False
         if kind.has_end:
-            status = _read_status(sock)
+            status, keeps_open = _read_answer(sock)
             print(status, flush=True)
-            is_open = is_open and status != NO_ANSWER
+            is_open = is_open and keeps_open
 
 
-def _read_status(sock: socket.socket) -> int:
+def _read_answer(sock: socket.socket) -> tuple[int, bool]:
+    """Return the status of an answer, and whether the connection may be used again."""
     answer = http.client.HTTPResponse(sock)
     try:
         answer.begin()
         answer.read()
     except (OSError, http.client.HTTPException):
-        return NO_ANSWER
-    return answer.status
+        return NO_ANSWER, False
+    return answer.status, not answer.will_close
 
 
 if __name__ == "__main__":
