Try another server if others took the last connection or the room for uploads

Uploads of 60 MB were refused with 503 beside three others: between the choice of a server and the send another upload took its room, which counted as an attempt, and the route allowed one. The same happened to other requests with the last connection to a server. Nothing was sent in either case, as when a data centre is evacuated meanwhile, so up to four such ends of a request count neither as attempts nor as retries.

The new test got 503 before.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -53,11 +53,15 @@
 TIMEOUT_ENDS = frozenset(
     {AttemptEnd.DEADLINE_BEFORE_HEAD, AttemptEnd.DEADLINE_BEFORE_SENDING}
 )
+# Ends of attempts that did not get as far as a connection: other requests took the last
+# one, or the room for uploads, or the server's data centre was evacuated meanwhile.
+UNTRIED_ENDS = frozenset({AttemptEnd.CONNECTION_LIMIT, AttemptEnd.SERVER_EVACUATED})
+# How many of them do not count as attempts of a request; each costs a choice.
+UNTRIED_LIMIT = 4
 # Ends after which another attempt costs no retry of the budget.
-UNCOUNTED_ENDS = frozenset({AttemptEnd.NOT_CONNECTED, AttemptEnd.SERVER_EVACUATED})
+UNCOUNTED_ENDS = UNTRIED_ENDS | {AttemptEnd.NOT_CONNECTED}
 # Ends of attempts of which nothing reached a server.
 UNSENT_ENDS = UNCOUNTED_ENDS | {
-    AttemptEnd.CONNECTION_LIMIT,
     AttemptEnd.DEADLINE_BEFORE_SENDING,
     AttemptEnd.INSTANCE_STOPS,
 }
@@ -195,8 +199,7 @@
                 self._failed_answer = ended
             elif isinstance(ended, AttemptFailed):
                 self.failures.append(ended)
-                if ended.end is AttemptEnd.SERVER_EVACUATED:
-                    # Nothing was sent, so the attempt does not count.
+                if self._is_untried(ended):
                     self._sent_count -= 1
             else:
                 raise ended
@@ -204,6 +207,11 @@
                 self._start_attempt()
         return self._failed_answer
 
+    def _is_untried(self, failure: AttemptFailed) -> bool:
+        """Return whether an attempt does not count, since nothing was sent."""
+        untried_count = sum(known.end in UNTRIED_ENDS for known in self.failures)
+        return failure.end in UNTRIED_ENDS and untried_count <= UNTRIED_LIMIT
+
     def cancel(self) -> None:
         """Cancel the running attempts and close their connections."""
         for thread in self._threads:
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -1,9 +1,11 @@
 """Tests of the reaction to backend servers that refuse, fail or answer unexpectedly."""
 
 import unittest
+from unittest import mock
 
 import eventlet
 
+from berylhaven.attempts import AttemptEnd, AttemptFailed
 from berylhaven.gateway.requests._attempt_runner import FULL_SERVER_BACKOFF_S
 from berylhaven.gateway.servers._server_probe import FRESH_REPORT_S
 from berylhaven.gateway.store._fleet_follower import WATCH_PAUSE_S
@@ -16,6 +18,7 @@
     request_bytes,
     route,
 )
+from berylhaven.http1 import ConnectionPool
 from berylhaven.routes import RequestKind
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -283,6 +286,22 @@
             open_now = [r for r in backend.requests if r.path == "/order/x"]
             self.assertLessEqual(len(open_now), share)
 
+    def test_a_request_tries_another_server_if_others_took_the_last_connection(self):
+        # It was refused, although nothing had been sent and another server was free.
+        pool = self.path.instance._forwarder._runner._pool
+        original, addresses = pool.acquire, []
+
+        def acquire(address, *arguments, **options):
+            addresses.append(address)
+            if len(addresses) == 1:
+                raise AttemptFailed(AttemptEnd.CONNECTION_LIMIT, "all are in use")
+            return original(address, *arguments, **options)
+
+        with mock.patch.object(ConnectionPool, "acquire", staticmethod(acquire)):
+            answer, count = self.send_request("/short/x", OK)
+        self.assertEqual((answer.status, count), (200, 1))
+        self.assertEqual(len(set(addresses)), 2)
+
     def test_requests_wait_for_no_other_on_a_connection(self):
         self.path.answer_all(ORDERS, Answers(OK))
         with self.path.connect() as caller:
