--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -292,8 +292,11 @@
         original, addresses = pool.acquire, []
 
         def acquire(address, *arguments, **options):
-            addresses.append(address)
-            if len(addresses) == 1:
+            # Probes name no request.
+            is_request = "request_id" in options
+            if is_request:
+                addresses.append(address)
+            if is_request and len(addresses) == 1:
                 raise AttemptFailed(AttemptEnd.CONNECTION_LIMIT, "all are in use")
             return original(address, *arguments, **options)
 
