Show turns of the event loop and peak memory of an entry instance

The gateway's metrics berylhaven_turn_seconds and berylhaven_peak_memory_bytes were missing in the older role, though its hub measures turns too.

--- a/berylhaven/entry/_instance_metrics.py
+++ b/berylhaven/entry/_instance_metrics.py
@@ -1,17 +1,22 @@
 """Metrics that are collected from the instance's components on each scrape."""
 
 import collections
+import resource
+import socket
 
-from aioprometheus.collectors import Counter, Gauge
+from aioprometheus.collectors import Counter, Gauge, Histogram
 
 from berylhaven.catalogue import CATALOGUE_REFUSAL_SECTION, CATALOGUE_SECTION
-from berylhaven.clock import monotonic_s
+from berylhaven.clock import monotonic_s, set_turn_report
 from berylhaven.controllers import ControllerContext
 from berylhaven.membership import PeerState
 from berylhaven.operations import DecisionLog, process_usage
 from berylhaven.proxy import CallHandler
 
 NO_LABELS: dict[str, str] = {}
+TURN_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.5, 2.0, 10.0)
+# Linux counts the peak memory in this unit.
+KILOBYTE = 1_024
 
 
 class InstanceMetrics:
@@ -57,6 +62,16 @@
         self._processor_seconds = self._counter(
             "processor_seconds_total", "Processor time used by the process."
         )
+        self._peak_memory = self._gauge(
+            "peak_memory_bytes", "The highest memory that the process has had."
+        )
+        self._turns = Histogram(
+            "berylhaven_turn_seconds",
+            "Turns of the hub's green threads that took 5 ms or more.",
+            buckets=list(TURN_BUCKETS_S),
+            registry=context.metrics.registry,
+        )
+        set_turn_report(self._record_turn)
         self._dropped_lines = self._counter(
             "decision_lines_dropped_total",
             "Routing decisions without a log line, because of the rate limit.",
@@ -76,11 +91,16 @@
         self._peer_bytes.set({"direction": "sent"}, traffic.sent_bytes)
         self._peer_bytes.set({"direction": "received"}, traffic.received_bytes)
         usage = process_usage()
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        self._peak_memory.set(NO_LABELS, peak * KILOBYTE)
         self._resident_bytes.set(NO_LABELS, usage.resident_bytes)
         self._processor_seconds.set(NO_LABELS, round(usage.processor_s, 3))
         self._refresh_peers()
         self._refresh_catalogue()
 
+    def _record_turn(self, turn_s: float, sock: socket.socket | None) -> None:
+        self._turns.observe(NO_LABELS, turn_s)
+
     def _refresh_peers(self) -> None:
         now_s = monotonic_s()
         states = collections.Counter(
--- a/berylhaven/entry/tests/test_endless_entry.py
+++ b/berylhaven/entry/tests/test_endless_entry.py
@@ -159,6 +159,9 @@
         self.assertEqual(answered_count, len(results))
         self.assertLess(max(duration_s for _, duration_s in results), DELAY_LIMIT_S)
         self.assertLess(self.fleet.peak_bytes(), MEMORY_LIMIT_BYTES)
+        url = f"http://{HOST}:{self.fleet.ports['operators']}/metrics"
+        metrics = self.fleet.http.request("GET", url, timeout=ANSWER_TIMEOUT_S).data
+        self.assertIn(b"berylhaven_turn_seconds_bucket", metrics)
 
     def assert_recovered(self):
         eventlet.sleep(RECOVERY_TIMEOUT_S)
