--- a/berylhaven/http1/tests/test_request_body.py
+++ b/berylhaven/http1/tests/test_request_body.py
@@ -4,6 +4,7 @@
 import tracemalloc
 import unittest
 
+from berylhaven.clock import ManualClock
 from berylhaven.http1 import BodyFraming, RequestBody
 
 BODY_BYTES = 30_000
@@ -14,6 +15,8 @@
         data = b"2\r\nxx\r\n" * (BODY_BYTES // 2) + b"0\r\n\r\n"
         reader = io.BufferedReader(io.BytesIO(data))
         self.body = RequestBody(reader, BodyFraming(None, True), 9.0)
+        # No turn ends, so that no other thread of the process allocates memory.
+        self.enterContext(ManualClock())
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
 
