Let connections of the small ports linger for 1 s at most

After a reset by the peer, undelivered output never becomes less, and such a connection lingered for the whole timeout of the port: 38 connections were still there after test_connections_that_wait_for_their_peers_lock_nobody_out and took 64 kB while test_request_body measured memory in the same process (131 to 142 kB instead of less than 120 kB). Lingering ends after 1 s now.

The tests end their senders and wait for their servers; test_bounded_protocol and test_request_body pass in one process.

--- a/berylhaven/http1/_bounded_protocol.py
+++ b/berylhaven/http1/_bounded_protocol.py
@@ -8,7 +8,7 @@
 
 from berylhaven.http1._port_connections import PortConnections
 from berylhaven.http1._request_body import RequestBody
-from berylhaven.http1._strict_protocol import StrictProtocol
+from berylhaven.http1._strict_protocol import LINGER_TIMEOUT_S, StrictProtocol
 from berylhaven.http1._wsgi_answer import PLAIN_TEXT
 from berylhaven.results import (
     BodyTooLarge,
@@ -128,6 +128,11 @@
         headers = [("Content-Type", PLAIN_TEXT), ("Content-Length", str(len(body)))]
         return f"{status.value} {status.phrase}", headers, [body]
 
+    def _linger(self) -> None:
+        # Output to a peer that reset the connection counts as undelivered for ever.
+        with eventlet.Timeout(LINGER_TIMEOUT_S, False):
+            super()._linger()
+
     def finish(self) -> None:
         """Close the connection; what is undelivered is waited for."""
         self._connections.begin_wait(self.connection)
--- a/berylhaven/http1/tests/test_bounded_protocol.py
+++ b/berylhaven/http1/tests/test_bounded_protocol.py
@@ -5,6 +5,7 @@
 import unittest
 
 import eventlet
+from greenlet import GreenletExit
 
 from berylhaven.http1 import answer_bytes, serve
 
@@ -24,13 +25,19 @@
 
 class BoundedProtocolTest(unittest.TestCase):
     def setUp(self):
-        self.address = self.serve(LIMIT_BYTES)
         self.connections = []
-        self.addCleanup(self.close_connections)
+        self.senders = []
+        self.address = self.serve(LIMIT_BYTES)
 
-    def close_connections(self):
+    def stop(self, thread):
+        """Stop a server, and wait for the end of connections that are not blocked."""
+        for sender in self.senders:
+            sender.kill()
         for connection in self.connections:
             connection.close()
+        thread.kill()
+        with contextlib.suppress(GreenletExit), eventlet.Timeout(3.0, False):
+            thread.wait()
 
     def serve(self, body_limit_bytes, timeout_s=TIMEOUT_S):
         listener = eventlet.listen(("127.0.0.1", 0))
@@ -43,7 +50,7 @@
             timeout_s,
             body_limit_bytes=body_limit_bytes,
         )
-        self.addCleanup(thread.kill)
+        self.addCleanup(self.stop, thread)
         eventlet.sleep(0)
         return address
 
@@ -173,11 +180,7 @@
             with self.subTest(sent[:99]):
                 for _ in range(CONNECTIONS_LIMIT):
                     connection = self.connect(address)
-                    eventlet.spawn(self.send_all, connection, sent)
+                    self.senders.append(eventlet.spawn(connection.sendall, sent))
                 request = b"GET / HTTP/1.0\r\n\r\n"
                 answer = self.exchange(request, address)
                 self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
-
-    def send_all(self, connection, data):
-        with contextlib.suppress(OSError):
-            connection.sendall(data)
