Let a request wait for a slot again after an attempt that does not count

An upload whose chosen server was taken by another one meanwhile was refused at once if no server had a free slot at that moment: only the first attempt may wait, and the one that had not been sent counted as the first.

--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -122,6 +122,7 @@
         "_runner",
         "_request",
         "_choice_request",
+        "_wait_limit_s",
         "_try_acquire_retry",
         "_ended",
         "_threads",
@@ -163,6 +164,7 @@
         self._runner = runner
         self._request = request
         self._choice_request = choice_request
+        self._wait_limit_s = choice_request.wait_limit_s
         self._try_acquire_retry = try_acquire_retry
         self._ended = eventlet.queue.LightQueue()
         self._threads: list[eventlet.greenthread.GreenThread] = []
@@ -201,6 +203,9 @@
                 self.failures.append(ended)
                 if self._is_untried(ended):
                     self._sent_count -= 1
+                    self._choice_request = dataclasses.replace(
+                        self._choice_request, wait_limit_s=self._wait_limit_s
+                    )
             else:
                 raise ended
             if not self._running_count and self._may_attempt_again(ended):
@@ -283,7 +288,7 @@
             return
         server_id = server.entry.server_id
         excluded = self._choice_request.excluded | {server_id}
-        # Only the first attempt may wait for a slot.
+        # Only the first attempt that counts may wait for a slot.
         self._choice_request = dataclasses.replace(
             self._choice_request, excluded=excluded, wait_limit_s=0.0
         )
