Set the hub of the stand-in servers before they start green threads

The stand-in of a fault proxy starts its listeners before the control port; a hub that was replaced then ran none of them, and the gateways of a soak never became ready.

--- a/standins/_program.py
+++ b/standins/_program.py
@@ -6,8 +6,6 @@
 import eventlet.wsgi
 import orjson
 
-from berylhaven.clock import use_turn_hub
-
 FAULTS_PATH = "/faults"
 
 
@@ -74,8 +72,6 @@
 
 def serve_forever(host: str, port: int, application: Callable) -> None:
     """Serve a stand-in until the process ends."""
-    # A fast upload must not keep it from answering its probes.
-    use_turn_hub()
     listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
     serve_socket(listener, application)
 
--- a/standins/route_server.py
+++ b/standins/route_server.py
@@ -12,6 +12,7 @@
 import orjson
 import urllib3
 
+from berylhaven.clock import use_turn_hub
 from standins._program import (
     FAULTS_PATH,
     Faults,
@@ -226,6 +227,8 @@
     proxy_control: str = "",
 ) -> None:
     """Register the server in the store and serve requests."""
+    # A fast upload must not keep it from answering its probes.
+    use_turn_hub()
     stand_in = RouteServerStandIn(new_server_id(), slot_count, work_s, slow_share)
     # With a registered address, callers reach the server through the proxy there.
     address = registered_address or f"{host}:{port}"
