--- a/berylhaven/gateway/tests/test_evacuation.py
+++ b/berylhaven/gateway/tests/test_evacuation.py
@@ -7,6 +7,7 @@
 import eventlet.event
 
 from berylhaven.clock import monotonic_s
+from berylhaven.clock._turn_hub import TURN_LIMIT_S
 from berylhaven.gateway import (
     DataCentreEvacuated,
     DataCentreReturned,
@@ -157,6 +158,36 @@
                     record.entry.address
                 )
 
+    def test_nothing_is_sent_when_a_turn_ends_between_the_last_check_and_the_send(self):
+        # A send ends a turn that has taken long, and the evacuation may arrive then.
+        note_request = UpstreamConnection.note_request
+        evacuated = []
+
+        def evacuate():
+            self.table.evacuations.evacuate(evacuated[0].data_centre)
+
+        def take_long(connection, request_id):
+            note_request(connection, request_id)
+            if not evacuated:
+                records = self.table.records()
+                evacuated.extend(
+                    r.entry for r in records if r.entry.address == connection.address
+                )
+                eventlet.spawn(evacuate)
+                end_s = monotonic_s() + 2 * TURN_LIMIT_S
+                while monotonic_s() < end_s:
+                    pass
+
+        with (
+            unittest.mock.patch.object(UpstreamConnection, "note_request", take_long),
+            self.path.connect() as caller,
+        ):
+            answer = caller.exchange("/order/x", method="POST", body=b"o")
+        self.assertEqual(answer.status, 200)
+        (entry,) = evacuated
+        index = 0 if entry.data_centre == "here" else 1
+        self.assertNotIn("/order/x", self.received(index))
+
     def test_a_request_that_waited_for_a_slot_is_sent_elsewhere(self):
         before = []
 
