--- a/berylhaven/clock/tests/test_turn_hub.py
+++ b/berylhaven/clock/tests/test_turn_hub.py
@@ -75,6 +75,17 @@
             eventlet.sleep(0)
         return self.turn_count - began_at
 
+    def test_a_new_thread_does_not_inherit_the_turn_of_one_that_has_ended(self):
+        # It would wait behind all threads whose turns were ended, at its first read.
+        hub = eventlet.hubs.get_hub()
+        turns_s = []
+        works = (self.work_long, lambda: turns_s.append(hub.clock() - hub.turn_began_s))
+        # The timers of threads that start at once have no order.
+        for start_s, work in enumerate(works, 1):
+            self.threads.append(eventlet.spawn_after(start_s / 1_000, work))
+        self.clock.advance_s(0.005)
+        self.assertEqual(turns_s, [0.0])
+
     def test_readers_that_always_find_input_take_one_turn_a_pass_together(self):
         def read_without_end():
             reader, writer = socket.socketpair()
