--- a/berylhaven/gateway/tests/test_settings_file.py
+++ b/berylhaven/gateway/tests/test_settings_file.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from berylhaven.event_log import EventLog
 from berylhaven.gateway import InvalidGatewaySettings, SettingsFile
 from berylhaven.gateway._gateway_instance import SETTINGS_CHECK_INTERVAL_S
 from berylhaven.gateway.tests._gateway_path import GatewayPath, request_bytes
@@ -57,6 +58,15 @@
         eventlet.sleep(SOON_S)
         self.assertEqual(self.grace_s(), 3)
 
+    def test_a_huge_file_is_not_read_into_memory(self):
+        # 100 MB of comments took 314 MB, and held the instance for a second.
+        settings_file = SettingsFile(str(self.file_path))
+        self.change("grace_s = 3", "grace_s = 5")
+        with self.file_path.open("a") as file:
+            file.write("; comment\n" * 110_000)
+        self.assertIsNone(settings_file.reread(EventLog()))
+        self.assertEqual(settings_file.settings.drain.grace_s, 3)
+
     def test_addresses_and_names_stay_for_the_whole_run(self):
         self.change("name = one", "name = two")
         self.change("grace_s = 3", "grace_s = 5")
--- a/berylhaven/ini/_sections.py
+++ b/berylhaven/ini/_sections.py
@@ -14,6 +14,9 @@
     UnknownSection,
 )
 
+# Settings have some kilobytes.
+FILE_LIMIT_BYTES = 1_000_000
+
 
 @dataclass(slots=True)
 class ParsedSections:
@@ -44,10 +47,14 @@
     Raises
     ------
     NotReadable
-        If the file can't be read, or is not UTF-8.
+        If the file can't be read, exceeds `FILE_LIMIT_BYTES`, or is not UTF-8.
     """
     try:
-        return Path(path).read_text(encoding="utf-8")
+        with Path(path).open("rb") as file:
+            data = file.read(FILE_LIMIT_BYTES + 1)
+        if len(data) > FILE_LIMIT_BYTES:
+            raise NotReadable(f"larger than {FILE_LIMIT_BYTES} bytes")
+        return data.decode("utf-8")
     except OSError as error:
         raise NotReadable(error.strerror) from None
     except UnicodeDecodeError as error:
