--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -46,6 +46,8 @@
 HEAD_COPY_COUNT = 2
 # The interval at which room for another pipelined head is polled for.
 ROOM_POLL_INTERVAL_S = 0.02
+# A small body up to this size is read in one step.
+FIRST_STEP_BYTES = 2_048
 # How long a request waits for room for its body, where room is expected by then.
 BODY_WAIT_LIMIT_S = 0.2
 # A waiting read takes as much memory as it may return.
@@ -262,15 +264,12 @@
         if size_bytes > PREREAD_BODY_LIMIT_BYTES:
             # It cannot be kept for another attempt, so more would only take memory.
             size_bytes = SMALL_BYTES
-        request.reservation = held.admit(
-            body_kind(size_bytes), size_bytes, BODY_WAIT_LIMIT_S
-        )
         timeout_error = SenderTooSlow(
             "the first part of the request body was not received within "
             f"{idle_timeout_s} s"
         )
         with eventlet.Timeout(idle_timeout_s, timeout_error):
-            body.buffer_first_part(size_bytes)
+            self._buffer_in_steps(request, size_bytes)
             if body.content_length is None and not body.is_ended:
                 # A chunked body that is not small: its size is still unknown.
                 left_bytes = PREREAD_BODY_LIMIT_BYTES - size_bytes
@@ -280,6 +279,25 @@
                 body.extend_first_part(left_bytes)
         request.reservation.shrink(body.buffered_bytes)
 
+    def _buffer_in_steps(self, request: GatewayRequest, size_bytes: int) -> None:
+        """Read a first part; a small one takes room as it comes, a large one at once.
+
+        Callers that announce small bodies and send nothing would otherwise take the
+        room of all others. Large bodies would be refused halfway if they took theirs in
+        steps.
+        """
+        body, held = request.body, self._context.held
+        kind = body_kind(size_bytes)
+        is_small = kind is HeldKind.SMALL_BODY
+        part_bytes = min(size_bytes, FIRST_STEP_BYTES) if is_small else size_bytes
+        request.reservation = held.admit(kind, part_bytes, BODY_WAIT_LIMIT_S)
+        body.buffer_first_part(part_bytes)
+        while body.buffered_bytes < size_bytes and not body.is_ended:
+            part_bytes = min(size_bytes, 2 * body.buffered_bytes)
+            request.reservation.release()
+            request.reservation = held.admit(kind, part_bytes, BODY_WAIT_LIMIT_S)
+            body.extend_first_part(part_bytes - body.buffered_bytes)
+
     def _caller_host(self) -> str:
         try:
             return self._socket.getpeername()[0]
--- a/berylhaven/gateway/tests/test_held_bytes.py
+++ b/berylhaven/gateway/tests/test_held_bytes.py
@@ -111,6 +111,24 @@
         reservation.release()
 
 
+class StalledBodyTest(unittest.TestCase):
+    """Callers that announce bodies and send nothing leave room for others."""
+
+    def test_a_small_body_is_served_beside_many_that_do_not_come(self):
+        path = GatewayPath()
+        self.addCleanup(path.stop)
+        head = request_bytes("/order/1", "a", "POST")
+        for framing in (b"Content-Length: 60000", b"Transfer-Encoding: chunked"):
+            for _ in range(60):
+                caller = path.connect()
+                self.addCleanup(caller.close)
+                caller.send(head[:-2] + framing + b"\r\n\r\n")
+        eventlet.sleep(0.2)
+        with path.connect() as caller:
+            answer = caller.exchange("/order/2", "b", "POST", b"x" * 60_000)
+            self.assertEqual(answer.status, 200, answer.body)
+
+
 class LargeUploadTest(unittest.TestCase):
     """Uploads that are sent on as they come."""
 
