Read no further requests once an answer could not be written

After four callers that pipelined requests without reading answers had gone, their requests were still run for more than a second: 18 sound requests of some 100 were served in the half second after it, one was lost. The kernel hands out input that it received before a reset, so the reader went on although the writer had failed.

--- a/berylhaven/gateway/callers/_caller_connection.py
+++ b/berylhaven/gateway/callers/_caller_connection.py
@@ -99,6 +99,9 @@
         end = ConnectionEnd.INTERNAL_ERROR
         try:
             while not self._answers.is_closing and self._await_request():
+                if self._answers.is_broken:
+                    # Input that was received before a reset can still be read.
+                    raise ConnectionAbortedError("an answer could not be written")
                 self._is_receiving = True
                 self._read_request()
             self._answers.end_input()
