--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -461,7 +461,8 @@
             return False
         if self._quarantine.is_held(self._request):
             return False
-        return self._request.body.is_replayable
+        # Nothing of a body is read for an attempt that sends nothing.
+        return self._request.body.is_replayable or not self.has_reached_server
 
     def _is_worth_retrying(self, result: AttemptResult) -> bool:
         """Return whether the answer is a server error that another server may avoid."""
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -300,10 +300,16 @@
                 raise AttemptFailed(AttemptEnd.CONNECTION_LIMIT, "all are in use")
             return original(address, *arguments, **options)
 
-        with mock.patch.object(ConnectionPool, "acquire", staticmethod(acquire)):
-            answer, count = self.send_request("/short/x", OK)
-        self.assertEqual((answer.status, count), (200, 1))
-        self.assertEqual(len(set(addresses)), 2)
+        upload = ("POST", b"x" * 1_500_000)
+        for path, method, body in (("/short/x", "GET", None), ("/upload/x", *upload)):
+            addresses.clear()
+            with (
+                self.subTest(path),
+                mock.patch.object(ConnectionPool, "acquire", staticmethod(acquire)),
+            ):
+                answer, count = self.send_request(path, OK, method=method, body=body)
+                self.assertEqual((answer.status, count), (200, 1))
+                self.assertEqual(len(set(addresses)), 2)
 
     def test_requests_wait_for_no_other_on_a_connection(self):
         self.path.answer_all(ORDERS, Answers(OK))
