--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -214,6 +214,9 @@
 
     def _is_untried(self, failure: AttemptFailed) -> bool:
         """Return whether an attempt does not count, since nothing was sent."""
+        if isinstance(failure, PeerBusy):
+            # One by way of another instance was not counted as sent from here.
+            return False
         untried_count = sum(known.end in UNTRIED_ENDS for known in self.failures)
         return failure.end in UNTRIED_ENDS and untried_count <= UNTRIED_LIMIT
 
--- a/berylhaven/gateway/tests/test_attempts.py
+++ b/berylhaven/gateway/tests/test_attempts.py
@@ -6,7 +6,9 @@
 import eventlet
 
 from berylhaven.attempts import AttemptEnd, AttemptFailed
+from berylhaven.gateway.requests._attempt_coordinator import AttemptCoordinator
 from berylhaven.gateway.requests._attempt_runner import FULL_SERVER_BACKOFF_S
+from berylhaven.gateway.requests._peer_forwarder import PeerBusy
 from berylhaven.gateway.servers._server_probe import FRESH_REPORT_S
 from berylhaven.gateway.store._fleet_follower import WATCH_PAUSE_S
 from berylhaven.gateway.tests._gateway_path import (
@@ -311,6 +313,13 @@
                 self.assertEqual((answer.status, count), (200, 1))
                 self.assertEqual(len(set(addresses)), 2)
 
+    def test_a_busy_instance_leaves_the_count_of_sent_attempts_as_it_is(self):
+        # Each one allowed the request a further server beyond its route's limit.
+        busy = PeerBusy(AttemptEnd.CONNECTION_LIMIT, "all are in use")
+        coordinator = AttemptCoordinator.__new__(AttemptCoordinator)
+        coordinator.failures = [busy]
+        self.assertFalse(coordinator._is_untried(busy))
+
     def test_requests_wait_for_no_other_on_a_connection(self):
         self.path.answer_all(ORDERS, Answers(OK))
         with self.path.connect() as caller:
