End a green thread alone if its descriptor was closed while it waited

Such an error ends its thread only, and the discarding thread ends with its connection. The new test of the hub fails without the change.

--- a/berylhaven/clock/_turn_hub.py
+++ b/berylhaven/clock/_turn_hub.py
@@ -117,6 +117,18 @@
             self._resumed = self._ended_turns.popleft()
             self.add_timer(self._resumed)
 
+    def close_one(self) -> None:
+        """Tell a thread that its descriptor was closed; its error ends it alone.
+
+        The library lets the error end the hub, and so the process.
+        """
+        try:
+            super().close_one()
+        except self.SYSTEM_EXCEPTIONS:
+            raise
+        except BaseException:
+            self.squelch_generic_exception(sys.exc_info())
+
     def use(self, sock: socket.socket) -> None:
         """Note that the running turn uses a socket; end the turn first if it is long.
 
--- a/berylhaven/clock/tests/test_turn_hub.py
+++ b/berylhaven/clock/tests/test_turn_hub.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import eventlet
 
@@ -47,6 +48,22 @@
         self.assertEqual([turn_s for turn_s, _ in self.reports], [5.0])
 
 
+class ClosedDescriptorTest(unittest.TestCase):
+    def test_a_descriptor_that_is_closed_during_a_wait_ends_its_thread_only(self):
+        # The error of the thread ended the hub, and with it the process.
+        hub = eventlet.hubs.get_hub()
+        reader, writer = socket.socketpair()
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        thread = eventlet.spawn(reader.recv, 1)
+        eventlet.sleep(0.01)
+        with mock.patch.object(hub, "squelch_generic_exception") as squelch:
+            hub.mark_as_reopened(reader.fileno())
+            eventlet.sleep(0.01)
+        self.assertTrue(thread.dead)
+        squelch.assert_called_once()
+
+
 class BoundedTurnTest(unittest.TestCase):
     def setUp(self):
         self.clock = self.enterContext(ManualClock())
--- a/berylhaven/http1/_strict_protocol.py
+++ b/berylhaven/http1/_strict_protocol.py
@@ -231,14 +231,18 @@
         with contextlib.suppress(OSError):
             self.connection.shutdown(socket.SHUT_WR)
         discarding = eventlet.spawn(self._discard_input)
-        OutputWatch(self.connection).await_delivery(self._sender_timeout_s)
-        with eventlet.Timeout(LINGER_TIMEOUT_S, False):
-            discarding.wait()
-        discarding.kill()
+        try:
+            OutputWatch(self.connection).await_delivery(self._sender_timeout_s)
+            with eventlet.Timeout(LINGER_TIMEOUT_S, False):
+                discarding.wait()
+        finally:
+            # Also if a full port ends the connection meanwhile.
+            discarding.kill()
 
     def _discard_input(self) -> None:
         left_bytes = self.linger_limit_bytes
-        with contextlib.suppress(OSError):
+        # A green socket raises EOFError if its descriptor was closed during a wait.
+        with contextlib.suppress(OSError, EOFError):
             while piece := self.connection.recv(DISCARD_PIECE_BYTES):
                 if left_bytes is not None:
                     left_bytes -= len(piece)
