Free a server's connection only once the whole body was sent

Cause: a body counted as sent if its green thread had ended without an error that it expects. A trace of the case shows 16 threads that ended by another one (RuntimeError: reentrant call inside BufferedReader, a hedge reading the same body), each before a connection that is used again too early.

The thread now records the last byte itself; nothing else counts. An unexpected end fails the attempt instead of leaving it to its deadline. The older role closes a connection whose send failed before an early answer.

--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -165,6 +165,7 @@
         "_was_sent",
         "_sender",
         "_send_failure",
+        "_is_body_sent",
     )
 
     def __init__(
@@ -190,6 +191,8 @@
         # Sends a large body while the answer is read.
         self._sender: eventlet.greenthread.GreenThread | None = None
         self._send_failure: AttemptFailed | None = None
+        # Whether the last byte of the body was given to the socket.
+        self._is_body_sent = False
 
     def timeout_failure(self) -> AttemptFailed:
         """Return the failure for a deadline that passes now."""
@@ -228,8 +231,10 @@
         length_bytes = body.content_length
         if not body.has_body:
             self._write(self._head())
+            self._is_body_sent = True
         elif length_bytes is not None and length_bytes <= SMALL_BODY_BYTES:
             self._write(self._head() + b"".join(body.pieces(PIECE_BYTES)))
+            self._is_body_sent = True
         else:
             self._write(self._head())
             self._sender = eventlet.spawn(self._send_body)
@@ -262,6 +267,7 @@
                     self._connection.send(b"\r\n")
             if is_chunked:
                 self._connection.send(LAST_CHUNK)
+            self._is_body_sent = True
         except tuple(CALLER_ERROR_ENDS) as error:
             self._send_failure = AttemptFailed(
                 CALLER_ERROR_ENDS[type(error)], error.message
@@ -269,12 +275,18 @@
             # Shutting the connection down unblocks the reader of the answer.
             self._connection.shut_down()
         except CONNECTION_ERRORS as error:
-            end = AttemptEnd.BROKEN_WHILE_SENDING
-            self._send_failure = AttemptFailed(
-                end,
-                f'sending the request body to server "{self._server_id}" failed: '
-                f"{error}",
-            )
+            self._send_failure = self._body_failure(error)
+        except Exception as error:
+            self._send_failure = self._body_failure(error)
+            self._connection.shut_down()
+            # The hub writes the traceback of the green thread to the log.
+            raise
+
+    def _body_failure(self, error: Exception) -> AttemptFailed:
+        return AttemptFailed(
+            AttemptEnd.BROKEN_WHILE_SENDING,
+            f'sending the request body to server "{self._server_id}" failed: {error}',
+        )
 
     def stop_sending(self) -> None:
         """Kill the green thread that sends the body, if there is one."""
@@ -289,11 +301,6 @@
         if self._buffer is not None:
             self._buffer.release()
 
-    def _is_body_sent(self) -> bool:
-        return self._sender is None or (
-            self._sender.dead and self._send_failure is None
-        )
-
     def _head(self) -> bytes:
         request = self._request
         dropped = REQUEST_FRAMING | self._dialect.replaced_request_headers
@@ -323,7 +330,7 @@
             if match is AnswerMatch.OWN:
                 # Further answers without an id could not be told apart.
                 answer.is_reusable = (
-                    answer.is_reusable and named_id is not None and self._is_body_sent()
+                    answer.is_reusable and named_id is not None and self._is_body_sent
                 )
                 answer.skipped_count = skipped_count
                 return answer
--- a/berylhaven/proxy/_attempt.py
+++ b/berylhaven/proxy/_attempt.py
@@ -115,7 +115,7 @@
 class _Attempt:
     """The steps of one attempt."""
 
-    __slots__ = ("_connection", "_request", "_limits", "_was_sent")
+    __slots__ = ("_connection", "_request", "_limits", "_was_sent", "_is_body_sent")
 
     def __init__(
         self,
@@ -127,6 +127,8 @@
         self._request = request
         self._limits = limits
         self._was_sent = False
+        # Whether the last byte of the body was given to the socket.
+        self._is_body_sent = False
 
     def deadline_failure(self) -> AttemptFailed:
         """Return the failure for a deadline that passes at this stage."""
@@ -166,6 +168,7 @@
                 self._write(self._framed(piece))
             if self._request.has_body and self._is_chunked:
                 self._write(LAST_CHUNK)
+            self._is_body_sent = True
         except CallRefused as refusal:
             end = CALLER_ERROR_ENDS[type(refusal)]
             raise AttemptFailed(end, refusal.message) from None
@@ -249,6 +252,7 @@
                 end, f"the backend server sent no valid answer: {error}"
             ) from error
         self._check_call_id(answer)
+        answer.keeps_connection &= self._is_body_sent
         return answer
 
     def _check_call_id(self, answer: UpstreamAnswer) -> None:
