Let one attempt own a body that cannot be sent again

Cause: another attempt was allowed if no failed attempt had reached a server; one that still runs, and one that was answered, have not failed. Trace of c1-7: sent to s1 with its body, 0.386 s later to s0 (tried=1), which ran it with 0 bytes.

RequestBody now knows whether it is available. The attempt that is about to send its first byte takes it, and pieces() raises for any other one, which ends as body-taken with nothing sent. All ways to a second attempt ask is_available.

--- a/berylhaven/attempts/_attempt_end.py
+++ b/berylhaven/attempts/_attempt_end.py
@@ -65,6 +65,8 @@
     EXCESSIVE_FRAMING = "excessive-framing"
     # The server's data centre was evacuated before a byte was sent.
     SERVER_EVACUATED = "server-evacuated"
+    # Another attempt sends the body, which can't be sent twice; no byte was sent.
+    BODY_TAKEN = "body-taken"
     # The instance stops before the answer is due; no byte was sent.
     INSTANCE_STOPS = "instance-stops"
     # The instance stops, and the answer's head has not come.
@@ -136,6 +138,9 @@
     AttemptEnd.SERVER_EVACUATED: EndClassification(
         Outcome.NOT_RUN, True, UpstreamUnreachable
     ),
+    AttemptEnd.BODY_TAKEN: EndClassification(
+        Outcome.NOT_RUN, False, UpstreamUnreachable
+    ),
     AttemptEnd.INSTANCE_STOPS: EndClassification(
         Outcome.NOT_RUN, False, InstanceLeaving
     ),
--- a/berylhaven/gateway/requests/_attempt_coordinator.py
+++ b/berylhaven/gateway/requests/_attempt_coordinator.py
@@ -200,6 +200,9 @@
                     return ended
                 self._failed_answer = ended
             elif isinstance(ended, AttemptFailed):
+                if ended.end is AttemptEnd.BODY_TAKEN:
+                    # How the request ends is up to the attempt that sends its body.
+                    continue
                 self.failures.append(ended)
                 if self._is_untried(ended):
                     self._sent_count -= 1
@@ -464,8 +467,7 @@
             return False
         if self._quarantine.is_held(self._request):
             return False
-        # Nothing of a body is read for an attempt that sends nothing.
-        return self._request.body.is_replayable or not self.has_reached_server
+        return self._request.body.is_available
 
     def _is_worth_retrying(self, result: AttemptResult) -> bool:
         """Return whether the answer is a server error that another server may avoid."""
--- a/berylhaven/gateway/requests/_attempt_runner.py
+++ b/berylhaven/gateway/requests/_attempt_runner.py
@@ -44,6 +44,7 @@
 # Ends of attempts that don't count as failures of the backend server.
 ENDS_UNRELATED_TO_SERVER = frozenset(
     {
+        AttemptEnd.BODY_TAKEN,
         AttemptEnd.CALLER_BODY_CUT,
         AttemptEnd.CALLER_BODY_TOO_LARGE,
         AttemptEnd.CALLER_TOO_SLOW,
--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -1,6 +1,6 @@
 """Sends a request to a backend server and reads the complete answer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import eventlet
@@ -26,6 +26,7 @@
     AnswerFramingError,
     AnswerHead,
     AnswerMatch,
+    BodyTaken,
     HeadFields,
     UpstreamConnection,
     end_to_end_headers,
@@ -227,25 +228,28 @@
         A server may answer before it has read the whole body, and then reads no more
         of it until its answer has been read.
         """
+        self._check_sending()
+        pieces = self._take_body()
+        self._request.progress.record_sent(self._server_id, monotonic_s())
+        self._connection.note_request(self._request.request_id)
+        # A part of the request may reach the server even if sending fails.
+        self._was_sent = True
         body = self._request.body
         length_bytes = body.content_length
-        if not body.has_body:
-            self._write(self._head())
-            self._is_body_sent = True
-        elif length_bytes is not None and length_bytes <= SMALL_BODY_BYTES:
-            self._write(self._head() + b"".join(body.pieces(PIECE_BYTES)))
+        if length_bytes is not None and length_bytes <= SMALL_BODY_BYTES:
+            self._write(self._head() + b"".join(pieces))
             self._is_body_sent = True
         else:
             self._write(self._head())
-            self._sender = eventlet.spawn(self._send_body)
+            self._sender = eventlet.spawn(self._send_body, pieces)
+
+    def _take_body(self) -> Iterator[bytes | bytearray]:
+        try:
+            return self._request.body.pieces(PIECE_BYTES)
+        except BodyTaken as error:
+            raise AttemptFailed(AttemptEnd.BODY_TAKEN, str(error)) from None
 
     def _write(self, data: bytes) -> None:
-        if not self._was_sent:
-            self._check_sending()
-            self._request.progress.record_sent(self._server_id, monotonic_s())
-            self._connection.note_request(self._request.request_id)
-        # A part of the request may reach the server even if sending fails.
-        self._was_sent = True
         try:
             self._connection.send(data)
         except CONNECTION_ERRORS as error:
@@ -255,10 +259,10 @@
                 f'sending the request to server "{self._server_id}" failed: {error}',
             ) from error
 
-    def _send_body(self) -> None:
+    def _send_body(self, pieces: Iterator[bytes | bytearray]) -> None:
         is_chunked = self._request.body.content_length is None
         try:
-            for piece in self._request.body.pieces(PIECE_BYTES):
+            for piece in pieces:
                 if is_chunked:
                     self._connection.send(b"%x\r\n" % len(piece))
                 # Slices of a view are not copies, while the server reads slowly.
--- a/berylhaven/http1/__init__.py
+++ b/berylhaven/http1/__init__.py
@@ -24,7 +24,7 @@
 from berylhaven.http1._hop_headers import REQUEST_FRAMING, end_to_end_headers
 from berylhaven.http1._open_cause import OpenCause
 from berylhaven.http1._output_watch import OUTPUT_POLL_INTERVAL_S, OutputWatch
-from berylhaven.http1._request_body import CONTINUE_LINE, RequestBody
+from berylhaven.http1._request_body import CONTINUE_LINE, BodyTaken, RequestBody
 from berylhaven.http1._retry_after import RETRY_AFTER, parse_retry_after_s
 from berylhaven.http1._upstream_answer import (
     AnswerBodyError,
@@ -59,6 +59,7 @@
     "AnswerRefused",
     "AnswerTooLarge",
     "BodyFraming",
+    "BodyTaken",
     "BoundedAnswer",
     "BoundedClient",
     "ChunkedBodyError",
--- a/berylhaven/http1/_request_body.py
+++ b/berylhaven/http1/_request_body.py
@@ -18,6 +18,10 @@
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class BodyTaken(Exception):
+    """A body that cannot be sent again is sent by another attempt, or was."""
+
+
 class RequestBody:
     """Reads a request's body; it also replaces the input object of the WSGI server.
 
@@ -39,6 +43,7 @@
         "_sender_timeout_s",
         "_send_continue",
         "_first_part",
+        "_is_taken",
         "buffered_bytes",
         "limit_bytes",
         "content_length",
@@ -58,6 +63,8 @@
         self._sender_timeout_s = sender_timeout_s
         self._send_continue = send_continue
         self._first_part: bytes | bytearray | None = None
+        # Whether an attempt has begun to send a body that cannot be sent again.
+        self._is_taken = False
         # The size of the part that was read into memory, also once it was released.
         self.buffered_bytes = 0
         # The size limit of the body in bytes; None until the service is known.
@@ -93,6 +100,11 @@
         """Whether the whole body is in memory, so that it can be sent again."""
         return not self.has_body or (self._first_part is not None and self.is_ended)
 
+    @property
+    def is_available(self) -> bool:
+        """Whether an attempt may send the body from its start."""
+        return self.is_replayable or not self._is_taken
+
     @property
     def chunked_input(self) -> bool:
         """Whether the WSGI server must discard an unread rest of the body."""
@@ -206,18 +218,32 @@
         self.buffered_bytes = len(first_part)
 
     def pieces(self, size_bytes: int) -> Iterator[bytes | bytearray]:
-        """Yield the body from its start; only once, unless it is replayable.
+        """Return the pieces of the body from its start.
+
+        Two attempts that read one body would each send a part of it, so the first
+        call takes a body that cannot be sent again.
 
         Parameters
         ----------
         size_bytes : int
             The maximum size of a further piece, in bytes.
 
-        Yields
+        Returns
+        -------
+        iterator of bytes or bytearray
+            The pieces.
+
+        Raises
         ------
-        bytes or bytearray
-            A piece of the body.
+        BodyTaken
+            If the body is not available.
         """
+        if not self.is_available:
+            raise BodyTaken("the body is sent by another attempt, or was")
+        self._is_taken = True
+        return self._read_pieces(size_bytes)
+
+    def _read_pieces(self, size_bytes: int) -> Iterator[bytes | bytearray]:
         if self._first_part:
             yield self._first_part
         if not self.is_ended:
--- a/berylhaven/proxy/tests/test_outcome_table.py
+++ b/berylhaven/proxy/tests/test_outcome_table.py
@@ -42,6 +42,12 @@
         raise TimeoutError
 
 
+def gateway_body(data=b""):
+    """Return a body of a request to a gateway; nothing of it is kept."""
+    reader = io.BufferedReader(io.BytesIO(data))
+    return RequestBody(reader, BodyFraming(len(data), False), 1.0)
+
+
 class OutcomeTableTest(unittest.TestCase):
     """One test per row; the page and the code give the same consequences."""
 
@@ -165,8 +171,10 @@
         self.answer(HEAD + b"Berylhaven-Call-Id: d\r\nContent-Length: 0\r\n\r\n")
         self.assert_ends(AttemptEnd.FOREIGN_ANSWER)
 
-    def gateway_exchange(self, connection, check_sending=lambda: None, memory=None):
-        body = RequestBody(io.BufferedReader(io.BytesIO()), BodyFraming(0, False), 1.0)
+    def gateway_exchange(
+        self, connection, check_sending=lambda: None, memory=None, body=None
+    ):
+        body = body or gateway_body()
         now_s = monotonic_s()
         progress = RequestProgress("c", now_s)
         request = GatewayRequest(
@@ -235,6 +243,19 @@
         eventlet.sleep(0.01)
         self.assertEqual(self.backend.requests, [])
 
+    def test_body_taken(self):
+        # Only gateways send a request to two servers at once.
+        body = gateway_body(b"x" * 9_000)
+        body.pieces(1)
+        connection = UpstreamConnection(self.backend.address, 1_000)
+        self.addCleanup(connection.close)
+        with self.assertRaises(AttemptFailed) as caught:
+            self.gateway_exchange(connection, body=body)
+        self.assertIs(caught.exception.end, AttemptEnd.BODY_TAKEN)
+        connection.close()
+        eventlet.sleep(0.01)
+        self.assertEqual(self.backend.requests, [])
+
     def test_instance_stops(self):
         self.stop_watch.stop()
         self.assert_ends(AttemptEnd.INSTANCE_STOPS)
