Take only a time without answers for an outage of the store

Cause: one cut watch of one reader counted as an outage, and its updates told peers so for 2 s. Each peer then noted removals only, for 2 s from the receipt, and could not find the outage local, since it compared with the start of its own process.

Updates tell how long ago it began and ended, so that the grace period ends everywhere 2 s after the recovery, and a peer with answers meanwhile proves it local.

--- a/berylhaven/gateway/_gateway_instance.py
+++ b/berylhaven/gateway/_gateway_instance.py
@@ -370,9 +370,11 @@
         update = self._update_log.wait_after(revision, wait_s)
         if not update.changes:
             self._check_store_answer_age()
+        outage_age = self._follower.outage_age
         return dataclasses.replace(
             update,
-            is_after_outage=self._follower.is_after_outage,
+            is_after_outage=outage_age is not None,
+            outage_age=outage_age,
             store_answer_age_s=monotonic_s() - self._update_log.store_answered_at_s,
         )
 
--- a/berylhaven/gateway/store/_fleet_follower.py
+++ b/berylhaven/gateway/store/_fleet_follower.py
@@ -20,12 +20,13 @@
     HistoryGone,
     InvalidEntry,
     InvalidEvacuation,
+    OutageAge,
     ServerRemoved,
     SourceUnavailable,
     without_superseded,
 )
 from berylhaven.gateway.store._relayed_source import RelayedSource
-from berylhaven.gateway.store._store_outages import StoreOutages
+from berylhaven.gateway.store._store_outages import UNKNOWN_OUTAGE_AGE, StoreOutages
 from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.http1 import ConnectionPool
 from berylhaven.routes import RoutingConfiguration
@@ -133,8 +134,15 @@
 
     @property
     def is_after_outage(self) -> bool:
-        """Whether the store recovered or was restored within the grace period."""
-        return self._outages.is_in_grace
+        """Whether entries that the store lacks may be written again soon."""
+        if not self._outages.is_in_grace:
+            return False
+        return not self._outages.is_local(self._members.live(monotonic_s()))
+
+    @property
+    def outage_age(self) -> OutageAge | None:
+        """How long ago the outage was after which entries may lack; None without."""
+        return self._outages.age if self.is_after_outage else None
 
     def snapshot(self) -> FleetUpdate:
         """Return a snapshot for a peer that cannot read the store."""
@@ -179,6 +187,7 @@
         except SourceUnavailable as error:
             return self._record_failure(error)
         self._record_recovery()
+        self._outages.record_answer(update.store_answer_age_s)
         self._apply_newer(update)
         self._set_revision(update.revision)
         return WATCH_PAUSE_S if update.changes else 0.0
@@ -195,6 +204,8 @@
         is_first = self._revision is None
         update = self._source.read(allow_stale=is_first)
         self._record_recovery()
+        if not update.sender:
+            self._outages.record_answer(update.store_answer_age_s)
         self._needs_snapshot = False
         if not is_first and update.revision < self._revision:
             # Newer changes came from a relay while the snapshot was read.
@@ -320,7 +331,6 @@
     def _record_failure(self, error: SourceUnavailable) -> float:
         self._failure_count += 1
         if self._failure_count == 1:
-            self._outages.record_outage()
             self._event_log.write_failure(
                 "store", "lost", **self._position(), reason=error.message
             )
@@ -398,8 +408,8 @@
         self._end_evacuations()
 
     def _apply_changes(self, update: FleetUpdate) -> None:
-        if update.is_after_outage and not self.is_after_outage:
-            self._outages.record_recovery()
+        if update.is_after_outage:
+            self._outages.record_peer_outage(update.outage_age or UNKNOWN_OUTAGE_AGE)
         self._record_skipped(update)
         for change in without_superseded(update.changes):
             self._apply_change(change, update.revision)
@@ -482,7 +492,9 @@
     def _end_evacuations(self) -> None:
         """Return data centres to service unless the store may lack their evacuation."""
         now_s = monotonic_s()
-        grace_end_s = math.inf if self._failure_count else self._outages.grace_end_s
+        grace_end_s = self._outages.evacuation_grace_end_s
+        if self._failure_count:
+            grace_end_s = math.inf
         returned = self._table.evacuations.pop_returned(now_s, grace_end_s)
         for data_centre in returned:
             servers = self._table.in_data_centre(data_centre)
@@ -541,10 +553,7 @@
 
     def _remove_expired(self) -> None:
         """Remove servers whose entries did not come back after the store's recovery."""
-        if not self._expired_server_ids:
-            return
-        live = self._members.live(monotonic_s())
-        if not self.is_after_outage or self._outages.is_local(live):
+        if self._expired_server_ids and not self.is_after_outage:
             for server_id in list(self._expired_server_ids):
                 self._remove(server_id)
 
--- a/berylhaven/gateway/store/_fleet_source.py
+++ b/berylhaven/gateway/store/_fleet_source.py
@@ -92,6 +92,16 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class OutageAge:
+    """How long ago an outage of the store began and ended, in seconds."""
+
+    # Since the last answer before it.
+    began_age_s: float
+    # Since the first answer after it.
+    ended_age_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class FleetUpdate:
     """A snapshot, or the changes since a revision."""
@@ -100,7 +110,8 @@
     changes: tuple[Change, ...]
     # The revision after which the next watch continues.
     revision: StoreRevision
-    # Whether the sender has only just reached the store again after an outage.
+    # Whether entries may lack that expired in an outage of the store, by the sender's
+    # evidence.
     is_after_outage: bool = False
     # The address of the peer that sent it; empty if the store did.
     sender: str = ""
@@ -112,6 +123,8 @@
     skipped: tuple[str, ...] = ()
     # Whether no change of a known kind was skipped.
     is_complete: bool = True
+    # The outage; None if there was none, or from instances of earlier releases.
+    outage_age: OutageAge | None = None
 
 
 def without_superseded(changes: Iterable[Change]) -> tuple[Change, ...]:
--- a/berylhaven/gateway/store/_update_codec.py
+++ b/berylhaven/gateway/store/_update_codec.py
@@ -25,6 +25,7 @@
     FleetUpdate,
     InvalidEntry,
     InvalidEvacuation,
+    OutageAge,
     ServerRemoved,
 )
 from berylhaven.routes import (
@@ -81,6 +82,7 @@
     """
     evacuations = [c for c in update.changes if isinstance(c, EvacuationChange)]
     others = [c for c in update.changes if not isinstance(c, EvacuationChange)]
+    age = update.outage_age
     document = {
         "revision": update.revision.number,
         "era": update.revision.era,
@@ -90,6 +92,7 @@
         "evacuations": [[EVACUATION_NAMES[type(c)], c] for c in evacuations],
         "is_after_outage": update.is_after_outage,
         "store_answer_age_s": round(update.store_answer_age_s, 3),
+        "outage_ages_s": age and [round(age.began_age_s, 3), round(age.ended_age_s, 3)],
     }
     return orjson.dumps(document)
 
@@ -168,6 +171,7 @@
         era = document.get("era", 0)
         is_after_outage = bool(document["is_after_outage"])
         store_answer_age_s = document.get("store_answer_age_s", 0.0)
+        outage_ages_s = document.get("outage_ages_s")
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(
             f"malformed update: missing or invalid field: {error}"
@@ -191,9 +195,21 @@
         has_evacuations,
         tuple(changes.skipped),
         changes.is_complete,
+        _outage_age(outage_ages_s),
     )
 
 
+def _outage_age(ages_s: Any) -> OutageAge | None:
+    if ages_s is None:
+        return None
+    is_pair = type(ages_s) is list and len(ages_s) == 2
+    if not is_pair or any(type(age_s) not in (float, int) for age_s in ages_s):
+        raise ValueError(
+            f"malformed update: outage ages {ages_s!r:.200} are not two numbers"
+        )
+    return OutageAge(*ages_s)
+
+
 class _Changes:
     """The changes of an update that can be decoded, and what was skipped."""
 
--- a/berylhaven/gateway/tests/_gateway_path.py
+++ b/berylhaven/gateway/tests/_gateway_path.py
@@ -14,6 +14,7 @@
     ServerEntry,
     ServerRemoved,
     SettingsFile,
+    SourceUnavailable,
     StoreRevision,
     parse_gateway_settings,
 )
@@ -128,6 +129,8 @@
         self.changed = eventlet.event.Event()
         self.published = []
         self.call_count = 0
+        # The number of watches that wait for a change.
+        self.waiting_count = 0
         self.failure = None
         # For each read of a snapshot, whether a stale one was allowed.
         self.stale_allowed = []
@@ -147,6 +150,11 @@
         changed, self.changed = self.changed, eventlet.event.Event()
         changed.send()
 
+    def cut_watches(self):
+        """End the watches that wait without an answer; the store stays available."""
+        changed, self.changed = self.changed, eventlet.event.Event()
+        changed.send_exception(SourceUnavailable("cut"))
+
     def _check(self):
         if self.failure is not None:
             raise self.failure
@@ -172,8 +180,12 @@
         self._check()
         update = self._update_since(revision)
         if not update.changes:
-            with eventlet.Timeout(wait_s, False):
-                self.changed.wait()
+            self.waiting_count += 1
+            try:
+                with eventlet.Timeout(wait_s, False):
+                    self.changed.wait()
+            finally:
+                self.waiting_count -= 1
         self._check()
         return self._update_since(revision)
 
--- a/berylhaven/gateway/tests/test_fleet_follower.py
+++ b/berylhaven/gateway/tests/test_fleet_follower.py
@@ -23,11 +23,15 @@
 from berylhaven.gateway.servers._server_table import ServerTable
 from berylhaven.gateway.store._fleet_follower import (
     FIRST_WATCH_DELAY_LIMIT_S,
+    RETRY_LIMIT_S,
     FleetFollower,
 )
 from berylhaven.gateway.store._fleet_source import EvacuationsListed
 from berylhaven.gateway.store._relayed_source import RelayedSource
-from berylhaven.gateway.store._store_outages import EXPIRED_ENTRY_GRACE_S
+from berylhaven.gateway.store._store_outages import (
+    EXPIRED_ENTRY_GRACE_S,
+    MIN_EXPIRY_OUTAGE_S,
+)
 from berylhaven.gateway.store._update_codec import decode_update, encode_update
 from berylhaven.gateway.store._update_log import UpdateLog
 from berylhaven.gateway.tests._gateway_path import FakeSource, at, configuration
@@ -166,6 +170,7 @@
     def simulate_outage(self):
         self.source.failure = SourceUnavailable("down")
         self.follower.step()
+        self.clock.advance_s(MIN_EXPIRY_OUTAGE_S)
         self.follower.step()
         self.assertTrue(self.follower.is_store_unavailable)
         self.source.failure = None
@@ -234,6 +239,17 @@
         self.clock.advance_s(2.5)
         self.assertEqual(self.members.own.store_available_s, 2)
 
+    def test_a_cut_watch_delays_no_removal(self):
+        # Guards against requests to servers that left, here and at peers.
+        self.source.failure = SourceUnavailable("cut")
+        self.follower.step()
+        self.source.failure = None
+        self.clock.advance_s(RETRY_LIMIT_S)
+        self.source.put(ServerRemoved("a"))
+        self.follower.step()
+        self.assertEqual(self.servers(), ["b"])
+        self.assertFalse(self.follower.is_after_outage)
+
     def test_expired_entries_are_kept_if_a_peer_reports_the_outage(self):
         update = FleetUpdate((ServerRemoved("a"),), at(self.source.number + 1), True)
         self.follower._apply_newer(update)
@@ -302,6 +318,8 @@
             b'{"revision":1,"changes":{},"is_after_outage":false}',
             b'{"revision":1,"changes":"x","is_after_outage":false}',
             b'{"revision":"1","changes":[],"is_after_outage":false}',
+            b'{"revision":1,"changes":[],"is_after_outage":true,"outage_ages_s":[1]}',
+            b'{"revision":1,"changes":[],"is_after_outage":true,"outage_ages_s":["",1]}',
             b'{"revision":1,"changes":[],"is_after_outage":false,'
             b'"store_answer_age_s":"1"}',
         ):
