Take no success for whole that ends before its upload was sent

On other systems, a part of an early 200 without a length, and the status 000, reached clients as answers.

Cause: an answer without a length ends with its connection, but while a request is being sent the connection of a killed server ends like that too.

A 2xx without a length that ends before the last byte of the request was sent is no answer; failures are passed on. The new test got 200 before.

Statuses that HTTP does not have were refused before, too; tests now say so for servers, for passed-on requests and for the older role.

--- a/berylhaven/gateway/servers/_server_exchange.py
+++ b/berylhaven/gateway/servers/_server_exchange.py
@@ -41,6 +41,7 @@
 # the socket's send buffer.
 SMALL_BODY_BYTES = 8_192
 BODYLESS_STATUSES = frozenset({204, 304})
+HTTP_STATUS_CLASS_SUCCESS = 2
 LAST_CHUNK = b"0\r\n\r\n"
 # How an attempt ends whose answer is cut off, by the error.
 CUT_ENDS = {
@@ -394,6 +395,12 @@
         )
         if framing.content_length is None and not framing.is_chunked:
             self._read_to_end(buffer)
+            if (
+                not self._is_body_sent
+                and head.status // 100 == HTTP_STATUS_CLASS_SUCCESS
+            ):
+                # The connection of a server that is killed ends in the same way.
+                raise AnswerBodyError("it ended before the request was sent")
             return False
         source = AnswerBodyReader(self._connection.reader, framing)
         while not source.is_ended:
--- a/berylhaven/gateway/tests/test_cut_from_servers.py
+++ b/berylhaven/gateway/tests/test_cut_from_servers.py
@@ -161,6 +161,16 @@
         self.assertEqual(self.exchange("lost", "/read/lost").status, 502)
         self.assertLessEqual(self.fleet.requests("/read/lost"), 2)
 
+    def test_an_answer_that_is_none_at_the_other_instance_is_none_here(self):
+        # Guards against a status 000, or a part of an answer, by way of two instances.
+        for number, data in enumerate(
+            (b"HTTP/1.1 000 X\r\n\r\n", b"HTTP/1.1 200 X\r\nA")
+        ):
+            path = f"/order/none-{number}"
+            self.answer(path, answers_raw(data, keeps_open=False))
+            answer = self.exchange(f"none-{number}", path, "POST", b"order")
+            self.assertEqual((answer.status, self.fleet.requests(path)), (502, 1))
+
     def test_an_order_that_the_other_instance_refuses_is_told_as_not_run(self):
         refusal = b"HTTP/1.1 503 Full\r\nWordy-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
         self.answer("/order/full", answers_raw(refusal))
--- a/berylhaven/proxy/tests/test_answer_edges.py
+++ b/berylhaven/proxy/tests/test_answer_edges.py
@@ -101,6 +101,9 @@
             b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
             b"HTTP/1.1 103 Early\r\n\r\n" * 20,
             b"NOTHTTP\r\n\r\n",
+            b"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nsome",
+            b"HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nsome",
+            b"HTTP/1.1 2000 X\r\nContent-Length: 4\r\n\r\nsome",
             HEAD + b"A: " + b"b" * 40_000 + b"\r\n\r\n",
         ):
             with self.subTest(data[:90]):
