Leave a run unused that a later one replaced before a restore

A server that was leaving, started again under its id and was removed got requests when the store returned from a copy that lists its first run.

Cause: only the last removed run of an id is remembered, so a listed run that is older counted as unknown.

--- a/berylhaven/gateway/servers/_server_table.py
+++ b/berylhaven/gateway/servers/_server_table.py
@@ -167,6 +167,9 @@
             # The turns continue, so that a restart adds nothing to the rate.
             record.warmup_share = former.warmup_share
         if removed is None or not removed.entry.is_same_run(entry):
+            if removed and is_restored and entry.is_older_run(removed.entry):
+                # A later run has replaced it, and has ended too.
+                record.record_leaving()
             if is_start:
                 record.record_possible_cold(now_s)
             return record
--- a/berylhaven/gateway/tests/test_store_eras.py
+++ b/berylhaven/gateway/tests/test_store_eras.py
@@ -208,6 +208,19 @@
         for instance in (self.relay, self.other):
             self.assertEqual(self.names(instance), ["b"])
 
+    def test_a_run_before_the_one_that_left_is_not_used_when_the_copy_lists_it(self):
+        # Guards against requests to a run that was leaving before a later one began.
+        self.store.put(entry("a", is_leaving=True))
+        self.step_all()
+        self.store.put(entry("a", started_at_ms=2))
+        self.store.put(ServerRemoved("a"))
+        self.step_all()
+        self.store.restore()
+        self.step_all()
+        self.clock.advance_s(RESTORED_ENTRY_HOLD_S + 0.1)
+        for instance in (self.relay, self.other):
+            self.assertEqual(self.names(instance), ["b"])
+
     def test_a_removed_server_is_held_when_the_copy_lists_it(self):
         self.store.put(ServerRemoved("a"))
         self.step_all()
