Return the connection of a check that ends while it connects

Cause: the check of whether a server has ended took a connection from the pool and opened it outside the block that returns it. Where its time limit passed meanwhile, the connection counted as in use for ever, and requests found one less.

The new test failed before: one connection in use after the check.

--- a/berylhaven/gateway/servers/_server_end_check.py
+++ b/berylhaven/gateway/servers/_server_end_check.py
@@ -95,11 +95,10 @@
             return True if failure.end is AttemptEnd.NOT_CONNECTED else None
         is_reusable = False
         try:
-            connection.open(CONNECT_TIMEOUT_S)
-        except CONNECTION_ERRORS:
-            self._pool.release(connection, False)
-            return True
-        try:
+            try:
+                connection.open(CONNECT_TIMEOUT_S)
+            except CONNECTION_ERRORS:
+                return True
             self._evacuations.check_sending(entry.server_id, entry.data_centre)
             lines = f"GET {health_path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
             connection.send(lines.encode("latin-1"))
